Lay the wire, the tables and the protocol

Cause: nothing stood yet; the lanes need one set of messages to build against. Conclusion: attrs messages with kind numbers in MACed frames.

--- /dev/null
+++ b/redwingstream/endpoints.py
@@ -0,0 +1,82 @@
+"""Where a process, a caller or a service is reached: an IP and a port."""
+
+import functools
+import ipaddress
+
+import attrs
+
+from redwingstream.errors import SettingError
+
+MAX_PORT = 65535
+_CACHED_ENDPOINTS = 65536
+
+
+@attrs.frozen(order=True)
+class Endpoint:
+    """An IP address and a port.
+
+    Parameters
+    ----------
+    host : str
+        IPv4 or IPv6 address in its usual text form; never a name.
+    port : int
+        0 to 65535; 0 stands for "any port" in a route.
+    """
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return ``host:port``, with brackets round an IPv6 address."""
+        if ':' in self.host:
+            return f'[{self.host}]:{self.port}'
+        return f'{self.host}:{self.port}'
+
+    def as_pair(self) -> tuple[str, int]:
+        """Return the form that the socket calls take."""
+        return (self.host, self.port)
+
+
+@functools.lru_cache(maxsize=_CACHED_ENDPOINTS)
+def parse_endpoint(text: str) -> Endpoint:
+    """Read ``host:port`` or ``[host]:port``.
+
+    Parameters
+    ----------
+    text : str
+        For instance ``127.0.0.1:5683`` or ``[::1]:5683``.
+
+    Returns
+    -------
+    Endpoint
+        The endpoint read.
+
+    Raises
+    ------
+    SettingError
+        When the host is no IP address or the port is out of range.
+
+    Examples
+    --------
+    >>> parse_endpoint('127.0.0.1:5683').port
+    5683
+    """
+    host, separator, port_text = text.rpartition(':')
+    bare_host = host.removeprefix('[').removesuffix(']')
+    try:
+        address = ipaddress.ip_address(bare_host)
+    except ValueError:
+        raise SettingError(
+            f'endpoint {text!r} has no IP address; write it as IP:PORT, '
+            'for instance 127.0.0.1:5683',
+        ) from None
+    if not separator or not _is_port(port_text):
+        raise SettingError(
+            f'endpoint {text!r} has no port of 0 to {MAX_PORT}; write it as '
+            'IP:PORT, for instance 127.0.0.1:5683',
+        )
+    return Endpoint(str(address), int(port_text))
+
+
+def _is_port(text: str) -> bool:
+    return text.isdecimal() and int(text) <= MAX_PORT
--- /dev/null
+++ b/redwingstream/errors.py
@@ -0,0 +1,107 @@
+"""Numbered result codes and the exceptions that carry them.
+
+Every process exits with one of these codes, every refusal that an operator or
+a peer sees names one, and ``docs/result-codes.md`` lists them all.  A test
+checks that the page and this module agree.
+"""
+
+import enum
+
+
+class ResultCode(enum.IntEnum):
+    """Numbered outcome of a call, a request or a whole process.
+
+    Notes
+    -----
+    Numbers are part of the interface: they are never reused.  0 to 19 concern
+    a process, 20 to 39 operators' changes, 40 to 59 callers' traffic, 60 to 79
+    what passes between processes, 80 to 99 durable state.
+    """
+
+    OK = 0
+    INTERNAL = 1
+    BAD_SETTING = 2
+    KEY_FILE_OPEN = 3
+    ADDRESS_IN_USE = 4
+    DEMONSTRATION_FAILED = 5
+
+    CONFLICT = 20
+    REQUEST_ID_REUSED = 21
+    POOL_IN_USE = 22
+    MISSING_POOL = 23
+    UNKNOWN_ROW = 24
+    BAD_ROW = 25
+    NOT_IN_FORCE = 26
+
+    NO_ROUTE = 40
+    NO_POOL = 41
+    NO_SERVER = 42
+    OVERLOADED = 43
+    ZONE_OUT = 44
+    DRAINING = 45
+    LEDGER_FULL = 46
+    RECOVERING = 47
+    OUTCOME_UNKNOWN = 48
+    DEADLINE_PASSED = 49
+
+    NOT_LEADER = 60
+    NO_QUORUM = 61
+    TIMED_OUT = 62
+    MALFORMED = 63
+    UNAUTHENTIC = 64
+    REPLAYED = 65
+    STALE = 66
+
+    DISK_FULL = 80
+    DISK_FAILED = 81
+    DATA_DAMAGED = 82
+    DATA_MISSING = 83
+    DATA_VERSION = 84
+
+
+class RedwingstreamError(Exception):
+    """Base of every error that this package raises on purpose.
+
+    Parameters
+    ----------
+    message : str
+        What was met, what is allowed and the way out.
+    code : ResultCode, optional
+        The numbered result; each subclass has a default.
+    """
+
+    default_code = ResultCode.INTERNAL
+
+    def __init__(self, message: str, code: ResultCode | None = None) -> None:
+        super().__init__(message)
+        self.code = type(self).default_code if code is None else code
+
+
+class SettingError(RedwingstreamError):
+    """A flag or an environment variable has a value that is not allowed."""
+
+    default_code = ResultCode.BAD_SETTING
+
+
+class WireError(RedwingstreamError):
+    """A frame that cannot be taken: malformed, unauthentic or replayed."""
+
+    default_code = ResultCode.MALFORMED
+
+
+class CallFailedError(RedwingstreamError):
+    """A call to another process that got no answer or a refusal."""
+
+    default_code = ResultCode.TIMED_OUT
+
+
+class ChangeRefusedError(RedwingstreamError):
+    """An operators' change that was not accepted."""
+
+    default_code = ResultCode.CONFLICT
+
+
+class StorageError(RedwingstreamError):
+    """Durable state that cannot be read or written."""
+
+    default_code = ResultCode.DISK_FAILED
--- /dev/null
+++ b/redwingstream/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who is there: announcements, leases and incarnations."""
--- /dev/null
+++ b/redwingstream/placement/messages.py
@@ -0,0 +1,129 @@
+"""Messages between the homes and heirs of buckets."""
+
+import attrs
+
+from redwingstream.flows.records import FlowRecord
+from redwingstream.requests.records import LedgerEntry
+from redwingstream.wire.messages import message
+
+
+@attrs.frozen
+class BucketContents:
+    """What must not be lost when a bucket moves.
+
+    Parameters
+    ----------
+    entries : tuple of LedgerEntry
+        Non-idempotent requests.
+    flows : tuple of FlowRecord
+        Established feeds and placements elsewhere.
+    """
+
+    entries: tuple[LedgerEntry, ...] = ()
+    flows: tuple[FlowRecord, ...] = ()
+
+
+@message(kind=64)
+class Record:
+    """Home asks heir to remember something before it takes effect.
+
+    Parameters
+    ----------
+    pool : str
+        Pool of the bucket.
+    view : int
+        View under which the sender is home.
+    bucket : int
+        Which bucket.
+    ticket : int
+        Number by which the sender knows the answer.
+    contents : BucketContents
+        What to remember.
+    """
+
+    pool: str
+    view: int
+    bucket: int
+    ticket: int
+    contents: BucketContents
+
+
+@message(kind=65)
+class RecordAck:
+    """The heir has remembered it, or refuses because the view is old.
+
+    Parameters
+    ----------
+    pool : str
+        Pool of the bucket.
+    bucket : int
+        Which bucket.
+    ticket : int
+        The number in the :class:`Record`.
+    accepted : bool
+        False when the heir is fenced at a newer view.
+    view : int
+        View at which the heir is fenced.
+    """
+
+    pool: str
+    bucket: int
+    ticket: int
+    accepted: bool
+    view: int
+
+
+@message(kind=66)
+class TakeBucket:
+    """A new home asks one of an earlier pair for a bucket, and fences it.
+
+    Parameters
+    ----------
+    pool : str
+        Pool of the bucket.
+    view : int
+        View under which the sender is home.
+    bucket : int
+        Which bucket.
+    asked_incarnation : int
+        Run of the asked agent that was in the earlier view; another run of it
+        remembers nothing and must not answer for it.
+    part : int
+        Which part of the contents is wanted; contents larger than a datagram
+        travel in parts.
+    """
+
+    pool: str
+    view: int
+    bucket: int
+    asked_incarnation: int
+    part: int = 0
+
+
+@message(kind=67)
+class BucketGiven:
+    """Contents of a bucket for its new home.
+
+    Parameters
+    ----------
+    pool : str
+        Pool of the bucket.
+    view : int
+        View of the :class:`TakeBucket` that is answered.
+    bucket : int
+        Which bucket.
+    incarnation : int
+        Run of the agent that answers.
+    part, parts : int
+        Which part this is, and how many there are.
+    contents : BucketContents
+        The part.
+    """
+
+    pool: str
+    view: int
+    bucket: int
+    incarnation: int
+    part: int
+    parts: int
+    contents: BucketContents
--- /dev/null
+++ b/redwingstream/requests/records.py
@@ -0,0 +1,66 @@
+"""What is remembered of a non-idempotent request."""
+
+import enum
+
+import attrs
+
+
+class RequestState(enum.StrEnum):
+    """How far a request came.
+
+    Notes
+    -----
+    ``STARTED`` is recorded before the request is handed to a server, so it
+    means "may have run".  The other three are final.
+    """
+
+    STARTED = 'started'
+    ANSWERED = 'answered'
+    NOT_RUN = 'not_run'
+    UNKNOWN = 'unknown'
+
+
+@attrs.frozen
+class RequestKey:
+    """What makes two packets the same request (RFC 7252, section 4.5).
+
+    Parameters
+    ----------
+    caller, service : str
+        ``IP:PORT`` of both ends.
+    message_id : int
+        The caller's message id.
+    token : bytes
+        The caller's token.
+    """
+
+    caller: str
+    service: str
+    message_id: int
+    token: bytes
+
+
+@attrs.frozen
+class LedgerEntry:
+    """A request as it travels between the ledgers of home and heir.
+
+    Parameters
+    ----------
+    key : RequestKey
+        Which request.
+    checksum : bytes
+        Digest of method, options and payload: a message id that a caller uses
+        again for another request has another one.
+    state : RequestState
+        How far it came.
+    answer : bytes
+        The packet that the caller was sent, when there is one.
+    age : float
+        Seconds since it was first seen; clocks of two processes differ.
+    """
+
+    key: RequestKey
+    checksum: bytes
+    state: RequestState
+    answer: bytes = b''
+    age: float = 0
--- /dev/null
+++ b/redwingstream/tables/rows.py
@@ -0,0 +1,195 @@
+"""Rows of the tables and how they are named.
+
+Route and pool tables are linked by the pool's name only.  Members and views are
+kept beside them in the same replicated state, so that one revision number says
+what a process knows of all of them.
+"""
+
+import enum
+import fnmatch
+import ipaddress
+
+import attrs
+
+ANY_CALLER = '0.0.0.0/0'
+DEFAULT_BUCKETS = 64
+DEFAULT_WEIGHT = 100
+
+
+class Role(enum.StrEnum):
+    """What a process of the system does."""
+
+    AGENT = 'agent'
+    BALANCER = 'balancer'
+
+
+@attrs.frozen
+class Route:
+    """Which pool the traffic to a service address belongs to.
+
+    Parameters
+    ----------
+    service : str
+        ``IP:PORT`` that callers send to.
+    pool : str
+        Name of the pool.
+    callers : str
+        Network of callers in CIDR form; the longest one that holds a caller
+        wins.
+    """
+
+    service: str
+    pool: str
+    callers: str = ANY_CALLER
+
+    @property
+    def key(self) -> str:
+        """Name of the row in its table."""
+        return f'{self.service}|{self.callers}'
+
+    def prefix_length(self) -> int:
+        """Length of the callers' network prefix in bits."""
+        return ipaddress.ip_network(self.callers).prefixlen
+
+
+@attrs.frozen
+class Pool:
+    """Which backend servers may serve a service.
+
+    Parameters
+    ----------
+    name : str
+        What routes call it.
+    admits : tuple of str
+        Shell-style patterns of host names; a host that announces itself for
+        this pool is admitted when one of them fits.
+    buckets : int
+        Into how many parts its flows are divided; a power of two, fixed for
+        the life of the pool.
+    """
+
+    name: str
+    admits: tuple[str, ...]
+    buckets: int = DEFAULT_BUCKETS
+
+    def admits_host(self, host: str) -> bool:
+        """Whether a host of this name may serve the pool."""
+        return any(fnmatch.fnmatchcase(host, glob) for glob in self.admits)
+
+
+@attrs.frozen
+class ZoneMark:
+    """Whether an availability zone is out of service.
+
+    Parameters
+    ----------
+    zone : str
+        Name of the availability zone.
+    out : bool
+        True while operators have taken it out.
+    """
+
+    zone: str
+    out: bool
+
+
+@attrs.frozen
+class Member:
+    """A process that announced itself and was admitted.
+
+    Parameters
+    ----------
+    host : str
+        Name of the host or instance it runs on.
+    role : Role
+        What it does.
+    incarnation : int
+        Revision at which this run of it was admitted; a later run always has
+        a higher one.
+    boot : int
+        Random number of the run, from its frames.
+    endpoint : str
+        ``IP:PORT`` for frames (UDP) and calls (TCP).
+    zone : str
+        Its availability zone.
+    pool : str
+        Pool that its backend server serves; empty for a balancer.
+    weight : int
+        Share of the buckets relative to other members of the pool.
+    draining : bool
+        True once it was asked to leave.
+    """
+
+    host: str
+    role: Role
+    incarnation: int
+    boot: int
+    endpoint: str
+    zone: str
+    pool: str = ''
+    weight: int = DEFAULT_WEIGHT
+    draining: bool = False
+
+
+@attrs.frozen
+class ViewMember:
+    """A member as far as the placement of buckets needs it.
+
+    Parameters
+    ----------
+    host : str
+        Name of the host.
+    incarnation : int
+        Which run of the agent.
+    endpoint : str
+        ``IP:PORT`` of the agent.
+    zone : str
+        Its availability zone.
+    weight : int
+        Its share relative to others.
+    """
+
+    host: str
+    incarnation: int
+    endpoint: str
+    zone: str
+    weight: int = DEFAULT_WEIGHT
+
+
+@attrs.frozen
+class EarlierView:
+    """A former view whose buckets may not all have been taken over yet.
+
+    Parameters
+    ----------
+    number : int
+        Its number.
+    members : tuple of ViewMember
+        Who was in it.
+    """
+
+    number: int
+    members: tuple[ViewMember, ...]
+
+
+@attrs.frozen
+class PoolView:
+    """Who serves a pool, agreed on by the control instances.
+
+    Parameters
+    ----------
+    pool : str
+        Name of the pool.
+    number : int
+        Revision at which it was committed; later views have higher numbers.
+    members : tuple of ViewMember
+        Agents that may be home or heir of a bucket, by host name.
+    unsettled : tuple of EarlierView
+        Former views, newest first, from which some bucket of this view may
+        still have to be taken over.  A new home must hear from each of them.
+    """
+
+    pool: str
+    number: int
+    members: tuple[ViewMember, ...]
+    unsettled: tuple[EarlierView, ...] = ()
--- /dev/null
+++ b/redwingstream/wire/calls.py
@@ -0,0 +1,210 @@
+"""Request and reply over pynng, for control and operators only.
+
+A round trip costs hundreds of microseconds of processor time (see
+``docs/design/wire.md``), so packets and the request ledger use datagrams.
+
+TCP's word that a connection is open is not believed: a call that gets no answer
+in time closes its socket, and the next call dials afresh.
+"""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import TypeVar
+
+import pynng
+
+from redwingstream.endpoints import Endpoint
+from redwingstream.errors import (
+    CallFailedError,
+    RedwingstreamError,
+    ResultCode,
+    WireError,
+)
+from redwingstream.wire.frames import FrameCodec
+from redwingstream.wire.messages import message
+
+MAX_CALL_SIZE = 1 << 24
+SERVING_CONTEXTS = 16
+DEFAULT_TIMEOUT = 2.0
+
+Handler = Callable[[object], Awaitable[object]]
+AnswerT = TypeVar('AnswerT')
+
+
+@message(kind=1)
+class Refused:
+    """Answer of a process that did not do what was asked.
+
+    Parameters
+    ----------
+    code : int
+        A :class:`~redwingstream.errors.ResultCode`.
+    text : str
+        What was met and the way out.
+    """
+
+    code: int
+    text: str
+
+
+class CallClient:
+    """Calls other processes; one connection for each endpoint.
+
+    Parameters
+    ----------
+    codec : FrameCodec
+        Seals requests and opens answers.
+    """
+
+    def __init__(self, codec: FrameCodec) -> None:
+        self._codec = codec
+        self._socket_by_endpoint: dict[Endpoint, pynng.Req0] = {}
+
+    async def call(
+        self,
+        endpoint: Endpoint,
+        request: object,
+        answer_class: type[AnswerT],
+        timeout: float = DEFAULT_TIMEOUT,
+    ) -> AnswerT:
+        """Send one request and wait for its answer.
+
+        Parameters
+        ----------
+        endpoint : Endpoint
+            The TCP endpoint of the other process.
+        request : object
+            A message; it must be safe to repeat.
+        answer_class : type
+            The message class expected.
+        timeout : float
+            Seconds to wait.
+
+        Returns
+        -------
+        object
+            The answer.
+
+        Raises
+        ------
+        CallFailedError
+            With the other side's code when it refused, ``TIMED_OUT`` when
+            nothing came, ``MALFORMED`` when something else came.
+        """
+        frame = self._codec.seal(request)
+        try:
+            async with asyncio.timeout(timeout):
+                reply = await self._exchange(endpoint, frame)
+        except (TimeoutError, pynng.NNGException) as error:
+            self._forget(endpoint)
+            raise CallFailedError(
+                f'no answer from {endpoint} within {timeout} s',
+                ResultCode.TIMED_OUT,
+            ) from error
+        return self._read(endpoint, reply, answer_class)
+
+    def close(self) -> None:
+        """Close every connection."""
+        for endpoint in list(self._socket_by_endpoint):
+            self._forget(endpoint)
+
+    async def _exchange(self, endpoint: Endpoint, frame: bytes) -> bytes:
+        sock = self._socket_by_endpoint.get(endpoint)
+        if sock is None:
+            sock = pynng.Req0(recv_max_size=MAX_CALL_SIZE)
+            self._socket_by_endpoint[endpoint] = sock
+            sock.dial(f'tcp://{endpoint}', block=False)
+        with sock.new_context() as context:
+            await context.asend(frame)
+            return await context.arecv()
+
+    def _read(
+        self, endpoint: Endpoint, reply: bytes, answer_class: type[AnswerT]
+    ) -> AnswerT:
+        try:
+            answer = self._codec.open(reply).payload
+        except WireError as error:
+            raise CallFailedError(
+                f'answer of {endpoint} is not usable: {error}', error.code
+            ) from error
+        if isinstance(answer, Refused):
+            raise CallFailedError(answer.text, ResultCode(answer.code))
+        if not isinstance(answer, answer_class):
+            raise CallFailedError(
+                f'{endpoint} answered with {type(answer).__name__}; '
+                f'expected {answer_class.__name__}',
+                ResultCode.MALFORMED,
+            )
+        return answer
+
+    def _forget(self, endpoint: Endpoint) -> None:
+        sock = self._socket_by_endpoint.pop(endpoint, None)
+        if sock is not None:
+            sock.close()
+
+
+@contextlib.asynccontextmanager
+async def serve_calls(
+    endpoint: Endpoint, codec: FrameCodec, handler: Handler
+) -> AsyncIterator[None]:
+    """Answer calls on a TCP endpoint until the block ends.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+        Where to listen.
+    codec : FrameCodec
+        Opens requests and seals answers.
+    handler : callable
+        Takes a request message and returns the answer message.  It may raise
+        a :class:`~redwingstream.errors.RedwingstreamError`; the caller gets
+        its code and text.
+
+    Notes
+    -----
+    At most ``SERVING_CONTEXTS`` calls are in hand at once, so a flood of calls
+    waits in the peers and not in this process's memory.
+    """
+    with pynng.Rep0(recv_max_size=MAX_CALL_SIZE) as sock:
+        sock.listen(f'tcp://{endpoint}')
+        tasks = [
+            asyncio.create_task(_serve_context(sock, codec, handler))
+            for _ in range(SERVING_CONTEXTS)
+        ]
+        try:
+            yield
+        finally:
+            await _cancel_all(tasks)
+
+
+async def _cancel_all(tasks: list[asyncio.Task[None]]) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def _serve_context(
+    sock: pynng.Rep0, codec: FrameCodec, handler: Handler
+) -> None:
+    with sock.new_context() as context:
+        while True:
+            frame = await context.arecv()
+            answer = await _answer(codec, handler, frame)
+            if answer is not None:
+                with contextlib.suppress(pynng.NNGException):
+                    await context.asend(answer)
+
+
+async def _answer(
+    codec: FrameCodec, handler: Handler, frame: bytes
+) -> bytes | None:
+    try:
+        request = codec.open(frame).payload
+    except WireError:
+        # An unauthentic caller learns nothing, not even that it was heard.
+        return None
+    try:
+        return codec.seal(await handler(request))
+    except RedwingstreamError as error:
+        return codec.seal(Refused(int(error.code), str(error)))
--- /dev/null
+++ b/redwingstream/wire/frames.py
@@ -0,0 +1,156 @@
+"""Authentic frames with replay protection round one message.
+
+Layout, big-endian: version (1 byte), kind (1), boot (8), sequence (8), MAC
+(16), msgpack payload.  ``boot`` is drawn at random by each process when it
+starts; ``sequence`` counts the frames that it has sent since.  The MAC is keyed
+BLAKE2b over everything else.
+"""
+
+import hashlib
+import hmac
+import secrets
+import struct
+from collections import OrderedDict
+
+import attrs
+
+from redwingstream.errors import ResultCode, WireError
+from redwingstream.wire import messages
+
+VERSION = 1
+MAC_SIZE = 16
+KEY_SIZE_MIN = 16
+KEY_SIZE_MAX = 64
+MAX_FRAME = 60000
+REPLAY_WINDOW = 4096
+MAX_BOOTS = 32768
+
+_PREFIX = struct.Struct('>BBQQ')
+_HEADER_SIZE = _PREFIX.size + MAC_SIZE
+_BOOT_BITS = 64
+
+
+@attrs.frozen
+class Opened:
+    """A frame that was authentic and new.
+
+    Parameters
+    ----------
+    boot : int
+        Which run of which process sent it.
+    payload : object
+        The message that it carried.
+    """
+
+    boot: int
+    payload: object
+
+
+@attrs.define
+class _Window:
+    """Sequence numbers seen of one boot: the highest and a bit map below."""
+
+    highest: int = 0
+    seen: int = 0
+
+    def take(self, sequence: int) -> bool:
+        """Return whether the number is new, and remember it."""
+        ahead = sequence - self.highest
+        if ahead > 0:
+            kept = self.seen << ahead if ahead < REPLAY_WINDOW else 0
+            self.seen = (kept | 1) & ((1 << REPLAY_WINDOW) - 1)
+            self.highest = sequence
+            return True
+        bit = 1 << -ahead
+        if -ahead >= REPLAY_WINDOW or self.seen & bit:
+            return False
+        self.seen |= bit
+        return True
+
+
+class FrameCodec:
+    """Seals messages into frames and opens frames, under one shared key.
+
+    Parameters
+    ----------
+    key : bytes
+        16 to 64 bytes, the same in every process of the fleet.
+    max_frame : int
+        Longest frame in bytes; the default fits one UDP datagram.
+
+    Notes
+    -----
+    The replay window guards against a frame that the network or an attacker
+    delivers again: without it an old heartbeat could keep a dead member in the
+    view.  It holds because each boot number is drawn at random and a sequence
+    number is used once.  The windows of the last 32768 boots are kept; a
+    replay of an older boot is stopped by the incarnations and view numbers in
+    the messages themselves.
+    """
+
+    def __init__(self, key: bytes, max_frame: int = MAX_FRAME) -> None:
+        self._key = key
+        self._max_frame = max_frame
+        self._boot = secrets.randbits(_BOOT_BITS)
+        self._sequence = 0
+        self._window_by_boot: OrderedDict[int, _Window] = OrderedDict()
+
+    @property
+    def boot(self) -> int:
+        """The random number of this run of the process."""
+        return self._boot
+
+    def seal(self, payload: object) -> bytes:
+        """Return the frame that carries a message.
+
+        Raises
+        ------
+        WireError
+            When the frame would be longer than ``max_frame`` bytes.
+        """
+        kind, body = messages.encode(payload)
+        if len(body) + _HEADER_SIZE > self._max_frame:
+            raise WireError(
+                f'message of kind {kind} has {len(body)} bytes; a frame takes '
+                f'{self._max_frame - _HEADER_SIZE}',
+            )
+        self._sequence += 1
+        prefix = _PREFIX.pack(VERSION, kind, self._boot, self._sequence)
+        return b''.join((prefix, self._mac(prefix, body), body))
+
+    def open(self, frame: bytes) -> Opened:
+        """Check a frame and return what it carried.
+
+        Raises
+        ------
+        WireError
+            With code ``MALFORMED``, ``UNAUTHENTIC`` or ``REPLAYED``.
+        """
+        if not _HEADER_SIZE <= len(frame) <= self._max_frame:
+            raise WireError(f'frame of {len(frame)} bytes is out of bounds')
+        version, kind, boot, sequence = _PREFIX.unpack_from(frame)
+        body = frame[_HEADER_SIZE:]
+        expected = self._mac(frame[: _PREFIX.size], body)
+        if not hmac.compare_digest(
+            expected, frame[_PREFIX.size : _HEADER_SIZE]
+        ):
+            raise WireError('frame has a wrong MAC', ResultCode.UNAUTHENTIC)
+        if version != VERSION:
+            raise WireError(f'frame version {version}; expected {VERSION}')
+        if not self._window(boot).take(sequence):
+            raise WireError('frame was seen before', ResultCode.REPLAYED)
+        return Opened(boot, messages.decode(kind, body))
+
+    def _mac(self, prefix: bytes, body: bytes) -> bytes:
+        return hashlib.blake2b(
+            prefix + body, key=self._key, digest_size=MAC_SIZE
+        ).digest()
+
+    def _window(self, boot: int) -> _Window:
+        window = self._window_by_boot.get(boot)
+        if window is None:
+            window = _Window()
+            self._window_by_boot[boot] = window
+            if len(self._window_by_boot) > MAX_BOOTS:
+                self._window_by_boot.popitem(last=False)
+        return window
