--- a/redwingstream/forwarding/messages.py
+++ b/redwingstream/forwarding/messages.py
@@ -1,5 +1,7 @@
 """Envelopes in which callers' packets and answers travel between processes."""
 
+from redwingstream.flows.records import FlowKey, FlowRecord
+from redwingstream.requests.records import RequestKey, RequestState
 from redwingstream.wire.messages import message
 
 
@@ -52,3 +54,106 @@
     caller: str
     service: str
     payload: bytes
+
+
+@message(kind=50)
+class Assigned:
+    """A home tells an agent to carry a packet's flow on its server.
+
+    Parameters
+    ----------
+    packet : Packet
+        What the caller sent.
+    home : str
+        ``IP:PORT`` of the home, which wants the outcome.
+    generation : int
+        Generation of the flow's record; see
+        :class:`~redwingstream.flows.records.FlowRecord`.
+    wants_outcome : bool
+        True for a non-idempotent request: the home's ledger waits for
+        :class:`RunOutcome`, and the home answers the caller.
+    """
+
+    packet: Packet
+    home: str
+    generation: int
+    wants_outcome: bool = False
+
+
+@message(kind=51)
+class RunOutcome:
+    """What became of an assigned non-idempotent request.
+
+    Parameters
+    ----------
+    key : RequestKey
+        Which request.
+    state : RequestState
+        ``ANSWERED``, ``NOT_RUN`` or ``UNKNOWN``.
+    answer : bytes
+        The packet for the caller.
+    """
+
+    key: RequestKey
+    state: RequestState
+    answer: bytes
+
+
+@message(kind=52)
+class LoadReport:
+    """An agent tells others of its pool how much room its server has.
+
+    Parameters
+    ----------
+    host : str
+        Name of its host.
+    incarnation : int
+        Which run of the agent.
+    in_flight : int
+        Requests that its server is running.
+    limit : int
+        Requests that it may run at once; 0 takes no new work.
+    flows : int
+        Feeds that it carries.
+    """
+
+    host: str
+    incarnation: int
+    in_flight: int
+    limit: int
+    flows: int
+
+
+@message(kind=53)
+class FeedMove:
+    """A carrier that leaves asks the home to place a feed elsewhere.
+
+    Parameters
+    ----------
+    pool : str
+        Pool of the feed.
+    record : FlowRecord
+        The feed as it stands.
+    observe : int
+        Last sequence number that the caller was sent (RFC 7641).
+    """
+
+    pool: str
+    record: FlowRecord
+    observe: int
+
+
+@message(kind=54)
+class FeedMoved:
+    """The home has placed the feed; its former carrier lets go of it.
+
+    Parameters
+    ----------
+    key : FlowKey
+        Which feed.
+    generation : int
+        Generation of its new record.
+    """
+
+    key: FlowKey
+    generation: int
