--- /dev/null
+++ b/redwingstream/balancer/role.py
@@ -0,0 +1,128 @@
+"""The balancer as a process: sockets and timers round the forwarder."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+from absl import logging
+
+from redwingstream.balancer.forwarder import Forward, Forwarder, Refuse
+from redwingstream.endpoints import Endpoint, parse_endpoint
+from redwingstream.errors import ResultCode, WireError
+from redwingstream.forwarding.messages import Answer
+from redwingstream.membership.messages import Announce, Probe, ProbeAck
+from redwingstream.node.member import MemberNode
+from redwingstream.node.metrics import Metrics
+from redwingstream.settings.roles import BalancerSettings
+from redwingstream.tables.rows import Role
+from redwingstream.wire import coap, fabric
+from redwingstream.wire.datagrams import DatagramSocket, open_datagrams
+
+_PROBE_TICK = 0.1
+_COME_BACK = 2
+
+
+class BalancerRole:
+    """Takes datagrams of the fabric and answers of agents.
+
+    Parameters
+    ----------
+    settings : BalancerSettings
+        Where it stands.
+    key : bytes
+        Key of all frames and of the bucket hash.
+    """
+
+    def __init__(self, settings: BalancerSettings, key: bytes) -> None:
+        self._settings = settings
+        self.metrics = Metrics(
+            f'redwingstream.balancer.{settings.host}', settings.statsd
+        )
+        announcement = Announce(
+            host=settings.host,
+            role=Role.BALANCER,
+            endpoint=str(settings.endpoint),
+            zone=settings.zone,
+            pool='',
+            weight=1,
+        )
+        self._node = MemberNode(settings, key, announcement, self.metrics)
+        self._node.on_tables = self._adopt
+        self._node.handle(Answer, self._on_answer)
+        self._node.handle(ProbeAck, self._on_probe_ack)
+        self._forwarder = Forwarder(settings.endpoint, key)
+        self._fabric_socket: DatagramSocket | None = None
+        self._fabric_source = settings.fabric
+
+    @contextlib.asynccontextmanager
+    async def opened(self) -> AsyncIterator[None]:
+        """Serve for as long as the block lasts."""
+        async with self._node.opened():
+            with open_datagrams(
+                self._settings.fabric_endpoint, self._on_fabric
+            ) as sock:
+                self._fabric_socket = sock
+                probing = asyncio.create_task(self._probe())
+                logging.info('balancer: %s is up.', self._settings.host)
+                try:
+                    yield
+                finally:
+                    probing.cancel()
+
+    def _adopt(self) -> None:
+        self._forwarder.adopt(self._node.history.tables)
+
+    def _on_fabric(self, datagram: bytes, source: tuple[str, int]) -> None:
+        try:
+            way, payload = fabric.unwrap(datagram)
+        except WireError:
+            self.metrics.count('fabric_malformed')
+            return
+        self._fabric_source = Endpoint(*source)
+        match self._forwarder.decide(way, payload, self._node.now):
+            case Forward(agent, packet):
+                self.metrics.count('forwarded')
+                self._node.send(agent, packet)
+            case Refuse(reason):
+                self.metrics.count(f'refused_{reason.name.lower()}')
+                self._refuse(way, payload, reason)
+
+    def _refuse(
+        self, way: fabric.Way, payload: bytes, reason: ResultCode
+    ) -> None:
+        try:
+            request = coap.decode(payload)
+        except WireError:
+            self.metrics.count('caller_malformed')
+            return
+        if coap.is_request(request):
+            refusal = coap.refusal(request, reason, _COME_BACK)
+            self._to_fabric(way, coap.encode(refusal))
+
+    def _on_answer(self, answer: Answer, source: Endpoint) -> None:
+        self._forwarder.links.heard(source)
+        self._node.hear_revision(answer.revision, source)
+        way = fabric.Way(
+            parse_endpoint(answer.caller), parse_endpoint(answer.service)
+        )
+        self.metrics.count('answered')
+        self._to_fabric(way, answer.payload)
+
+    def _to_fabric(self, way: fabric.Way, payload: bytes) -> None:
+        if self._fabric_source is None or self._fabric_socket is None:
+            self.metrics.count('fabric_unknown')
+            return
+        self._fabric_socket.send(
+            fabric.wrap(way, payload), self._fabric_source.as_pair()
+        )
+
+    def _on_probe_ack(self, ack: ProbeAck, source: Endpoint) -> None:
+        self._forwarder.links.heard(source)
+        self._node.hear_revision(ack.revision, source)
+
+    async def _probe(self) -> None:
+        while True:
+            await asyncio.sleep(_PROBE_TICK)
+            revision = self._node.history.tables.revision
+            for peer in self._forwarder.links.due_probes(self._node.now):
+                self._node.send(peer, Probe(revision))
--- /dev/null
+++ b/redwingstream/node/__init__.py
@@ -0,0 +1,1 @@
+"""What every member process does: speak, follow the tables, stay known."""
--- /dev/null
+++ b/redwingstream/settings/parsers.py
@@ -0,0 +1,50 @@
+"""Reads the text of one value; a value that is not allowed is an error."""
+
+from collections.abc import Mapping
+
+from redwingstream.endpoints import Endpoint, parse_endpoint
+from redwingstream.errors import SettingError
+
+MAX_WEIGHT = 10000
+MAX_NAME = 64
+ENDPOINT_ALLOWED = 'IP:PORT, for instance 127.0.0.1:7000'
+NAME_ALLOWED = f'letters, digits, - and _, {MAX_NAME} at most'
+
+
+def parse_name(text: str) -> str:
+    """Read the name of a host, a zone or a pool."""
+    stripped = text.strip()
+    is_plain = stripped.replace('-', '').replace('_', '').isalnum()
+    if not is_plain or len(stripped) > MAX_NAME:
+        raise SettingError(f'{text!r} is no name')
+    return stripped
+
+
+def parse_endpoints(text: str) -> tuple[Endpoint, ...]:
+    """Read a comma-separated list of endpoints, one at least."""
+    return tuple(parse_endpoint(part.strip()) for part in text.split(','))
+
+
+def parse_replicas(text: str) -> Mapping[str, Endpoint]:
+    """Read ``name=IP:PORT,...``: all control instances, this one included."""
+    endpoint_by_host: dict[str, Endpoint] = {}
+    for part in text.split(','):
+        name, _, endpoint = part.strip().partition('=')
+        endpoint_by_host[parse_name(name)] = parse_endpoint(endpoint)
+    return endpoint_by_host
+
+
+def parse_weight(text: str) -> int:
+    """Read a weight."""
+    weight = int(text)
+    if not 0 < weight <= MAX_WEIGHT:
+        raise SettingError(f'weight {weight} is out of range')
+    return weight
+
+
+def parse_seconds(text: str) -> float:
+    """Read a positive number of seconds."""
+    seconds = float(text)
+    if not 0 < seconds < float('inf'):
+        raise SettingError(f'{text!r} is not a positive number')
+    return seconds
--- /dev/null
+++ b/redwingstream/settings/roles.py
@@ -0,0 +1,120 @@
+"""The settings of each role."""
+
+import pathlib
+from collections.abc import Mapping
+
+import attrs
+
+from redwingstream.endpoints import Endpoint, parse_endpoint
+from redwingstream.settings.parsers import (
+    ENDPOINT_ALLOWED,
+    MAX_WEIGHT,
+    NAME_ALLOWED,
+    parse_endpoints,
+    parse_name,
+    parse_replicas,
+    parse_seconds,
+    parse_weight,
+)
+from redwingstream.settings.reading import setting
+from redwingstream.tables.rows import DEFAULT_WEIGHT
+
+DEFAULT_DRAIN_SECONDS = 30
+
+
+@attrs.frozen(kw_only=True)
+class CommonSettings:
+    """What every role needs to know of itself."""
+
+    host: str = setting(
+        parse_name, NAME_ALLOWED, 'Name of the host or instance it runs on.'
+    )
+    endpoint: Endpoint = setting(
+        parse_endpoint,
+        ENDPOINT_ALLOWED,
+        'Where it takes frames (UDP) and calls (TCP) of other processes.',
+    )
+    zone: str = setting(
+        parse_name, NAME_ALLOWED, 'Availability zone that it stands in.'
+    )
+    key_file: pathlib.Path = setting(
+        pathlib.Path,
+        'path of a file of 16 to 64 bytes that only its owner can read',
+        'Key under which processes of the system authenticate each other.',
+    )
+    statsd: Endpoint | None = setting(
+        parse_endpoint,
+        ENDPOINT_ALLOWED,
+        'Where metrics are sent by the statsd protocol; none when absent.',
+        default=None,
+    )
+
+
+@attrs.frozen(kw_only=True)
+class MemberSettings(CommonSettings):
+    """What the roles that announce themselves need besides."""
+
+    control: tuple[Endpoint, ...] = setting(
+        parse_endpoints,
+        'comma-separated IP:PORT',
+        'The control instances.',
+    )
+
+
+@attrs.frozen(kw_only=True)
+class BalancerSettings(MemberSettings):
+    """Settings of a balancer."""
+
+    fabric_endpoint: Endpoint = setting(
+        parse_endpoint,
+        ENDPOINT_ALLOWED,
+        "Where the fabric hands in callers' datagrams (UDP).",
+    )
+    fabric: Endpoint | None = setting(
+        parse_endpoint,
+        ENDPOINT_ALLOWED,
+        'Where answers go until the fabric has handed in a first datagram.',
+        default=None,
+    )
+
+
+@attrs.frozen(kw_only=True)
+class AgentSettings(MemberSettings):
+    """Settings of an agent."""
+
+    server: Endpoint = setting(
+        parse_endpoint,
+        ENDPOINT_ALLOWED,
+        'Where the backend server beside it takes CoAP (UDP).',
+    )
+    pool: str = setting(
+        parse_name, NAME_ALLOWED, 'Pool that the backend server serves.'
+    )
+    weight: int = setting(
+        parse_weight,
+        f'1 to {MAX_WEIGHT}',
+        'Share of the new flows relative to other servers of the pool.',
+        default=DEFAULT_WEIGHT,
+    )
+    drain_seconds: float = setting(
+        parse_seconds,
+        'a positive number',
+        'How long running requests may take to finish after SIGTERM.',
+        default=DEFAULT_DRAIN_SECONDS,
+    )
+
+
+@attrs.frozen(kw_only=True)
+class ControlRoleSettings(CommonSettings):
+    """Settings of a control instance."""
+
+    data_folder: pathlib.Path = setting(
+        pathlib.Path,
+        'path of a folder on a disk',
+        'Where the durable state lives.',
+    )
+    replicas: Mapping[str, Endpoint] = setting(
+        parse_replicas,
+        'comma-separated NAME=IP:PORT, this instance included',
+        'All control instances.',
+    )
