--- /dev/null
+++ b/redwingstream/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission: each backend server gets only the work that it can bear."""
--- a/redwingstream/requests/records.py
+++ b/redwingstream/requests/records.py
@@ -11,9 +11,14 @@
     Notes
     -----
     ``STARTED`` is recorded before the request is handed to a server, so it
-    means "may have run".  The other three are final.
+    means "may have run".  ``ABANDONED`` means that a home gave the request up
+    before its heir acknowledged it: *that* home surely did not run it, but a
+    duplicate may have reached another home.  ``NOT_RUN`` is knowledge about a
+    recorded run: its server refused it, or it was never handed over.  All but
+    ``STARTED`` are final.
     """
 
+    ABANDONED = 'abandoned'
     STARTED = 'started'
     ANSWERED = 'answered'
     NOT_RUN = 'not_run'
@@ -56,7 +61,8 @@
     answer : bytes
         The packet that the caller was sent, when there is one.
     age : float
-        Seconds since it was first seen; clocks of two processes differ.
+        Seconds since a packet of it was last seen; clocks of two processes
+        differ, so ages travel and times do not.
     """
 
     key: RequestKey
