--- a/redwingstream/admission/latency.py
+++ b/redwingstream/admission/latency.py
@@ -1,5 +1,8 @@
 """What latency to expect of a backend server."""
 
+from collections import deque
+from itertools import islice
+
 # Weights of RFC 6298, section 2.
 _MEAN_WEIGHT = 1 / 8
 _DEVIATION_WEIGHT = 1 / 4
@@ -66,28 +69,21 @@
     tolerance = 0.05
 
     def __init__(self, window: int) -> None:
-        self._window = window
-        self._latencies: list[float] = []
+        self._half = window // 2
+        self._latencies: deque[float] = deque(maxlen=2 * self._half)
 
     def observe(self, latency: float) -> None:
         """Take the latency of the next completed run."""
         self._latencies.append(latency)
-        del self._latencies[: -self._window]
 
     def clear(self) -> None:
         """Begin a new window."""
         self._latencies.clear()
 
-    @property
-    def mean(self) -> float:
-        """Seconds, over the later half of the window."""
-        later = self._latencies[self._window // 2 :]
-        return sum(later) / len(later)
-
     def has_settled(self) -> bool:
         """Whether the window is full and latencies no longer fall."""
-        if len(self._latencies) < self._window:
+        if len(self._latencies) < 2 * self._half:
             return False
-        half = self._window // 2
-        earlier = sum(self._latencies[:half]) / half
-        return self.mean >= earlier * (1 - self.tolerance)
+        earlier = sum(islice(self._latencies, self._half))
+        later = sum(self._latencies) - earlier
+        return later >= earlier * (1 - self.tolerance)
--- a/redwingstream/admission/limit.py
+++ b/redwingstream/admission/limit.py
@@ -9,16 +9,11 @@
 import math
 from collections import deque
 
-from redwingstream.admission.latency import LatencyExpectation, WarmUpTrend
+from redwingstream.admission.evidence import Evidence
+from redwingstream.admission.latency import LatencyExpectation
 
 # What a server is given after an announcement or any sign of a cold start.
 COLD_LIMIT = 1
-# Completed requests, each run while the limit was in full use, that raise the
-# limit by one; the same number makes the window of the trend.
-EVIDENCE = 16
-# After each refusal that followed a raise, more evidence is asked for, so that
-# a server is not asked again and again for what it cannot bear.
-MAX_EVIDENCE = 256
 # Latency jumps in a row that mean a cold start; a single one is a long request.
 JUMPS_FOR_COLD = 2
 # Jumps in a row after which the new latency is the one to expect.
@@ -71,9 +66,7 @@
         self._raised_to = COLD_LIMIT
         self._is_draining = False
         self._expected = LatencyExpectation(expected_latency)
-        self._trend = WarmUpTrend(EVIDENCE)
-        self._evidence = 0
-        self._evidence_needed = EVIDENCE
+        self._evidence = Evidence()
         self._jumps = 0
         self._pause = FIRST_PAUSE
         self._paused_until = -math.inf
@@ -152,7 +145,7 @@
         Runs of the former one are still to be finished by their owner.
         """
         self._turn_cold()
-        self._evidence_needed = EVIDENCE
+        self._evidence.reset()
         self._pause = FIRST_PAUSE
         self._paused_until = now
 
@@ -185,22 +178,16 @@
             return
         self._jumps = 0
         self._expected.observe(latency)
-        if was_in_use:
-            self._evidence += 1
-            self._trend.observe(latency)
-            self._raise_on_evidence()
-
-    def _raise_on_evidence(self) -> None:
-        if self._raised_to >= self._ceiling:
+        if not was_in_use or self._raised_to >= self._ceiling:
             return
-        is_enough = self._evidence >= self._evidence_needed
-        if is_enough and self._trend.has_settled():
+        self._evidence.add(latency)
+        if self._evidence.is_enough():
             self._raised_to += 1
-            self._start_evidence_anew()
+            self._evidence.start_anew()
 
     def _jumped(self, latency: float) -> None:
         self._jumps += 1
-        self._start_evidence_anew()
+        self._evidence.start_anew()
         if self._jumps >= JUMPS_TO_RELEARN:
             # Not cold but slower for good, such as after a new release: the
             # old expectation would keep the server at the cold limit for ever.
@@ -210,20 +197,15 @@
             self._raised_to = COLD_LIMIT
 
     def _refused(self, now: float) -> None:
-        if self._raised_to == COLD_LIMIT:
-            self._paused_until = now + self._pause
-            self._pause = min(2 * self._pause, MAX_PAUSE)
-        else:
-            doubled = 2 * self._evidence_needed
-            self._evidence_needed = min(doubled, MAX_EVIDENCE)
-        self._raised_to = max(COLD_LIMIT, self._raised_to // 2)
-        self._start_evidence_anew()
+        if self._raised_to > COLD_LIMIT:
+            self._evidence.ask_for_more()
+            self._raised_to = max(COLD_LIMIT, self._raised_to // 2)
+            return
+        self._evidence.start_anew()
+        self._paused_until = now + self._pause
+        self._pause = min(2 * self._pause, MAX_PAUSE)
 
     def _turn_cold(self) -> None:
         self._raised_to = COLD_LIMIT
         self._jumps = 0
-        self._start_evidence_anew()
-
-    def _start_evidence_anew(self) -> None:
-        self._evidence = 0
-        self._trend.clear()
+        self._evidence.start_anew()
--- a/redwingstream/requests/outcomes.py
+++ b/redwingstream/requests/outcomes.py
@@ -4,10 +4,9 @@
 from aiocoap.message import Message
 
 from redwingstream.errors import ResultCode
-from redwingstream.requests.ledger import (
+from redwingstream.requests.begun import (
     Answered,
     Begun,
-    Fresh,
     Full,
     OutcomeUnknown,
     Running,
@@ -90,19 +89,20 @@
         None for :class:`~redwingstream.requests.ledger.Fresh`, and for a
         request in progress that is not confirmable.
     """
+    packet: bytes | None = None
     match begun:
-        case Fresh():
-            return None
         case Running():
-            return _in_progress(request)
+            packet = _in_progress(request)
         case Full(come_back):
-            return told(request, NotRun(ResultCode.LEDGER_FULL, come_back))
-        case OutcomeUnknown(packet):
-            return packet or told(request, Unknown())
-        case WasNotRun(packet):
-            return packet or told(request, _NOT_RUN_BEFORE)
-        case Answered(packet):
-            return packet
+            full = NotRun(ResultCode.LEDGER_FULL, come_back)
+            packet = told(request, full)
+        case OutcomeUnknown(kept):
+            packet = kept or told(request, Unknown())
+        case WasNotRun(kept):
+            packet = kept or told(request, _NOT_RUN_BEFORE)
+        case Answered(kept):
+            packet = kept
+    return packet
 
 
 def _in_progress(request: Message) -> bytes | None:
--- a/redwingstream/requests/refusals.py
+++ b/redwingstream/requests/refusals.py
@@ -5,17 +5,16 @@
 """
 
 import hashlib
-from collections.abc import Iterator
 
+from redwingstream.errors import WireError
 from redwingstream.requests.records import RequestKey
 
-_BYTES_BITS = 3
 # 32,768 bits hold 3,400 refusals (a thousand a second on a host with 73
 # buckets, over a horizon of 247 s) at about 1 % of false hits.
 FILTER_BYTES = 4096
+_FILTER_BITS = FILTER_BYTES * 8
 _POSITIONS = 6
 _POSITION_BYTES = 2
-_POSITION_MASK = FILTER_BYTES * 8 - 1
 
 
 class RefusalFilter:
@@ -35,49 +34,115 @@
     def __init__(self, horizon: float, now: float) -> None:
         self._horizon = horizon
         self._turned_at = now
-        self._newer = bytearray(FILTER_BYTES)
-        self._older = bytearray(FILTER_BYTES)
+        self._newer = 0
+        self._older = 0
 
-    @property
-    def size(self) -> int:
-        """Bytes of both generations."""
-        return len(self._newer) + len(self._older)
+    def add(self, positions: int, now: float) -> None:
+        """Remember a refused request by its bits."""
+        self._turn(now)
+        self._newer |= positions
 
-    def add(self, key: RequestKey, checksum: bytes, now: float) -> None:
-        """Remember a refused request."""
+    def holds(self, positions: int, now: float) -> bool:
+        """Whether a request was, or may have been, refused lately."""
         self._turn(now)
-        for position in _positions(key, checksum):
-            self._newer[position >> _BYTES_BITS] |= _bit(position)
+        generations = (self._newer, self._older)
+        return any(bits & positions == positions for bits in generations)
 
-    def holds(self, key: RequestKey, checksum: bytes, now: float) -> bool:
-        """Whether a request was refused within the horizon, or may have been."""
+    def export(self, now: float) -> bytes:
+        """Return the bits of both generations as one filter."""
         self._turn(now)
-        positions = tuple(_positions(key, checksum))
-        return any(
-            all(bits[at >> _BYTES_BITS] & _bit(at) for at in positions)
-            for bits in (self._newer, self._older)
-        )
+        return (self._newer | self._older).to_bytes(FILTER_BYTES, 'big')
 
     def _turn(self, now: float) -> None:
         elapsed = now - self._turned_at
         if elapsed <= self._horizon:
             return
-        is_older_due = elapsed <= 2 * self._horizon
-        self._older = self._newer if is_older_due else bytearray(FILTER_BYTES)
-        self._newer = bytearray(FILTER_BYTES)
+        # Additions turn the filter first, so the newer generation holds none
+        # made later than a horizon after the last turn, and the older one only
+        # what is by now older than the horizon.
+        self._older = self._newer if elapsed <= 2 * self._horizon else 0
+        self._newer = 0
         self._turned_at = now
 
 
-def _bit(position: int) -> int:
-    return 1 << (position & 7)  # noqa: WPS432
+class RefusalFilters:
+    """A filter for each bucket in which a request was refused.
+
+    Parameters
+    ----------
+    horizon : float
+        Seconds for which a refusal is remembered at least.
+    """
+
+    def __init__(self, horizon: float) -> None:
+        self._horizon = horizon
+        self._by_bucket: dict[int, RefusalFilter] = {}
 
+    @property
+    def size(self) -> int:
+        """Bytes of all filters, with both generations of each."""
+        return 2 * FILTER_BYTES * len(self._by_bucket)
 
-def _positions(key: RequestKey, checksum: bytes) -> Iterator[int]:
-    """Yield the bits of a request."""
-    digest = hashlib.blake2b(checksum, digest_size=_POSITIONS * _POSITION_BYTES)
+    def add(
+        self, bucket: int, key: RequestKey, checksum: bytes, now: float
+    ) -> None:
+        """Remember a refused request."""
+        self._of_bucket(bucket, now).add(_positions(key, checksum), now)
+
+    def holds(
+        self, bucket: int, key: RequestKey, checksum: bytes, now: float
+    ) -> bool:
+        """Whether a request was, or may have been, refused lately."""
+        refusals = self._by_bucket.get(bucket)
+        if refusals is None:
+            return False
+        return refusals.holds(_positions(key, checksum), now)
+
+    def export(self, bucket: int, now: float) -> bytes:
+        """Return a bucket's filter; empty when nothing was refused."""
+        refusals = self._by_bucket.get(bucket)
+        return b'' if refusals is None else refusals.export(now)
+
+    def merge(self, bucket: int, exported: bytes, now: float) -> None:
+        """Add a filter exported elsewhere, as if all in it were refused now.
+
+        Raises
+        ------
+        WireError
+            When it is no filter.
+        """
+        if not exported:
+            return
+        if len(exported) != FILTER_BYTES:
+            raise WireError(
+                f'refusal filter has {len(exported)} bytes, '
+                f'must have {FILTER_BYTES}'
+            )
+        bits = int.from_bytes(exported, 'big')
+        self._of_bucket(bucket, now).add(bits, now)
+
+    def drop(self, bucket: int) -> None:
+        """Forget a bucket."""
+        self._by_bucket.pop(bucket, None)
+
+    def _of_bucket(self, bucket: int, now: float) -> RefusalFilter:
+        refusals = self._by_bucket.get(bucket)
+        if refusals is None:
+            refusals = RefusalFilter(self._horizon, now)
+            self._by_bucket[bucket] = refusals
+        return refusals
+
+
+def _positions(key: RequestKey, checksum: bytes) -> int:
+    """Return the bits of a request."""
+    size = _POSITIONS * _POSITION_BYTES
+    digest = hashlib.blake2b(checksum, digest_size=size)
     digest.update(f'{key.caller} {key.service} {key.message_id} '.encode())
     digest.update(key.token)
     drawn = digest.digest()
-    for start in range(0, len(drawn), _POSITION_BYTES):
+    positions = 0
+    for start in range(0, size, _POSITION_BYTES):
         end = start + _POSITION_BYTES
-        yield int.from_bytes(drawn[start:end], 'big') & _POSITION_MASK
+        drawn_number = int.from_bytes(drawn[start:end], 'big')
+        positions |= 1 << (drawn_number % _FILTER_BITS)
+    return positions
--- /dev/null
+++ b/redwingstream/requests/store.py
@@ -0,0 +1,194 @@
+"""Entries of a ledger in the order in which they were last seen."""
+
+from collections import OrderedDict
+from collections.abc import Iterator
+
+import attrs
+
+from redwingstream.requests.counters import LedgerCounters
+from redwingstream.requests.records import (
+    LedgerEntry,
+    RequestKey,
+    RequestState,
+)
+from redwingstream.requests.states import (
+    beats,
+    is_contradiction,
+    is_outcome_known,
+    is_surely_not_run,
+)
+
+# A CoAP message of this size fits any path unfragmented (RFC 7252, section
+# 4.6); larger answers travel as blocks, each an answer of its own.
+ANSWER_LIMIT = 1152
+
+Identity = tuple[RequestKey, bytes]
+
+
+@attrs.define
+class Slot:
+    """An entry, with what concerns this process only.
+
+    Parameters
+    ----------
+    bucket : int
+        Bucket of its flow.
+    key : RequestKey
+        Which request.
+    checksum : bytes
+        Digest of what it asks for.
+    state : RequestState
+        How far it came.
+    answer : bytes
+        What the caller was told, up to :data:`ANSWER_LIMIT`.
+    last_seen : float
+        Time of the last packet of it, in seconds.
+    is_running : bool
+        True while this process has the run in its hands.
+    """
+
+    bucket: int
+    key: RequestKey
+    checksum: bytes
+    state: RequestState
+    answer: bytes
+    last_seen: float
+    is_running: bool
+
+    @property
+    def identity(self) -> Identity:
+        """What the entry is found by."""
+        return (self.key, self.checksum)
+
+    def to_entry(self, now: float) -> LedgerEntry:
+        """Return it as it travels."""
+        age = max(0, now - self.last_seen)
+        return LedgerEntry(
+            self.key, self.checksum, self.state, self.answer, age
+        )
+
+
+class SlotStore:
+    """Entries by identity and by bucket, with their size.
+
+    Parameters
+    ----------
+    counters : LedgerCounters
+        Where contradictions and answers that are not kept are counted.
+
+    Attributes
+    ----------
+    answer_bytes : int
+        Sum of the answers kept.
+    """
+
+    def __init__(self, counters: LedgerCounters) -> None:
+        self.answer_bytes = 0
+        self._counters = counters
+        self._by_identity: OrderedDict[Identity, Slot] = OrderedDict()
+        self._by_bucket: dict[int, dict[Identity, Slot]] = {}
+        # Surely not run, in the order in which they may be condensed.
+        self._not_run_by_identity: dict[Identity, Slot] = {}
+
+    def __len__(self) -> int:
+        """Return the number of entries."""
+        return len(self._by_identity)
+
+    def get(self, key: RequestKey, checksum: bytes) -> Slot | None:
+        """Return the entry of a request, or None."""
+        return self._by_identity.get((key, checksum))
+
+    def of_bucket(self, bucket: int) -> Iterator[Slot]:
+        """Return the entries of a bucket."""
+        return iter(self._by_bucket.get(bucket, {}).values())
+
+    def oldest(self) -> Slot | None:
+        """Return the entry that was last seen or merged the longest ago."""
+        return next(iter(self._by_identity.values()), None)
+
+    def oldest_not_run(self) -> Slot | None:
+        """Return the entry that has been known as not run the longest."""
+        return next(iter(self._not_run_by_identity.values()), None)
+
+    def add(self, slot: Slot) -> None:
+        """Take a new entry."""
+        identity = slot.identity
+        self._by_identity[identity] = slot
+        self._by_bucket.setdefault(slot.bucket, {})[identity] = slot
+        self.answer_bytes += len(slot.answer)
+        if is_surely_not_run(slot.state):
+            self._not_run_by_identity[identity] = slot
+
+    def remove(self, slot: Slot) -> None:
+        """Forget an entry."""
+        identity = slot.identity
+        self._by_identity.pop(identity)
+        self._not_run_by_identity.pop(identity, None)
+        self.answer_bytes -= len(slot.answer)
+        of_bucket = self._by_bucket[slot.bucket]
+        of_bucket.pop(identity)
+        if not of_bucket:
+            self._by_bucket.pop(slot.bucket)
+
+    def touch(self, slot: Slot, now: float) -> None:
+        """Note that another packet of the request was seen."""
+        slot.last_seen = max(slot.last_seen, now)
+        self._by_identity.move_to_end(slot.identity)
+
+    def improve(self, slot: Slot, state: RequestState, answer: bytes) -> None:
+        """End the run in progress here, and take better knowledge of it."""
+        slot.is_running = False
+        if is_contradiction(slot.state, state):
+            self._counters.contradictions += 1
+        if beats(state, slot.state):
+            self._set_state(slot, state, answer)
+
+    def abandon(self, slot: Slot, answer: bytes) -> None:
+        """Note that the request was given up before it took effect."""
+        slot.is_running = False
+        self._set_state(slot, RequestState.ABANDONED, answer)
+
+    def merge(self, bucket: int, entry: LedgerEntry, now: float) -> None:
+        """Take an entry of another ledger."""
+        last_seen = now - entry.age
+        slot = self.get(entry.key, entry.checksum)
+        if slot is None:
+            self._add_merged(bucket, entry, last_seen)
+            return
+        slot.last_seen = max(slot.last_seen, last_seen)
+        # Of a run in progress here another process can only know the outcome;
+        # its STARTED or UNKNOWN is an echo of what this one recorded there.
+        if is_outcome_known(entry.state) or not slot.is_running:
+            self.improve(slot, entry.state, entry.answer)
+
+    def _add_merged(
+        self, bucket: int, entry: LedgerEntry, last_seen: float
+    ) -> None:
+        slot = Slot(
+            bucket,
+            entry.key,
+            entry.checksum,
+            entry.state,
+            self._kept(entry.answer),
+            last_seen,
+            is_running=False,
+        )
+        self.add(slot)
+
+    def _kept(self, answer: bytes) -> bytes:
+        if len(answer) <= ANSWER_LIMIT:
+            return answer
+        self._counters.answers_too_large += 1
+        return b''
+
+    def _set_state(
+        self, slot: Slot, state: RequestState, answer: bytes
+    ) -> None:
+        kept = self._kept(answer)
+        self.answer_bytes += len(kept) - len(slot.answer)
+        slot.state = state
+        slot.answer = kept
+        if is_surely_not_run(state):
+            self._not_run_by_identity[slot.identity] = slot
+        else:
+            self._not_run_by_identity.pop(slot.identity, None)
