Place buckets by weighted rendezvous hashing

Home and heir are computed from the members of a view alone; the hash leaves the incarnation out so that a restarted agent gets its buckets back. Not measured yet.

--- /dev/null
+++ b/redwingstream/placement/rendezvous.py
@@ -0,0 +1,143 @@
+"""Which bucket a flow belongs to, and which agents hold that bucket.
+
+Every process computes both from the same view, so only members travel and no
+table of buckets does.  Weighted rendezvous hashing moves the least possible:
+a member that comes takes only the buckets that it wins, a member that goes
+gives up only its own, and a changed weight moves only what the change is worth.
+"""
+
+import hashlib
+import math
+
+import attrs
+import xxhash
+
+from redwingstream.tables.rows import PoolView, ViewMember
+
+_DIGEST_BYTES = 8
+_FRACTION_BITS = 52
+_DROPPED_BITS = 64 - _FRACTION_BITS
+_FRACTION_SPAN = 1 << _FRACTION_BITS
+
+
+@attrs.frozen
+class Pair:
+    """The two agents that hold a bucket.
+
+    Parameters
+    ----------
+    home : ViewMember or None
+        Decides on the bucket's flows and requests; None in an empty view.
+    heir : ViewMember or None
+        Acknowledges what the home records; None in a view of one member.
+    """
+
+    home: ViewMember | None = None
+    heir: ViewMember | None = None
+
+    def members(self) -> tuple[ViewMember, ...]:
+        """Return home and heir, as far as there are any."""
+        return tuple(
+            member for member in (self.home, self.heir) if member is not None
+        )
+
+
+def bucket_of(caller: str, service: str, buckets: int, key: bytes) -> int:
+    """Return the bucket of a flow.
+
+    Parameters
+    ----------
+    caller, service : str
+        ``IP:PORT`` of both ends.
+    buckets : int
+        How many buckets the pool has; a power of two.
+    key : bytes
+        Up to 64 secret bytes, the same in the whole fleet.  Without the key
+        callers could choose ports that all fall into one bucket and so load
+        one server on purpose.
+
+    Returns
+    -------
+    int
+        0 to ``buckets - 1``.
+    """
+    digest = hashlib.blake2b(
+        f'{caller}|{service}'.encode(), key=key, digest_size=_DIGEST_BYTES
+    )
+    return int.from_bytes(digest.digest()) & (buckets - 1)
+
+
+def pair_of(members: tuple[ViewMember, ...], pool: str, bucket: int) -> Pair:
+    """Return home and heir of a bucket in a view with these members.
+
+    Parameters
+    ----------
+    members : tuple of ViewMember
+        Any order gives the same pair.
+    pool : str
+        Name of the pool; pools with the same hosts get different pairs.
+    bucket : int
+        Which bucket.
+
+    Returns
+    -------
+    Pair
+        The home has the highest score.  The heir has the next one among
+        members of other availability zones than the home's, so that losing a
+        zone never loses both; among all others when there is no such member.
+    """
+    if not members:
+        return Pair()
+    salt = f'|{pool}|{bucket}'
+    ranked = sorted(
+        members,
+        key=lambda member: (_score(member, salt), member.host),
+        reverse=True,
+    )
+    home, *others = ranked
+    elsewhere = [member for member in others if member.zone != home.zone]
+    candidates = elsewhere or others
+    return Pair(home, candidates[0] if candidates else None)
+
+
+class PairTable:
+    """Home and heir of every bucket of one view, each computed once.
+
+    Parameters
+    ----------
+    members : tuple of ViewMember
+        Who is in the view.
+    pool : str
+        Name of the pool.
+
+    Notes
+    -----
+    Holds at most one pair for each bucket of the pool.
+    """
+
+    def __init__(self, members: tuple[ViewMember, ...], pool: str) -> None:
+        self._members = members
+        self._pool = pool
+        self._pair_by_bucket: dict[int, Pair] = {}
+
+    @classmethod
+    def of_view(cls, view: PoolView) -> 'PairTable':
+        """Return the table of a committed view."""
+        return cls(view.members, view.pool)
+
+    def pair(self, bucket: int) -> Pair:
+        """Return home and heir of a bucket."""
+        found = self._pair_by_bucket.get(bucket)
+        if found is None:
+            found = pair_of(self._members, self._pool, bucket)
+            self._pair_by_bucket[bucket] = found
+        return found
+
+
+def _score(member: ViewMember, salt: str) -> float:
+    # -w / ln(u) with u uniform in (0, 1): the chance to have the highest score
+    # is proportional to the weight.  The incarnation stays out of the hash, so
+    # that an agent that restarts gets its buckets back.  52 bits and a half
+    # keep u exact and strictly between 0 and 1, where the logarithm is not 0.
+    drawn = xxhash.xxh3_64_intdigest(member.host + salt) >> _DROPPED_BITS
+    return -member.weight / math.log((drawn + 0.5) / _FRACTION_SPAN)
