--- /dev/null
+++ b/redwingstream/flows/table.py
@@ -0,0 +1,234 @@
+"""The flows of the buckets for which an agent is home or heir."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from redwingstream.flows.message_ids import EXCHANGE_LIFETIME
+from redwingstream.flows.records import FlowKey, FlowRecord
+
+TOMBSTONE_LIFETIME = EXCHANGE_LIFETIME
+"""Seconds in which a late record cannot revive a flow that has ended."""
+
+
+@attrs.define
+class FlowCounters:
+    """What became of the records put into a table."""
+
+    stale: int = 0
+    refused: int = 0
+    expired: int = 0
+    evicted: int = 0
+
+
+@attrs.define
+class _Entry:
+    record: FlowRecord
+    bucket: int
+    last_used: float
+
+
+class FlowTable:
+    """Flow records by bucket, by key and by the two ends of a flow.
+
+    Parameters
+    ----------
+    capacity : int
+        Records that are kept at most, and tombstones besides.
+    idle_timeout : float
+        Seconds after which a plain placement that is not used is forgotten.
+        Feeds never expire here: their carriers close them.
+
+    Notes
+    -----
+    Records merge in any order to the same result: the higher generation wins,
+    then a closed one, then the carrier with the greater name.
+    """
+
+    def __init__(self, capacity: int, idle_timeout: float) -> None:
+        self._capacity = capacity
+        self._idle_timeout = idle_timeout
+        self._entry_by_key: dict[FlowKey, _Entry] = {}
+        # Plain placements, least recently used first.
+        self._plain_by_key: dict[FlowKey, None] = {}
+        # Ended flows, the earliest first.
+        self._tombstone_by_key: dict[FlowKey, _Entry] = {}
+        self._keys_by_bucket: dict[int, set[FlowKey]] = {}
+        self._feeds_by_ends: dict[tuple[str, str], tuple[FlowKey, ...]] = {}
+        self.counters = FlowCounters()
+
+    def __len__(self) -> int:
+        """Return how many flows are open."""
+        return len(self._entry_by_key)
+
+    def put(self, bucket: int, record: FlowRecord, now: float) -> bool:
+        """Remember a record.
+
+        Returns
+        -------
+        bool
+            False when a newer one is known, or when the table is full of
+            feeds: a feed that was not recorded must not be opened.
+        """
+        if not self._replaces(record):
+            self.counters.stale += 1
+            return False
+        if record.closed:
+            self._forget(record.key)
+            self._bury(_Entry(record, bucket, now))
+            return True
+        if record.key not in self._entry_by_key and not self._make_room():
+            self.counters.refused += 1
+            return False
+        self._forget(record.key)
+        self._tombstone_by_key.pop(record.key, None)
+        self._remember(_Entry(record, bucket, now))
+        return True
+
+    def carrier_of(
+        self, caller: str, service: str, token: bytes, now: float
+    ) -> FlowRecord | None:
+        """Return the record of the feed, else of the flow, if there is one."""
+        entry = self._entry_by_key.get(FlowKey(caller, service, token))
+        if entry is None and token:
+            entry = self._entry_by_key.get(FlowKey(caller, service))
+        if entry is None:
+            return None
+        entry.last_used = now
+        key = entry.record.key
+        if key in self._plain_by_key:
+            # Moves the key to the end: most recently used.
+            del self._plain_by_key[key]
+            self._plain_by_key[key] = None
+        return entry.record
+
+    def carriers(self, caller: str, service: str) -> frozenset[str]:
+        """Return who carries feeds of a flow.
+
+        An ACK or RST of the caller names no token; it goes to all of these.
+        """
+        keys = self._feeds_by_ends.get((caller, service), ())
+        return frozenset(self._entry_by_key[key].record.carrier for key in keys)
+
+    def next_generation(self, key: FlowKey) -> int:
+        """Return the generation of the next record of a flow or feed."""
+        entry = self._entry_by_key.get(key) or self._tombstone_by_key.get(key)
+        return 0 if entry is None else entry.record.generation + 1
+
+    def export(self, bucket: int) -> tuple[FlowRecord, ...]:
+        """Return the records of a bucket, those of ended flows too."""
+        keys = self._keys_by_bucket.get(bucket, ())
+        alive = [self._entry_by_key[key].record for key in keys]
+        ended = [
+            entry.record
+            for entry in self._tombstone_by_key.values()
+            if entry.bucket == bucket
+        ]
+        return tuple(alive + ended)
+
+    def merge(
+        self, bucket: int, records: Iterable[FlowRecord], now: float
+    ) -> int:
+        """Put each of the records; return how many changed the table."""
+        return sum(self.put(bucket, record, now) for record in records)
+
+    def drop(self, bucket: int) -> None:
+        """Forget a bucket that now has another home and heir."""
+        for key in tuple(self._keys_by_bucket.get(bucket, ())):
+            self._forget(key)
+        ended = [
+            key
+            for key, entry in self._tombstone_by_key.items()
+            if entry.bucket == bucket
+        ]
+        for key in ended:
+            del self._tombstone_by_key[key]
+
+    def carried_by(self, host: str) -> tuple[FlowRecord, ...]:
+        """Return the open flows that a host carries."""
+        return tuple(
+            entry.record
+            for entry in self._entry_by_key.values()
+            if entry.record.carrier == host
+        )
+
+    def expire(self, now: float) -> None:
+        """Forget idle plain placements and old tombstones."""
+        for key in tuple(self._plain_by_key):
+            if now - self._entry_by_key[key].last_used < self._idle_timeout:
+                break
+            self._forget(key)
+            self.counters.expired += 1
+        for key, entry in tuple(self._tombstone_by_key.items()):
+            if now - entry.last_used < TOMBSTONE_LIFETIME:
+                break
+            del self._tombstone_by_key[key]
+
+    def _replaces(self, record: FlowRecord) -> bool:
+        known = self._entry_by_key.get(record.key)
+        if known is None:
+            known = self._tombstone_by_key.get(record.key)
+        if known is None:
+            return True
+        if known.record.registration and not record.registration:
+            # A feed may have the empty token, whose key is also that of the
+            # flow's plain placement.  Without this guard a placement would
+            # replace the feed, and its notifications would stop.
+            if not record.closed and not known.record.closed:
+                return False
+        return _rank(record) >= _rank(known.record)
+
+    def _make_room(self) -> bool:
+        if len(self._entry_by_key) < self._capacity:
+            return True
+        oldest = next(iter(self._plain_by_key), None)
+        if oldest is None:
+            return False
+        # A forgotten placement costs balance; a forgotten feed breaks.
+        self._forget(oldest)
+        self.counters.evicted += 1
+        return True
+
+    def _remember(self, entry: _Entry) -> None:
+        key = entry.record.key
+        self._entry_by_key[key] = entry
+        self._keys_by_bucket.setdefault(entry.bucket, set()).add(key)
+        if entry.record.registration:
+            ends = (key.caller, key.service)
+            self._feeds_by_ends[ends] = (
+                *self._feeds_by_ends.get(ends, ()),
+                key,
+            )
+        else:
+            self._plain_by_key[key] = None
+
+    def _forget(self, key: FlowKey) -> None:
+        entry = self._entry_by_key.pop(key, None)
+        if entry is None:
+            return
+        self._plain_by_key.pop(key, None)
+        keys = self._keys_by_bucket[entry.bucket]
+        keys.discard(key)
+        if not keys:
+            del self._keys_by_bucket[entry.bucket]
+        self._forget_feed(key)
+
+    def _forget_feed(self, key: FlowKey) -> None:
+        ends = (key.caller, key.service)
+        feeds = self._feeds_by_ends.pop(ends, ())
+        left = tuple(feed for feed in feeds if feed != key)
+        if left:
+            self._feeds_by_ends[ends] = left
+
+    def _bury(self, entry: _Entry) -> None:
+        key = entry.record.key
+        self._tombstone_by_key.pop(key, None)
+        self._tombstone_by_key[key] = attrs.evolve(
+            entry, record=attrs.evolve(entry.record, registration=b'')
+        )
+        if len(self._tombstone_by_key) > self._capacity:
+            del self._tombstone_by_key[next(iter(self._tombstone_by_key))]
+
+
+def _rank(record: FlowRecord) -> tuple[int, bool, str]:
+    return (record.generation, record.closed, record.carrier)
