--- a/redwingstream/flows/exchanges.py
+++ b/redwingstream/flows/exchanges.py
@@ -155,13 +155,13 @@
         self._by_token.pop(exchange.token, None)
         self._by_message_id.pop((exchange.source, exchange.message_id), None)
         if self._feed_by_owner.get(exchange.owner) is exchange:
-            del self._feed_by_owner[exchange.owner]
+            self._feed_by_owner.pop(exchange.owner)
         self._answered_by_token[exchange.token] = (now, answered)
         oldest = next(iter(self._answered_by_token))
         ended = self._answered_by_token[oldest][0]
         full = len(self._answered_by_token) > MAX_FINISHED
         if full or now - ended > EXCHANGE_LIFETIME:
-            del self._answered_by_token[oldest]
+            self._answered_by_token.pop(oldest)
 
     def was_answered(self, token: bytes) -> bool | None:
         """Return whether an ended exchange was answered; None if unknown."""
--- a/redwingstream/flows/links.py
+++ b/redwingstream/flows/links.py
@@ -53,9 +53,10 @@
 
     def __init__(self, count: int, rng: random.Random) -> None:
         self._links = [
-            _Link(MessageIds(rng.getrandbits(16))) for _ in range(count)
+            _Link(MessageIds(rng.randrange(coap.MESSAGE_ID_LIMIT)))
+            for _ in range(count)
         ]
-        self._fresh = MessageIds(rng.getrandbits(16))
+        self._fresh = MessageIds(rng.randrange(coap.MESSAGE_ID_LIMIT))
         self._next = 0
         self._probe: _Probe | None = None
 
@@ -86,7 +87,9 @@
 
     def replaced(self, source: int, rng: random.Random) -> None:
         """Note that a socket was replaced by a new one."""
-        self._links[source] = _Link(MessageIds(rng.getrandbits(16)))
+        self._links[source] = _Link(
+            MessageIds(rng.randrange(coap.MESSAGE_ID_LIMIT))
+        )
 
     def timed_out(
         self, source: int, sent_at: float, now: float
--- a/redwingstream/flows/message_ids.py
+++ b/redwingstream/flows/message_ids.py
@@ -37,7 +37,9 @@
         self._first = first
         self._size = size
         self._next = start % size
-        self._used_by_segment: list[float | None] = [None] * _SEGMENTS
+        self._used_by_segment: list[float | None] = [
+            None for _ in range(_SEGMENTS)
+        ]
 
     def take(self, now: float) -> int | None:
         """Return an id, or None while the next ones may still be in use."""
--- a/redwingstream/flows/observe.py
+++ b/redwingstream/flows/observe.py
@@ -2,7 +2,8 @@
 
 from redwingstream.wire.coap import OBSERVE_LIMIT
 
-COUNTER_LIMIT = 1 << 18
+COUNTER_BITS = 18
+COUNTER_LIMIT = 1 << COUNTER_BITS
 """Notifications under one generation of a feed's record."""
 
 FRESH_AFTER = 128
--- a/redwingstream/flows/paths.py
+++ b/redwingstream/flows/paths.py
@@ -46,9 +46,9 @@
         self._path_by_balancer[balancer] = path
         oldest = next(iter(self._path_by_balancer))
         if len(self._path_by_balancer) > self._capacity:
-            del self._path_by_balancer[oldest]
+            self._path_by_balancer.pop(oldest)
         elif self._is_old(oldest, now):
-            del self._path_by_balancer[oldest]
+            self._path_by_balancer.pop(oldest)
 
     def lost(self, balancer: str) -> None:
         """Forget a balancer that is no member any more."""
--- a/redwingstream/flows/table.py
+++ b/redwingstream/flows/table.py
@@ -1,5 +1,6 @@
 """The flows of the buckets for which an agent is home or heir."""
 
+import itertools
 from collections.abc import Iterable
 
 import attrs
@@ -98,7 +99,7 @@
         key = entry.record.key
         if key in self._plain_by_key:
             # Moves the key to the end: most recently used.
-            del self._plain_by_key[key]
+            self._plain_by_key.pop(key)
             self._plain_by_key[key] = None
         return entry.record
 
@@ -142,7 +143,7 @@
             if entry.bucket == bucket
         ]
         for key in ended:
-            del self._tombstone_by_key[key]
+            self._tombstone_by_key.pop(key)
 
     def carried_by(self, host: str) -> tuple[FlowRecord, ...]:
         """Return the open flows that a host carries."""
@@ -154,15 +155,18 @@
 
     def expire(self, now: float) -> None:
         """Forget idle plain placements and old tombstones."""
-        for key in tuple(self._plain_by_key):
-            if now - self._entry_by_key[key].last_used < self._idle_timeout:
-                break
-            self._forget(key)
+        placements = _older(
+            (self._entry_by_key[key] for key in self._plain_by_key),
+            now - self._idle_timeout,
+        )
+        for idle in placements:
+            self._forget(idle)
             self.counters.expired += 1
-        for key, entry in tuple(self._tombstone_by_key.items()):
-            if now - entry.last_used < TOMBSTONE_LIFETIME:
-                break
-            del self._tombstone_by_key[key]
+        ended = _older(
+            self._tombstone_by_key.values(), now - TOMBSTONE_LIFETIME
+        )
+        for late in ended:
+            self._tombstone_by_key.pop(late)
 
     def _replaces(self, record: FlowRecord) -> bool:
         known = self._entry_by_key.get(record.key)
@@ -210,10 +214,7 @@
         keys = self._keys_by_bucket[entry.bucket]
         keys.discard(key)
         if not keys:
-            del self._keys_by_bucket[entry.bucket]
-        self._forget_feed(key)
-
-    def _forget_feed(self, key: FlowKey) -> None:
+            self._keys_by_bucket.pop(entry.bucket)
         ends = (key.caller, key.service)
         feeds = self._feeds_by_ends.pop(ends, ())
         left = tuple(feed for feed in feeds if feed != key)
@@ -227,7 +228,13 @@
             entry, record=attrs.evolve(entry.record, registration=b'')
         )
         if len(self._tombstone_by_key) > self._capacity:
-            del self._tombstone_by_key[next(iter(self._tombstone_by_key))]
+            self._tombstone_by_key.pop(next(iter(self._tombstone_by_key)))
+
+
+def _older(entries: Iterable[_Entry], limit: float) -> list[FlowKey]:
+    """Return the keys of the leading entries last used before a time."""
+    older = itertools.takewhile(lambda entry: entry.last_used <= limit, entries)
+    return [entry.record.key for entry in older]
 
 
 def _rank(record: FlowRecord) -> tuple[int, bool, str]:
--- a/redwingstream/flows/timers.py
+++ b/redwingstream/flows/timers.py
@@ -4,6 +4,8 @@
 from collections.abc import Hashable, Iterator
 from typing import Generic, TypeVar
 
+_SLACK = 64
+
 KeyT = TypeVar('KeyT', bound=Hashable)
 
 
@@ -31,7 +33,7 @@
         self._serial += 1
         self._entry_by_key[key] = (due, self._serial)
         heapq.heappush(self._heap, (due, self._serial, key))
-        if len(self._heap) > 2 * len(self._entry_by_key) + 64:
+        if len(self._heap) > 2 * len(self._entry_by_key) + _SLACK:
             self._rebuild()
 
     def cancel(self, key: KeyT) -> None:
@@ -52,7 +54,7 @@
         due = self.next_due()
         while due is not None and due <= now:
             key = heapq.heappop(self._heap)[2]
-            del self._entry_by_key[key]
+            self._entry_by_key.pop(key)
             yield key
             due = self.next_due()
 
