--- /dev/null
+++ b/standins/caller.py
@@ -0,0 +1,99 @@
+"""Stand-in for callers as a process: feeds, submissions and reports.
+
+It prints one JSON object for each event and the counters of all outcomes at
+the end.  It exits with 1 when a feed broke or a request was not answered.
+"""
+
+import argparse
+import asyncio
+import json
+from collections.abc import Sequence
+
+import attrs
+
+from redwingstream.endpoints import Endpoint, parse_endpoint
+from standins import processes
+from standins.client import Client, submission_to
+from standins.outcomes import Answered, Whole
+from standins.resources import etag_of
+
+DEFAULT_SILENCE = 5.0
+DEFAULT_ATTEMPTS = 5
+
+
+def read_flags(arguments: Sequence[str] | None = None) -> argparse.Namespace:
+    """Read the command line."""
+    parser = argparse.ArgumentParser(prog='standins.caller')
+    parser.add_argument('what', choices=('feed', 'submit', 'fetch'))
+    parser.add_argument('service', type=parse_endpoint, metavar='IP:PORT')
+    parser.add_argument('path')
+    parser.add_argument(
+        '--bind', type=parse_endpoint, default=Endpoint('127.0.0.1', 0)
+    )
+    parser.add_argument('--payload', default='reading')
+    parser.add_argument('--count', type=int, default=1)
+    parser.add_argument('--attempts', type=int, default=DEFAULT_ATTEMPTS)
+    parser.add_argument('--seconds', type=float, default=DEFAULT_SILENCE)
+    parser.add_argument('--silence', type=float, default=DEFAULT_SILENCE)
+    parser.add_argument('--seed', type=int, default=0)
+    return parser.parse_args(arguments)
+
+
+async def run(flags: argparse.Namespace) -> bool:
+    """Do what the command line says; return whether all of it went well."""
+    client = Client(flags.seed)
+    with client.open(flags.bind):
+        kinds = {'feed': _feed, 'submit': _submit, 'fetch': _fetch}
+        results = [
+            await kinds[flags.what](client, flags, number)
+            for number in range(flags.count)
+        ]
+    _show('counters', **attrs.asdict(client.counters))
+    return all(results)
+
+
+async def _feed(client: Client, flags: argparse.Namespace, number: int) -> bool:
+    loop = asyncio.get_running_loop()
+    end = loop.time() + flags.seconds
+    feed = await client.observe(flags.service, flags.path, flags.attempts)
+    while loop.time() < end:
+        state = await feed.next_state(flags.silence)
+        if state is None:
+            _show('broken', feed=number, reason=feed.ended or 'silent')
+            return False
+        _show('state', feed=number, sequence=state.sequence)
+    await client.cancel(flags.service, flags.path, feed)
+    return True
+
+
+async def _submit(
+    client: Client, flags: argparse.Namespace, number: int
+) -> bool:
+    payload = f'{flags.payload}-{number}'.encode()
+    packet = submission_to(flags.path, payload)
+    outcome = await client.request_patiently(
+        flags.service, packet, flags.attempts
+    )
+    _show('submitted', payload=payload.decode(), outcome=str(outcome))
+    return isinstance(outcome, Answered)
+
+
+async def _fetch(
+    client: Client, flags: argparse.Namespace, number: int
+) -> bool:
+    fetched = await client.fetch(flags.service, flags.path, flags.attempts)
+    if not isinstance(fetched, Whole):
+        _show('not fetched', outcome=str(fetched))
+        return False
+    is_whole = etag_of(fetched.body) == fetched.etag
+    _show('fetched', size=len(fetched.body), whole=is_whole)
+    return is_whole
+
+
+def _show(event: str, **values: object) -> None:
+    print(json.dumps({'event': event, **values}), flush=True)  # noqa: WPS421
+
+
+if __name__ == '__main__':
+    processes.set_up_logs()
+    raise SystemExit(0 if asyncio.run(run(read_flags())) else 1)
