--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -7,8 +7,8 @@
 -------
 fabric
     Sprays callers' packets over the balancers.
-backend
-    A backend server: process, sockets and feeds.
+backend, server
+    A backend server as a process, and what is on its socket.
 work
     What a backend server can bear: slots, cold start, draining.
 resources
@@ -17,6 +17,12 @@
     A caller as a process.
 client
     A caller as a library.
+jobs
+    Requests that run or wait at a backend server.
+feeds
+    Observers of a backend server.
+blocks, observation, outcomes
+    What a caller makes of the answers.
 reliable
     Confirmable messages with retransmission (RFC 7252).
 """
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -7,6 +7,8 @@
 import argparse
 import asyncio
 import json
+import sys
+import types
 from collections.abc import Sequence
 
 import attrs
@@ -14,11 +16,20 @@
 from redwingstream.endpoints import Endpoint, parse_endpoint
 from standins import processes
 from standins.client import Client, submission_to
-from standins.outcomes import Answered, Whole
+from standins.blocks import Whole
+from standins.outcomes import Answered
 from standins.resources import etag_of
 
-DEFAULT_SILENCE = 5.0
-DEFAULT_ATTEMPTS = 5
+ANY_PORT = Endpoint('127.0.0.1', 0)
+NUMBERS = types.MappingProxyType(
+    {
+        '--count': 1,
+        '--attempts': 5,
+        '--seconds': 5.0,
+        '--silence': 5.0,
+        '--seed': 0,
+    }
+)
 
 
 def read_flags(arguments: Sequence[str] | None = None) -> argparse.Namespace:
@@ -27,15 +38,10 @@
     parser.add_argument('what', choices=('feed', 'submit', 'fetch'))
     parser.add_argument('service', type=parse_endpoint, metavar='IP:PORT')
     parser.add_argument('path')
-    parser.add_argument(
-        '--bind', type=parse_endpoint, default=Endpoint('127.0.0.1', 0)
-    )
+    parser.add_argument('--bind', type=parse_endpoint, default=ANY_PORT)
     parser.add_argument('--payload', default='reading')
-    parser.add_argument('--count', type=int, default=1)
-    parser.add_argument('--attempts', type=int, default=DEFAULT_ATTEMPTS)
-    parser.add_argument('--seconds', type=float, default=DEFAULT_SILENCE)
-    parser.add_argument('--silence', type=float, default=DEFAULT_SILENCE)
-    parser.add_argument('--seed', type=int, default=0)
+    for flag, default in NUMBERS.items():
+        parser.add_argument(flag, type=type(default), default=default)
     return parser.parse_args(arguments)
 
 
@@ -44,12 +50,15 @@
     client = Client(flags.seed)
     with client.open(flags.bind):
         kinds = {'feed': _feed, 'submit': _submit, 'fetch': _fetch}
-        results = [
-            await kinds[flags.what](client, flags, number)
-            for number in range(flags.count)
-        ]
+        went_well = True
+        for number in range(flags.count):
+            # One after the other, as one caller does.
+            done = await kinds[flags.what](  # noqa: WPS476
+                client, flags, number
+            )
+            went_well = went_well and done
     _show('counters', **attrs.asdict(client.counters))
-    return all(results)
+    return went_well
 
 
 async def _feed(client: Client, flags: argparse.Namespace, number: int) -> bool:
@@ -90,10 +99,10 @@
     return is_whole
 
 
-def _show(event: str, **values: object) -> None:
-    print(json.dumps({'event': event, **values}), flush=True)  # noqa: WPS421
+def _show(event: str, **fields: object) -> None:
+    print(json.dumps({'event': event, **fields}), flush=True)  # noqa: WPS421
 
 
 if __name__ == '__main__':
     processes.set_up_logs()
-    raise SystemExit(0 if asyncio.run(run(read_flags())) else 1)
+    sys.exit(0 if asyncio.run(run(read_flags())) else 1)
--- a/standins/client.py
+++ b/standins/client.py
@@ -12,6 +12,7 @@
 from redwingstream.errors import WireError
 from redwingstream.wire import coap
 from redwingstream.wire.datagrams import DatagramSocket, open_datagrams
+from standins.blocks import BLOCK_EXPONENT, Blocks, BlockState, Whole
 from standins.observation import Observation
 from standins.outcomes import (
     Answered,
@@ -19,16 +20,14 @@
     NotRun,
     Outcome,
     OutcomeCounters,
-    Whole,
     outcome_of,
 )
 from standins.reliable import Duplicates, ReliableSender, Target, Timing
 
 MAX_TRANSMIT_WAIT = 93.0
-TOKEN_BITS = 32
+TOKEN_SIZE = 4
 MAX_BLOCKS = 4096
 MAX_RESTARTS = 3
-BLOCK_EXPONENT = 6
 
 RequestName = tuple[Target, bytes]
 
@@ -113,11 +112,11 @@
         Only *not run* is repeated: it is the one outcome after which a second
         request cannot run the work twice.
         """
-        for attempt in range(1, attempts + 1):
-            outcome = await self.request(service, packet.copy())
-            if not isinstance(outcome, NotRun) or attempt == attempts:
-                break
+        outcome = await self.request(service, packet.copy())
+        while isinstance(outcome, NotRun) and attempts > 1:
+            attempts -= 1
             await asyncio.sleep(outcome.come_back)
+            outcome = await self.request(service, packet.copy())
         return outcome
 
     async def fetch(
@@ -128,7 +127,9 @@
         A block with another entity tag belongs to another version of the
         answer: the fetch starts afresh.
         """
-        for _ in range(MAX_RESTARTS):
+        restarts = 0
+        while restarts < MAX_RESTARTS:
+            restarts += 1
             fetched = await self._fetch_once(service, path, attempts)
             if fetched is not None:
                 return fetched
@@ -191,24 +192,18 @@
     async def _fetch_once(
         self, service: Endpoint, path: str, attempts: int
     ) -> Whole | Outcome | None:
-        parts: list[bytes] = []
-        etag: bytes | None = None
-        for number in range(MAX_BLOCKS):
+        blocks = Blocks()
+        while blocks.count < MAX_BLOCKS:
             packet = request_for(path)
-            packet.opt.block2 = (number, False, BLOCK_EXPONENT)
+            packet.opt.block2 = (blocks.count, False, BLOCK_EXPONENT)
             outcome = await self.request_patiently(service, packet, attempts)
             if not isinstance(outcome, Answered):
                 return outcome
-            options = outcome.response.opt
-            block = options.block2
-            if block is None or block.block_number != number:
-                return outcome
-            if number and options.etag != etag:
-                return None
-            etag = options.etag
-            parts.append(outcome.payload)
-            if not block.more:
-                return Whole(b''.join(parts), etag or b'', len(parts))
+            match blocks.take(outcome.response):
+                case BlockState.WRONG:
+                    return None
+                case BlockState.LAST:
+                    return blocks.whole()
         return None
 
     def _take(self, payload: bytes, source: Target) -> None:
@@ -239,7 +234,9 @@
         if waiter is not None:
             waiter.resolve(packet)
         feed = self._feed_by_name.get(name)
-        if feed is not None:
+        # A refused registration may be repeated, so it ends no feed.
+        is_refused = waiter is not None and not packet.code.is_successful()
+        if feed is not None and not is_refused:
             self._notify(feed, packet)
 
     def _is_repeat(
@@ -266,9 +263,7 @@
             self.counters.stale += 1
 
     def _new_token(self) -> bytes:
-        return self._random.getrandbits(TOKEN_BITS).to_bytes(
-            TOKEN_BITS // 8, 'big'
-        )
+        return self._random.randbytes(TOKEN_SIZE)
 
 
 def request_for(path: str) -> Message:
--- a/standins/feeds.py
+++ b/standins/feeds.py
@@ -43,7 +43,7 @@
         self._sender = sender
         self._period = period
         self._tick = 1
-        self._next_at = 0.0
+        self._next_at = float(0)
         self._feed_by_name: dict[FeedName, _Feed] = {}
         self._name_by_exchange: dict[ExchangeKey, FeedName] = {}
         self.given_up = 0
--- a/standins/outcomes.py
+++ b/standins/outcomes.py
@@ -49,25 +49,6 @@
     """Nothing final came before the deadline or the last repeat."""
 
 
-@attrs.frozen
-class Whole:
-    """An answer in blocks that was put together.
-
-    Parameters
-    ----------
-    body : bytes
-        All blocks, in order.
-    etag : bytes
-        Entity tag that every block carried.
-    blocks : int
-        How many there were.
-    """
-
-    body: bytes
-    etag: bytes
-    blocks: int
-
-
 Outcome = Answered | NotRun | Unknown | NoAnswer
 
 
--- a/standins/resources.py
+++ b/standins/resources.py
@@ -17,6 +17,9 @@
 REPORT_PATH = 'reports'
 ETAG_SIZE = 8
 MAX_COUNTED = 100000
+MAX_PAST_STATES = 4096
+DEFAULT_REPORT_SIZE = 40000
+MIN_BLOCK_SIZE = 16
 DEFAULT_BLOCK_EXPONENT = 6
 
 
@@ -73,9 +76,20 @@
         return f'{digest} {count}'
 
 
+@attrs.frozen
+class LoadState:
+    """What ``/load`` tells."""
+
+    healthy: bool = True
+    running: int = 0
+    waiting: int = 0
+    slots: int = 0
+    feeds: int = 0
+
+
 @attrs.define
 class Load:
-    """What ``/load`` and ``/.well-known/health`` say, late or untrue.
+    """What ``/load`` and ``/.well-known/health`` tell, late or untrue.
 
     Parameters
     ----------
@@ -87,42 +101,27 @@
 
     lag: float = 0
     lies: bool = False
-    _past: deque[tuple[float, dict[str, object]]] = attrs.field(
-        factory=lambda: deque(maxlen=4096)
+    _past: deque[tuple[float, LoadState]] = attrs.field(
+        factory=lambda: deque(maxlen=MAX_PAST_STATES)
     )
 
     def note(self, work: Work, feeds: int, now: float) -> None:
         """Remember the state of now for the answers to come."""
-        self._past.append((now, self._state(work, feeds, now)))
+        self._past.append((now, _load_state(work, feeds, now)))
 
-    def answer(self, work: Work, feeds: int, now: float) -> dict[str, object]:
+    def tell(self, work: Work, feeds: int, now: float) -> LoadState:
         """Return the state that the endpoint tells of."""
         if self.lies:
-            return {
-                'healthy': True,
-                'running': 0,
-                'waiting': 0,
-                'slots': work.limits.slots,
-                'feeds': 0,
-            }
+            return LoadState(slots=work.limits.slots)
+        told = _load_state(work, feeds, now)
         if self.lag <= 0:
-            return self._state(work, feeds, now)
-        told = self._state(work, feeds, now)
+            return told
         for at, state in self._past:
             if at > now - self.lag:
                 break
             told = state
         return told
 
-    def _state(self, work: Work, feeds: int, now: float) -> dict[str, object]:
-        return {
-            'healthy': not work.is_fallen(now) and not work.draining,
-            'running': work.running,
-            'waiting': work.waiting,
-            'slots': work.limits.slots,
-            'feeds': feeds,
-        }
-
 
 @attrs.define
 class Resources:
@@ -140,7 +139,7 @@
 
     host: str
     runs: RunCounter
-    report_size: int = 40000
+    report_size: int = DEFAULT_REPORT_SIZE
 
     def answer(self, request: Message) -> Message:
         """Run one request."""
@@ -161,7 +160,7 @@
         number = wanted.block_number if wanted else 0
         exponent = wanted.size_exponent if wanted else DEFAULT_BLOCK_EXPONENT
         exponent = min(exponent, DEFAULT_BLOCK_EXPONENT)
-        size = 16 << exponent
+        size = MIN_BLOCK_SIZE << exponent
         start = number * size
         if start >= len(body):
             return coap.reply_to(request, aiocoap.BAD_OPTION)
@@ -170,3 +169,13 @@
         response.opt.etag = etag_of(body)
         response.opt.block2 = (number, start + size < len(body), exponent)
         return response
+
+
+def _load_state(work: Work, feeds: int, now: float) -> LoadState:
+    return LoadState(
+        healthy=not work.is_fallen(now) and not work.draining,
+        running=work.running,
+        waiting=work.waiting,
+        slots=work.limits.slots,
+        feeds=feeds,
+    )
--- a/standins/work.py
+++ b/standins/work.py
@@ -76,13 +76,7 @@
             return Admission.SHED
         if self.is_cold(now):
             return self._admit_cold(now)
-        if self.running < self.limits.slots:
-            self.running += 1
-            return Admission.RUN
-        if self.waiting < self.limits.backlog:
-            self.waiting += 1
-            return Admission.WAIT
-        return Admission.SHED
+        return self._admit_warm()
 
     def is_cold(self, now: float) -> bool:
         """Whether the warm-up is still going on."""
@@ -114,6 +108,15 @@
         """Begin a new warm-up, as after a restart or a lost cache."""
         self._warm_at = now + self.limits.cold_seconds
 
+    def _admit_warm(self) -> Admission:
+        if self.running < self.limits.slots:
+            self.running += 1
+            return Admission.RUN
+        if self.waiting < self.limits.backlog:
+            self.waiting += 1
+            return Admission.WAIT
+        return Admission.SHED
+
     def _admit_cold(self, now: float) -> Admission:
         if self.running < self.limits.cold_slots:
             self.running += 1
