--- a/standins/server.py
+++ b/standins/server.py
@@ -6,7 +6,7 @@
 import json
 import sys
 import zlib
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator
 
 import aiocoap
 import attrs
