Add the control role: synced log, consensus, tables, members

A log with checksums in one data folder, elections with pre-vote and check of the quorum, replication that answers only after the sync, the state machine of the tables, leases in the leader's memory, and the role that ties them to one socket. A lost disk comes back under a new identity; its place is vacated by one entry and filled by a second one, because a new identity that counted at once could complete a majority beside a leader that the lost one elected.

--- /dev/null
+++ b/redwingstream/consensus/joining.py
@@ -0,0 +1,48 @@
+"""How replicas with empty folders form a group, once and never again."""
+
+from redwingstream.consensus.messages import Hello, Snapshot, Voter
+from redwingstream.consensus.state import ReplicaState
+
+
+def look_for_group(state: ReplicaState) -> None:
+    """Ask every other replica whether there is a group."""
+    hello = Hello(state.myself, ())
+    for name in state.others:
+        state.send(name, hello)
+    _form_if_all_fresh(state)
+
+
+def on_hello(state: ReplicaState, hello: Hello) -> None:
+    """Answer a replica that looks for a group, or learn of one."""
+    group = state.log.group
+    if group:
+        if not hello.group:
+            state.send(hello.sender.name, Hello(state.myself, group))
+        return
+    if state.myself in hello.group:
+        _adopt(state, hello.group)
+        return
+    if not hello.group and hello.sender.name in state.others:
+        state.fresh_by_name[hello.sender.name] = hello.sender
+        _form_if_all_fresh(state)
+
+
+def _form_if_all_fresh(state: ReplicaState) -> None:
+    # A majority of empty folders may be a majority of lost disks, and a group
+    # formed by it would have forgotten what was accepted.  Only when all say
+    # that they are empty nothing can have been accepted.
+    if state.log.group or len(state.fresh_by_name) < len(state.others):
+        return
+    voters = (state.myself, *state.fresh_by_name.values())
+    _adopt(state, tuple(sorted(voters, key=_name_of)))
+
+
+def _adopt(state: ReplicaState, group: tuple[Voter, ...]) -> None:
+    snapshot = Snapshot(0, 0, group, b'')
+    state.log.install(snapshot)
+    state.fresh_by_name.clear()
+    state.effects.snapshot = snapshot
+
+
+def _name_of(voter: Voter) -> str:
+    return voter.name
--- /dev/null
+++ b/redwingstream/consensus/leading.py
@@ -0,0 +1,281 @@
+"""What a leader does: replicate, commit, confirm reads, hand over."""
+
+from redwingstream.consensus.events import (
+    Proposed,
+    ReadReady,
+)
+from redwingstream.consensus.log import (
+    NO_OPERATION_BODY,
+    NO_OPERATION_KIND,
+)
+from redwingstream.consensus.messages import (
+    VACANT,
+    AppendAnswer,
+    AppendEntries,
+    Entry,
+    ReadmitReplica,
+    Snapshot,
+    SnapshotPart,
+    TakeOver,
+    Voter,
+)
+from redwingstream.consensus.state import (
+    Leader,
+    PendingRead,
+    Progress,
+    ReplicaState,
+)
+from redwingstream.wire import messages
+
+MAX_BATCH_BYTES = 16 * 1024
+MAX_BATCH_ENTRIES = 128
+SNAPSHOT_PART_BYTES = 16 * 1024
+MAX_PENDING_READS = 1024
+MAX_UNACCEPTED = 4096
+
+
+def begin(state: ReplicaState, now: float) -> None:
+    """Become leader, with a first entry of the new term.
+
+    Notes
+    -----
+    Entries of earlier terms count as accepted only together with one of the
+    leader's own term.  Counting copies of an old entry alone is not enough: a
+    later leader without it could still be elected.
+    """
+    following = state.log.last_index + 1
+    progress_by_name = {name: Progress(following) for name in state.others}
+    state.role = Leader(progress_by_name, following, now)
+    for progress in progress_by_name.values():
+        # Who voted was heard; the time until the first answers must not
+        # count as silence.
+        progress.heard_at = now
+    _append(state, state.role, NO_OPERATION_KIND, NO_OPERATION_BODY)
+    _send_to_idle(state, state.role, now)
+
+
+def on_tick(state: ReplicaState, leader: Leader, now: float) -> None:
+    """Send signs of life; stop leading when no majority is heard."""
+    if not _hears_majority(state, leader, now):
+        # Cut off, or frozen and thawed: another one may lead by now, and
+        # whoever still asks here must be told that there is no quorum.
+        state.follow(now)
+        return
+    for name, progress in leader.progress_by_name.items():
+        if now - progress.sent_at >= state.timing.heartbeat:
+            _send(state, leader, name, now)
+
+
+def on_proposed(
+    state: ReplicaState, leader: Leader, proposed: Proposed, now: float
+) -> int | None:
+    """Append a command; return its index, or None when it is not taken."""
+    waiting = state.log.last_index - state.commit
+    if leader.handing_over or waiting >= MAX_UNACCEPTED:
+        return None
+    index = _append(state, leader, proposed.kind, proposed.body)
+    _send_to_idle(state, leader, now)
+    return index
+
+
+def on_synced(state: ReplicaState, leader: Leader, index: int) -> None:
+    """Count the leader's own copy, once it is durable."""
+    leader.synced = max(leader.synced, index)
+    _advance_commit(state, leader)
+
+
+def on_read(
+    state: ReplicaState, leader: Leader, ticket: int, now: float
+) -> bool:
+    """Start a linearizable read; return False when it is not taken."""
+    if len(leader.reads) >= MAX_PENDING_READS:
+        return False
+    leader.round += 1
+    leader.reads.append(PendingRead(ticket, leader.round))
+    _send_to_idle(state, leader, now)
+    _confirm_reads(state, leader)
+    return True
+
+
+def on_answer(
+    state: ReplicaState, leader: Leader, answer: AppendAnswer, now: float
+) -> None:
+    """Learn how far another replica has got."""
+    progress = leader.progress_by_name.get(answer.sender.name)
+    if progress is None or answer.term != state.term:
+        return
+    if progress.identity != answer.sender.identity:
+        # Another identity knows nothing of what the former one synced.
+        progress.identity = answer.sender.identity
+        progress.match = 0
+    progress.heard_at = now
+    progress.round = max(progress.round, answer.round)
+    progress.waiting = False
+    _note_answer(state, progress, answer)
+    _advance_commit(state, leader)
+    _confirm_reads(state, leader)
+    _readmit(state, leader, answer.sender, progress)
+    if leader.handing_over:
+        hand_over(state, leader)
+    if progress.following <= state.log.last_index or _owes_round(
+        leader, progress
+    ):
+        _send(state, leader, answer.sender.name, now)
+
+
+def hand_over(state: ReplicaState, leader: Leader) -> None:
+    """Take no more commands; tell a replica with the whole log to take over."""
+    leader.handing_over = True
+    for name, progress in leader.progress_by_name.items():
+        whole = progress.match == state.log.last_index
+        if whole and _counts(state, name, progress):
+            state.send(name, TakeOver(state.term, state.myself))
+            return
+
+
+def _append(state: ReplicaState, leader: Leader, kind: int, body: bytes) -> int:
+    index = state.log.last_index + 1
+    entry = Entry(index, state.term, kind, body)
+    state.log.append((entry,))
+    state.effects.entries.append(entry)
+    return index
+
+
+def _hears_majority(state: ReplicaState, leader: Leader, now: float) -> bool:
+    oldest = now - state.timing.election_max
+    heard = int(state.is_voter(state.myself))
+    for name, progress in leader.progress_by_name.items():
+        counts = _counts(state, name, progress) or not progress.identity
+        heard += counts and progress.heard_at >= oldest
+    return heard >= state.majority
+
+
+def _counts(state: ReplicaState, name: str, progress: Progress) -> bool:
+    return state.is_voter(Voter(name, progress.identity))
+
+
+def _note_answer(
+    state: ReplicaState, progress: Progress, answer: AppendAnswer
+) -> None:
+    if answer.wants_snapshot:
+        progress.snapshot_offset = answer.received
+        return
+    progress.snapshot_offset = None
+    if answer.accepted:
+        progress.match = max(progress.match, answer.match)
+        progress.following = max(progress.following, progress.match + 1)
+        return
+    progress.following = min(answer.match, state.log.last_index) + 1
+    if progress.following <= state.log.base_index:
+        progress.snapshot_offset = 0
+
+
+def _advance_commit(state: ReplicaState, leader: Leader) -> None:
+    matches = [leader.synced if state.is_voter(state.myself) else 0]
+    for name, progress in leader.progress_by_name.items():
+        if _counts(state, name, progress):
+            matches.append(progress.match)
+    if len(matches) < state.majority:
+        return
+    matches.sort(reverse=True)
+    index = matches[state.majority - 1]
+    if index >= leader.first_index:
+        state.commit_up_to(index)
+
+
+def _confirm_reads(state: ReplicaState, leader: Leader) -> None:
+    if state.commit < leader.first_index:
+        return
+    rounds = [leader.round]
+    for name, progress in leader.progress_by_name.items():
+        if _counts(state, name, progress):
+            rounds.append(progress.round)
+    rounds.sort(reverse=True)
+    if len(rounds) < state.majority:
+        return
+    confirmed = rounds[state.majority - 1]
+    while leader.reads and leader.reads[0].round <= confirmed:
+        ready = ReadReady(leader.reads.pop(0).ticket, state.commit)
+        state.effects.reads.append(ready)
+
+
+def _owes_round(leader: Leader, progress: Progress) -> bool:
+    return bool(leader.reads) and progress.round < leader.round
+
+
+def _readmit(
+    state: ReplicaState, leader: Leader, voter: Voter, progress: Progress
+) -> None:
+    if state.is_voter(voter) or progress.match < state.commit:
+        return
+    if state.commit < leader.first_index or leader.handing_over:
+        return
+    # The lost replica may have helped to elect a leader that this one does
+    # not know of.  Were the new identity to count at once, this leader and it
+    # could accept entries that the other leader replaces.  So the place is
+    # vacated first, which takes a majority of the remaining replicas, and
+    # filled by a second entry, one change at a time.
+    if state.log.group_change_after(state.commit):
+        return
+    vacant = Voter(voter.name, VACANT)
+    admitted = voter if vacant in state.log.group else vacant
+    _append(state, leader, *messages.encode(ReadmitReplica(admitted)))
+
+
+def _send_to_idle(state: ReplicaState, leader: Leader, now: float) -> None:
+    # One message to each replica is under way at a time; a slow one costs
+    # no memory, and gets all that has gathered with the next.
+    for name, progress in leader.progress_by_name.items():
+        if not progress.waiting:
+            _send(state, leader, name, now)
+
+
+def _send(state: ReplicaState, leader: Leader, name: str, now: float) -> None:
+    progress = leader.progress_by_name[name]
+    progress.sent_at = now
+    progress.waiting = True
+    if progress.snapshot_offset is None:
+        state.send(name, _next_entries(state, leader, progress))
+    else:
+        state.send(name, _next_part(state, leader, progress))
+
+
+def _next_entries(
+    state: ReplicaState, leader: Leader, progress: Progress
+) -> AppendEntries:
+    log = state.log
+    previous = max(progress.following - 1, log.base_index)
+    return AppendEntries(
+        state.term,
+        state.myself,
+        previous,
+        log.term_at(previous) or 0,
+        _batch(log.from_index(previous + 1)),
+        state.commit,
+        leader.round,
+    )
+
+
+def _batch(entries: list[Entry]) -> tuple[Entry, ...]:
+    batch: list[Entry] = []
+    size = 0
+    for entry in entries[:MAX_BATCH_ENTRIES]:
+        size += len(entry.body)
+        if batch and size > MAX_BATCH_BYTES:
+            break
+        batch.append(entry)
+    return tuple(batch)
+
+
+def _next_part(
+    state: ReplicaState, leader: Leader, progress: Progress
+) -> SnapshotPart:
+    whole = state.log.snapshot
+    offset = progress.snapshot_offset
+    if offset > len(whole.state):
+        offset = 0
+    piece = whole.state[offset : offset + SNAPSHOT_PART_BYTES]
+    part = Snapshot(whole.index, whole.term, whole.group, piece)
+    return SnapshotPart(
+        state.term, state.myself, part, offset, len(whole.state), leader.round
+    )
--- /dev/null
+++ b/redwingstream/consensus/log.py
@@ -0,0 +1,152 @@
+"""The entries that a replica holds in memory, above a snapshot."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from redwingstream.consensus.messages import (
+    Entry,
+    NoOperation,
+    ReadmitReplica,
+    Snapshot,
+    Voter,
+)
+from redwingstream.wire import messages
+
+READMIT_KIND = messages.encode(ReadmitReplica(Voter('', 0)))[0]
+NO_OPERATION_KIND, NO_OPERATION_BODY = messages.encode(NoOperation())
+
+Group = tuple[Voter, ...]
+
+
+@attrs.frozen
+class _GroupChange:
+    index: int
+    group: Group
+
+
+@attrs.define
+class Log:
+    """A snapshot and the entries that follow the base index.
+
+    Parameters
+    ----------
+    snapshot : Snapshot or None
+        None for a replica that knows no group yet.
+    entries : list of Entry
+        Without gaps, from ``base_index + 1`` on.
+    base_index, base_term : int
+        Of the entry before the first one held.  The base may lie below the
+        snapshot, so that a replica a little behind still gets entries.
+    """
+
+    snapshot: Snapshot | None = None
+    entries: list[Entry] = attrs.field(factory=list)
+    base_index: int = 0
+    base_term: int = 0
+    _changes: list[_GroupChange] = attrs.field(factory=list, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Find the changes of the group among the entries."""
+        for entry in self.entries:
+            self._note_group(entry)
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry."""
+        return self.base_index + len(self.entries)
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry."""
+        return self.entries[-1].term if self.entries else self.base_term
+
+    @property
+    def snapshot_index(self) -> int:
+        """Index that the snapshot contains; 0 without one."""
+        return 0 if self.snapshot is None else self.snapshot.index
+
+    @property
+    def group(self) -> Group:
+        """Who counts for a majority, by the last entry that says so.
+
+        Notes
+        -----
+        A change counts as soon as it is in the log, accepted or not.  Each one
+        only vacates or fills a place, and is accepted before the next one is
+        made, so that majorities before and after it share a replica.
+        """
+        if self._changes:
+            return self._changes[-1].group
+        return () if self.snapshot is None else self.snapshot.group
+
+    def group_change_after(self, index: int) -> bool:
+        """Whether an entry above an index changes the group."""
+        return bool(self._changes) and self._changes[-1].index > index
+
+    def group_at(self, index: int) -> Group:
+        """Who counted for a majority after an entry."""
+        group = () if self.snapshot is None else self.snapshot.group
+        for change in self._changes:
+            if change.index <= index:
+                group = change.group
+        return group
+
+    def term_at(self, index: int) -> int | None:
+        """Term of an entry; None when it is not held."""
+        if index == self.base_index:
+            return self.base_term
+        if self.base_index < index <= self.last_index:
+            return self.entries[index - self.base_index - 1].term
+        return None
+
+    def from_index(self, index: int) -> list[Entry]:
+        """Return the entries from an index on."""
+        return self.entries[index - self.base_index - 1 :]
+
+    def append(self, fresh: Iterable[Entry]) -> None:
+        """Add entries; the first one replaces all from its index on."""
+        for entry in fresh:
+            if entry.index <= self.last_index:
+                self._cut(entry.index)
+            self.entries.append(entry)
+            self._note_group(entry)
+
+    def compact(self, snapshot: Snapshot, kept: int) -> None:
+        """Take a snapshot of own state, and keep some entries below it."""
+        base_index = max(self.base_index, snapshot.index - kept)
+        base_term = self.term_at(base_index) or 0
+        del self.entries[: base_index - self.base_index]
+        self.base_index = base_index
+        self.base_term = base_term
+        self.snapshot = snapshot
+        self._changes = [
+            change for change in self._changes if change.index > snapshot.index
+        ]
+
+    def install(self, snapshot: Snapshot) -> None:
+        """Take a leader's snapshot; entries that follow it stay."""
+        follows = self.term_at(snapshot.index) == snapshot.term
+        rest = self.from_index(snapshot.index + 1) if follows else []
+        self.snapshot = snapshot
+        self.base_index = snapshot.index
+        self.base_term = snapshot.term
+        self.entries = rest
+        self._changes = []
+        for entry in rest:
+            self._note_group(entry)
+
+    def _cut(self, index: int) -> None:
+        del self.entries[index - self.base_index - 1 :]
+        while self._changes and self._changes[-1].index >= index:
+            self._changes.pop()
+
+    def _note_group(self, entry: Entry) -> None:
+        if entry.kind != READMIT_KIND or entry.index <= self.snapshot_index:
+            return
+        readmitted = messages.decode(entry.kind, entry.body).voter
+        group = tuple(
+            readmitted if voter.name == readmitted.name else voter
+            for voter in self.group
+        )
+        self._changes.append(_GroupChange(entry.index, group))
--- /dev/null
+++ b/redwingstream/consensus/state.py
@@ -0,0 +1,243 @@
+"""Everything that a replica knows, and its role."""
+
+import random
+
+import attrs
+
+from redwingstream.consensus.events import Effects, HardState, Outgoing
+from redwingstream.consensus.log import Log
+from redwingstream.consensus.messages import VACANT, ReplicaMessage, Voter
+
+DEFAULT_HEARTBEAT = 0.1
+DEFAULT_ELECTION_MIN = 0.5
+DEFAULT_ELECTION_MAX = 1.0
+
+
+@attrs.frozen
+class Timing:
+    """Timeouts in seconds; they detect, and no promise hangs on them.
+
+    Parameters
+    ----------
+    heartbeat : float
+        Between two signs of life of a leader.
+    election_min, election_max : float
+        A follower that hears no leader stands for election after a random
+        time between these; a leader that hears no majority for the longer
+        one stops leading.
+    """
+
+    heartbeat: float = DEFAULT_HEARTBEAT
+    election_min: float = DEFAULT_ELECTION_MIN
+    election_max: float = DEFAULT_ELECTION_MAX
+
+
+@attrs.define
+class Follower:
+    """Follows a leader, or waits for one.
+
+    Parameters
+    ----------
+    deadline : float
+        When it stands for election.
+    leader : str
+        Name of the leader; empty when unknown.
+    heard_at : float
+        When the leader was last heard.
+    """
+
+    deadline: float
+    leader: str = ''
+    heard_at: float = float('-inf')
+
+
+@attrs.define
+class Candidate:
+    """Asks for votes.
+
+    Parameters
+    ----------
+    deadline : float
+        When it gives up and tries again.
+    pre : bool
+        True while it only asks whether it would be elected.
+    granted : set of Voter
+        Who said yes, itself included.
+    """
+
+    deadline: float
+    pre: bool
+    granted: set[Voter] = attrs.field(factory=set)
+
+
+@attrs.define
+class Progress:
+    """What a leader knows of another replica.
+
+    Parameters
+    ----------
+    following : int
+        Index of the next entry to send.
+    identity : int
+        As it last named itself; 0 before it was heard.
+    match : int
+        Index up to which its log is known to be the leader's, and synced.
+    round : int
+        Highest round that it has answered.
+    heard_at, sent_at : float
+        Times of its last answer and of the last message to it.
+    waiting : bool
+        True while an answer is outstanding.
+    snapshot_offset : int or None
+        Where the next part of the snapshot begins; None while it gets
+        entries.
+    """
+
+    following: int
+    identity: int = 0
+    match: int = 0
+    round: int = 0
+    heard_at: float = float('-inf')
+    sent_at: float = float('-inf')
+    waiting: bool = False
+    snapshot_offset: int | None = None
+
+
+@attrs.frozen
+class PendingRead:
+    """A read that waits until a majority has answered its round."""
+
+    ticket: int
+    round: int
+
+
+@attrs.define
+class Leader:
+    """Leads a term.
+
+    Parameters
+    ----------
+    progress_by_name : dict
+        The other replicas.
+    first_index : int
+        Index of the first entry of its term.
+    since : float
+        When it was elected.
+    synced : int
+        Index up to which its own entries are durable.
+    round : int
+        Number of its current round of messages.
+    reads : list of PendingRead
+        Oldest first.
+    handing_over : bool
+        True once it has been told to stop; it takes no commands any more.
+    """
+
+    progress_by_name: dict[str, Progress]
+    first_index: int
+    since: float
+    synced: int = 0
+    round: int = 1
+    reads: list[PendingRead] = attrs.field(factory=list)
+    handing_over: bool = False
+
+
+@attrs.define
+class IncomingSnapshot:
+    """A leader's snapshot as far as it has arrived."""
+
+    index: int
+    term: int
+    state: bytearray
+
+
+@attrs.define
+class ReplicaState:
+    """Everything that a replica knows.
+
+    Parameters
+    ----------
+    myself : Voter
+        Its name and identity.
+    names : tuple of str
+        All replicas of the settings, itself included.
+    timing : Timing
+        Timeouts.
+    jitter : random.Random
+        Spreads elections.
+    log : Log
+        Entries and snapshot.
+    term, vote
+        See :class:`~redwingstream.consensus.events.HardState`.
+    commit : int
+        Index up to which entries are known as accepted.
+    applied : int
+        Index up to which they were handed out to be applied.
+    role : Follower, Candidate or Leader
+        What it does.
+    fresh_by_name : dict
+        Replicas without a group that were heard, while it has none itself.
+    incoming : IncomingSnapshot or None
+        A snapshot under way.
+    effects : Effects
+        What the current step wants done.
+    """
+
+    myself: Voter
+    names: tuple[str, ...]
+    timing: Timing
+    jitter: random.Random
+    log: Log
+    role: Follower | Candidate | Leader
+    term: int = 0
+    vote: str = ''
+    commit: int = 0
+    applied: int = 0
+    fresh_by_name: dict[str, Voter] = attrs.field(factory=dict)
+    incoming: IncomingSnapshot | None = None
+    effects: Effects = attrs.field(factory=Effects)
+
+    @property
+    def others(self) -> tuple[str, ...]:
+        """Names of the other replicas."""
+        return tuple(name for name in self.names if name != self.myself.name)
+
+    @property
+    def majority(self) -> int:
+        """How many replicas are more than half."""
+        return len(self.log.group) // 2 + 1
+
+    def is_voter(self, voter: Voter) -> bool:
+        """Whether a replica counts under its present identity."""
+        return voter.identity != VACANT and voter in self.log.group
+
+    def send(self, target: str, message: ReplicaMessage) -> None:
+        """Have a message sent once this step is durable."""
+        self.effects.outgoing.append(Outgoing(target, message))
+
+    def remember(self, term: int, vote: str) -> None:
+        """Set term and vote, and have them stored."""
+        self.term = term
+        self.vote = vote
+        self.effects.hard_state = HardState(term, vote)
+
+    def follow(self, now: float, leader: str = '') -> None:
+        """Become a follower, or stay one, with a new deadline."""
+        heard_at = now if leader else float('-inf')
+        deadline = now + self.election_timeout()
+        self.role = Follower(deadline, leader, heard_at)
+
+    def election_timeout(self) -> float:
+        """Draw a random time in seconds, so that elections seldom collide."""
+        timing = self.timing
+        return self.jitter.uniform(timing.election_min, timing.election_max)
+
+    def commit_up_to(self, index: int) -> None:
+        """Hand out the entries that are now known as accepted."""
+        if index <= self.commit:
+            return
+        self.commit = index
+        wanted = index - self.applied
+        fresh = self.log.from_index(self.applied + 1)[:wanted]
+        self.effects.committed.extend(fresh)
+        self.applied = index
--- /dev/null
+++ b/redwingstream/control/__init__.py
@@ -0,0 +1,15 @@
+"""The role of a control instance.
+
+Modules
+-------
+settings
+    What an instance is told at its start.
+replica
+    Carries out what the consensus decides: stores, sends, applies.
+members
+    Announcements and heartbeats.
+service
+    Calls of operators and other processes.
+role
+    Sockets, files and the loop.
+"""
--- /dev/null
+++ b/redwingstream/control/members.py
@@ -0,0 +1,164 @@
+"""Announcements and heartbeats, as a control instance answers them."""
+
+import random
+from collections.abc import Callable
+
+from absl import logging
+
+from redwingstream.control.replica import Replica
+from redwingstream.errors import CallFailedError, RedwingstreamError
+from redwingstream.membership.leases import (
+    Admitted,
+    Admitting,
+    Challenged,
+    HeldBack,
+    Leases,
+    leave_command,
+)
+from redwingstream.membership.messages import (
+    Announce,
+    Challenge,
+    Heartbeat,
+    HeartbeatAck,
+)
+from redwingstream.tables.machine.machine import Outcome
+from redwingstream.tables.machine.views import why_kept_out
+from redwingstream.tables.rows import Member
+
+Reply = Callable[[object], None]
+
+
+class MemberDesk:
+    """Answers members; decides on leases while its replica leads.
+
+    Parameters
+    ----------
+    replica : Replica
+        Where commands go and what the tables say.
+    lease : float
+        Seconds of silence after which a member is removed.
+    chance : random.Random
+        Draws challenges.
+    clock : callable
+        Returns the time in seconds.
+    """
+
+    def __init__(
+        self,
+        replica: Replica,
+        lease: float,
+        chance: random.Random,
+        clock: Callable[[], float],
+    ) -> None:
+        self._replica = replica
+        self._lease = lease
+        self._chance = chance
+        self._clock = clock
+        self._leases: Leases | None = None
+        self._under_way: set[object] = set()
+
+    def on_announce(self, announce: Announce, boot: int, reply: Reply) -> None:
+        """Answer an announcement."""
+        leases = self._current_leases()
+        known = self._member(announce.host)
+        if leases is None:
+            reply(self._ack_elsewhere(known, boot))
+            return
+        now = self._clock()
+        match leases.on_announce(announce, boot, known, now):
+            case Challenged(number=number):
+                reply(Challenge(number))
+            case Admitted(member=member):
+                reply(self._ack(member))
+            case HeldBack(seconds=seconds):
+                reply(self._refusal(_held_back_text(announce, seconds)))
+            case Admitting(command=command):
+                self._propose(command, reply)
+
+    def on_heartbeat(self, beat: Heartbeat, boot: int, reply: Reply) -> None:
+        """Answer a heartbeat."""
+        leases = self._current_leases()
+        known = self._member(beat.host)
+        if leases is None:
+            reply(self._ack_elsewhere(known, boot))
+            return
+        if not leases.on_heartbeat(beat, boot, known, self._clock()):
+            reply(self._refusal('no such run is a member; announce it'))
+            return
+        reply(self._ack(known))
+        command = leave_command(known) if beat.leaving else None
+        if command is not None:
+            self._propose(command)
+
+    def on_tick(self) -> None:
+        """Remove silent members and settle views."""
+        leases = self._current_leases()
+        if leases is None:
+            return
+        state = self._replica.machine.state
+        leases.forget(state.member_by_host)
+        members = state.member_by_host.values()
+        for removal in leases.expired(members, self._clock()):
+            logging.info('control: member %s is silent.', removal.host)
+            self._propose(removal)
+        for settled in leases.settled(state.view_by_pool.values()):
+            self._propose(settled)
+
+    def _current_leases(self) -> Leases | None:
+        # Before its first entry is accepted a new leader may not yet know
+        # members that its predecessor admitted, and would admit them anew.
+        if not self._replica.consensus.is_ready:
+            self._leases = None
+        elif self._leases is None:
+            self._leases = Leases(self._lease, self._chance, self._clock())
+        return self._leases
+
+    def _member(self, host: str) -> Member | None:
+        return self._replica.machine.state.member_by_host.get(host)
+
+    def _propose(self, command: object, reply: Reply | None = None) -> None:
+        # A command that is under way is not proposed again at each tick:
+        # without a majority the log would fill with copies of it.
+        if command in self._under_way:
+            return
+
+        def done(outcome: Outcome | RedwingstreamError) -> None:
+            self._under_way.discard(command)
+            if reply is not None and isinstance(outcome, Member):
+                reply(self._ack(outcome))
+
+        self._under_way.add(command)
+        try:
+            self._replica.propose(command, done)
+        except CallFailedError:
+            self._under_way.discard(command)
+
+    def _ack(self, member: Member) -> HeartbeatAck:
+        state = self._replica.machine.state
+        return HeartbeatAck(
+            member.incarnation,
+            state.revision,
+            self._replica.consensus.leader,
+            why_kept_out(state, member),
+        )
+
+    def _ack_elsewhere(self, known: Member | None, boot: int) -> HeartbeatAck:
+        # A follower may be behind; what it does not know yet the leader does.
+        same_run = known is not None and known.boot == boot
+        incarnation = known.incarnation if same_run else 0
+        state = self._replica.machine.state
+        leader = self._replica.consensus.leader
+        reason = '' if leader else 'no leader is known'
+        return HeartbeatAck(incarnation, state.revision, leader, reason)
+
+    def _refusal(self, reason: str) -> HeartbeatAck:
+        state = self._replica.machine.state
+        leader = self._replica.consensus.leader
+        return HeartbeatAck(0, state.revision, leader, reason)
+
+
+def _held_back_text(announce: Announce, seconds: float) -> str:
+    return (
+        f'{announce.host} has returned too often; it is admitted again in '
+        f'{seconds:.0f} s'
+    )
--- /dev/null
+++ b/redwingstream/tables/machine/changes.py
@@ -0,0 +1,149 @@
+"""Operators' changes: conflicts, resends and what a change may break."""
+
+import copy
+import hashlib
+
+import attrs
+
+from redwingstream.errors import ChangeRefusedError, ResultCode
+from redwingstream.tables.machine.checks import (
+    check_edit,
+    emptied_pools,
+    missing_pools,
+)
+from redwingstream.tables.machine.state import (
+    MachineState,
+    RememberedAnswer,
+)
+from redwingstream.tables.machine.views import recompute_views
+from redwingstream.tables.messages import (
+    ChangeAnswer,
+    ChangeRequest,
+    DrainMember,
+    Edit,
+    RemoveRow,
+    SetPool,
+    SetRoute,
+    SetZone,
+    Table,
+)
+from redwingstream.wire import messages
+
+_DIGEST_SIZE = 16
+_FORCE_HINT = '; force the change if that is wanted'
+
+
+def apply_change(
+    state: MachineState, request: ChangeRequest, index: int
+) -> ChangeAnswer:
+    """Accept or refuse a change; a resend gets the first answer.
+
+    Notes
+    -----
+    Two operators who looked at the same revision race each other: the first
+    one in the log wins, since the configuration revision moves with it.  The
+    request ids are part of the replicated state, so that an operator whose
+    answer was lost can ask any later leader.
+    """
+    digest = _digest(request)
+    known = state.answer_by_request.get(request.request_id)
+    if known is None:
+        answer = _decide(state, request, index)
+        remembered = RememberedAnswer(request.request_id, digest, answer)
+        state.remember(remembered)
+        return answer
+    if known.digest == digest:
+        return known.answer
+    return ChangeAnswer(
+        ResultCode.REQUEST_ID_REUSED,
+        f'request id {request.request_id!r} was used for another change; '
+        'choose a new one',
+        state.config_revision,
+    )
+
+
+def _decide(
+    state: MachineState, request: ChangeRequest, index: int
+) -> ChangeAnswer:
+    if request.based_on != state.config_revision:
+        return ChangeAnswer(
+            ResultCode.CONFLICT,
+            f'the change is based on revision {request.based_on}, but the '
+            f'configuration is at {state.config_revision}: another change '
+            'came first; look at it and send yours again based on that one',
+            state.config_revision,
+        )
+    trial = _copy_of(state)
+    try:
+        warnings = _try_edits(trial, request, index, state)
+    except ChangeRefusedError as error:
+        return ChangeAnswer(error.code, str(error), state.config_revision)
+    _take_over(state, trial, index)
+    return ChangeAnswer(ResultCode.OK, '', index, warnings)
+
+
+def _try_edits(
+    trial: MachineState,
+    request: ChangeRequest,
+    index: int,
+    before: MachineState,
+) -> tuple[str, ...]:
+    for edit in request.edits.in_order():
+        check_edit(trial, edit)
+        _apply_edit(trial, edit)
+    recompute_views(trial, index)
+    missing = tuple(missing_pools(before, trial))
+    emptied = tuple(emptied_pools(before, trial))
+    if missing and not request.force:
+        text = '; '.join(missing) + _FORCE_HINT
+        raise ChangeRefusedError(text, ResultCode.MISSING_POOL)
+    if emptied and not request.force:
+        text = '; '.join(emptied) + _FORCE_HINT
+        raise ChangeRefusedError(text, ResultCode.POOL_IN_USE)
+    return missing + emptied
+
+
+def _apply_edit(state: MachineState, edit: Edit) -> None:
+    match edit:
+        case SetRoute(row=row):
+            state.put(Table.ROUTE, row.key, row)
+        case SetPool(row=row):
+            state.put(Table.POOL, row.name, row)
+        case SetZone(row=row):
+            state.put(Table.ZONE, row.zone, row)
+        case RemoveRow(row=name):
+            state.drop(name.table, name.key)
+        case DrainMember(host=host, draining=draining):
+            member = state.member_by_host[host]
+            changed = attrs.evolve(member, draining=draining)
+            state.put(Table.MEMBER, host, changed)
+
+
+def _copy_of(state: MachineState) -> MachineState:
+    trial = copy.copy(state)
+    for table in Table:
+        rows = dict(state.rows_of(table))
+        setattr(trial, _FIELD_BY_TABLE[table], rows)
+    trial.touched = list(state.touched)
+    return trial
+
+
+_FIELD_BY_TABLE = {
+    Table.ROUTE: 'route_by_key',
+    Table.POOL: 'pool_by_name',
+    Table.ZONE: 'zone_by_name',
+    Table.MEMBER: 'member_by_host',
+    Table.VIEW: 'view_by_pool',
+}
+
+
+def _take_over(state: MachineState, trial: MachineState, index: int) -> None:
+    for field in _FIELD_BY_TABLE.values():
+        setattr(state, field, getattr(trial, field))
+    state.touched = trial.touched
+    state.config_revision = index
+
+
+def _digest(request: ChangeRequest) -> bytes:
+    body = messages.encode(request)[1]
+    return hashlib.blake2b(body, digest_size=_DIGEST_SIZE).digest()
--- /dev/null
+++ b/redwingstream/tables/machine/checks.py
@@ -0,0 +1,145 @@
+"""What is wrong with rows that an operator sets, and what a change does."""
+
+import ipaddress
+from collections.abc import Iterator
+
+from redwingstream.endpoints import parse_endpoint
+from redwingstream.errors import (
+    ChangeRefusedError,
+    ResultCode,
+    SettingError,
+)
+from redwingstream.tables.machine.state import MachineState
+from redwingstream.tables.messages import (
+    DrainMember,
+    Edit,
+    RemoveRow,
+    SetPool,
+    SetRoute,
+    SetZone,
+    Table,
+)
+from redwingstream.tables.rows import Pool, Route
+
+MAX_BUCKETS = 4096
+MAX_NAME = 255
+_REMOVABLE = frozenset((Table.ROUTE, Table.POOL, Table.ZONE))
+
+
+def check_edit(state: MachineState, edit: Edit) -> None:
+    """Refuse an edit that no force can make right.
+
+    Raises
+    ------
+    ChangeRefusedError
+        ``BAD_ROW`` or ``UNKNOWN_ROW``, naming the value met, what is allowed
+        and the way out.
+    """
+    match edit:
+        case SetRoute(row=row):
+            _check_route(row)
+        case SetPool(row=row):
+            _check_pool(row, state.pool_by_name.get(row.name))
+        case SetZone(row=row):
+            _check_name('availability zone', row.zone)
+        case RemoveRow(row=name):
+            if name.table not in _REMOVABLE:
+                raise _bad_row(
+                    f"table {name.table.value!r} is not the operators'; "
+                    'routes, pools and zone marks can be removed',
+                )
+            if name.key not in state.rows_of(name.table):
+                raise _unknown(name.table.value, name.key)
+        case DrainMember(host=host):
+            if host not in state.member_by_host:
+                raise _unknown(Table.MEMBER.value, host)
+
+
+def harms(before: MachineState, after: MachineState) -> Iterator[str]:
+    """Yield what a change breaks that worked before it.
+
+    Parameters
+    ----------
+    before, after : MachineState
+        The state without and with the change, views included.
+    """
+    yield from missing_pools(before, after)
+    yield from emptied_pools(before, after)
+
+
+def missing_pools(before: MachineState, after: MachineState) -> Iterator[str]:
+    """Yield the routes that name a missing pool only after a change."""
+    for key, route in after.route_by_key.items():
+        if route.pool in after.pool_by_name:
+            continue
+        was_there = route.pool in before.pool_by_name
+        if was_there or before.route_by_key.get(key) != route:
+            yield (
+                f'route {key} names pool {route.pool!r}, which does not '
+                'exist: its callers are refused until the pool is set'
+            )
+
+
+def emptied_pools(before: MachineState, after: MachineState) -> Iterator[str]:
+    """Yield the pools in use that a change leaves without a server."""
+    used = {route.pool for route in before.route_by_key.values()}
+    for name in sorted(used):
+        view = before.view_by_pool.get(name)
+        left = after.view_by_pool.get(name)
+        had = view is not None and view.members
+        if had and not (left is not None and left.members):
+            yield (
+                f'pool {name!r} is in use and is left without a backend '
+                f'server (it has {len(view.members)}): its callers are refused'
+            )
+
+
+def _check_route(row: Route) -> None:
+    try:
+        parse_endpoint(row.service)
+    except SettingError as error:
+        raise _bad_row(f'route service: {error}') from error
+    _check_name('pool', row.pool)
+    try:
+        ipaddress.ip_network(row.callers)
+    except ValueError:
+        raise _bad_row(
+            f'callers {row.callers!r} of route {row.service} is no network; '
+            'write it in CIDR form without host bits, for instance '
+            '10.1.0.0/16',
+        ) from None
+
+
+def _check_pool(row: Pool, present: Pool | None) -> None:
+    _check_name('pool', row.name)
+    is_power = row.buckets > 0 and not row.buckets & (row.buckets - 1)
+    if not is_power or row.buckets > MAX_BUCKETS:
+        raise _bad_row(
+            f'pool {row.name!r} has {row.buckets} buckets; a power of two '
+            f'from 1 to {MAX_BUCKETS} is allowed',
+        )
+    if present is not None and present.buckets != row.buckets:
+        raise _bad_row(
+            f'pool {row.name!r} has {present.buckets} buckets for its life, '
+            f'not {row.buckets}; set a pool of another name and move the '
+            'routes to it',
+        )
+
+
+def _check_name(what: str, name: str) -> None:
+    if not 0 < len(name) <= MAX_NAME or not name.isprintable():
+        raise _bad_row(
+            f'{what} name {name!r} is not allowed; give it 1 to {MAX_NAME} '
+            'printable characters',
+        )
+
+
+def _bad_row(text: str) -> ChangeRefusedError:
+    return ChangeRefusedError(text, ResultCode.BAD_ROW)
+
+
+def _unknown(table: str, key: str) -> ChangeRefusedError:
+    return ChangeRefusedError(
+        f'there is no row {key!r} in table {table!r}; look at the tables again',
+        ResultCode.UNKNOWN_ROW,
+    )
--- /dev/null
+++ b/redwingstream/tables/machine/members.py
@@ -0,0 +1,55 @@
+"""Admission, leaving and removal of members."""
+
+import attrs
+
+from redwingstream.tables.machine.messages import (
+    AdmitMember,
+    LeaveMember,
+    RemoveMember,
+)
+from redwingstream.tables.machine.state import MachineState
+from redwingstream.tables.messages import Table
+from redwingstream.tables.rows import Member
+
+
+def admit_member(
+    state: MachineState, command: AdmitMember, index: int
+) -> Member:
+    """Make a run of a process a member, with the index as its incarnation.
+
+    Notes
+    -----
+    The same run gets the same incarnation again, since its announcement may
+    be repeated after a lost answer.  Another run of the host always gets a
+    higher one, so that late messages of the former run are told apart.
+    """
+    known = state.member_by_host.get(command.host)
+    if known is not None and known.boot == command.boot:
+        return known
+    member = Member(
+        host=command.host,
+        role=command.role,
+        incarnation=index,
+        boot=command.boot,
+        endpoint=command.endpoint,
+        zone=command.zone,
+        pool=command.pool,
+        weight=command.weight,
+    )
+    state.put(Table.MEMBER, command.host, member)
+    return member
+
+
+def leave_member(state: MachineState, command: LeaveMember) -> None:
+    """Let a member drain: it leaves the views and stays a member."""
+    known = state.member_by_host.get(command.host)
+    if known is not None and known.incarnation == command.incarnation:
+        drained = attrs.evolve(known, draining=True)
+        state.put(Table.MEMBER, command.host, drained)
+
+
+def remove_member(state: MachineState, command: RemoveMember) -> None:
+    """Remove a silent member, unless a later run has come instead."""
+    known = state.member_by_host.get(command.host)
+    if known is not None and known.incarnation == command.incarnation:
+        state.drop(Table.MEMBER, command.host)
