Fence buckets by view number at home and heir

BucketKeeper decides without I/O or clock what an agent holds and may record: takeover from each unsettled pair, one record message in flight a bucket, give-up times, and refusal of what another home has recorded meanwhile.

--- a/redwingstream/placement/messages.py
+++ b/redwingstream/placement/messages.py
@@ -36,7 +36,12 @@
     bucket : int
         Which bucket.
     ticket : int
-        Number by which the sender knows the answer.
+        Number by which the sender knows the answer; within a view and bucket
+        each new one is higher, and is sent only after the one before it was
+        accepted.
+    asked_incarnation : int
+        Run of the heir that is in the view.  A later run at the same address
+        has no fence yet and must not accept for the former one.
     contents : BucketContents
         What to remember.
     """
@@ -45,6 +50,7 @@
     view: int
     bucket: int
     ticket: int
+    asked_incarnation: int
     contents: BucketContents
 
 
@@ -58,19 +64,24 @@
         Pool of the bucket.
     bucket : int
         Which bucket.
+    view : int
+        The view in the message that is answered.  A later run of the same
+        home counts its tickets from 1 again, but under a newer view.
     ticket : int
-        The number in the :class:`Record`.
+        The number in the :class:`Record`; 0 when a :class:`TakeBucket` is
+        refused.
     accepted : bool
-        False when the heir is fenced at a newer view.
-    view : int
-        View at which the heir is fenced.
+        False when the asked agent is fenced at a newer view.
+    fence : int
+        View at which it is fenced.
     """
 
     pool: str
     bucket: int
+    view: int
     ticket: int
     accepted: bool
-    view: int
+    fence: int
 
 
 @message(kind=66)
@@ -118,6 +129,9 @@
         Which part this is, and how many there are.
     contents : BucketContents
         The part.
+    covered : tuple of int
+        Earlier views whose pairs the answering agent has itself heard, so
+        that these contents include theirs.
     """
 
     pool: str
@@ -127,3 +141,4 @@
     part: int
     parts: int
     contents: BucketContents
+    covered: tuple[int, ...] = ()
--- a/redwingstream/placement/rendezvous.py
+++ b/redwingstream/placement/rendezvous.py
@@ -15,8 +15,9 @@
 from redwingstream.tables.rows import PoolView, ViewMember
 
 _DIGEST_BYTES = 8
+_HASH_BITS = 64
 _FRACTION_BITS = 52
-_DROPPED_BITS = 64 - _FRACTION_BITS
+_DROPPED_BITS = _HASH_BITS - _FRACTION_BITS
 _FRACTION_SPAN = 1 << _FRACTION_BITS
 
 
--- /dev/null
+++ b/redwingstream/placement/takeover.py
@@ -0,0 +1,163 @@
+"""A new home hears from each earlier pair before its bucket is in effect."""
+
+import attrs
+
+from redwingstream.placement.effects import Effect, Send
+from redwingstream.placement.messages import BucketGiven, TakeBucket
+from redwingstream.placement.retries import Backoff, RetryTiming
+from redwingstream.tables.rows import ViewMember
+
+_NEVER = float('inf')
+
+
+@attrs.frozen
+class EarlierPair:
+    """The pair of an earlier view that a new home must hear from.
+
+    Parameters
+    ----------
+    number : int
+        Number of the earlier view.
+    members : tuple of ViewMember
+        Home and heir, without runs that are known to have ended; may be empty.
+    since : float
+        When this agent started to wait for one of them, in seconds.
+    """
+
+    number: int
+    members: tuple[ViewMember, ...]
+    since: float
+
+
+class Takeover:
+    """Asks both of each earlier pair until one has answered in full.
+
+    Parameters
+    ----------
+    request : TakeBucket
+        Pool, view and bucket; run and part are filled in for each sending.
+    earlier : tuple of EarlierPair
+        Whom to hear.
+    heard : set of int
+        Earlier views that are heard already; the numbers of others are added.
+    replay_horizon : float
+        Seconds after which a pair that nobody heard is given up as lost.
+    timing : RetryTiming
+        Pauses between repeats.
+
+    Notes
+    -----
+    One of a pair is enough.  Whatever took effect under its view is at both,
+    and the one that answers is fenced first, so that nothing can be added:
+    an heir refuses the records of the older view, a home ignores the answers
+    to those that it has sent.
+    """
+
+    def __init__(
+        self,
+        request: TakeBucket,
+        earlier: tuple[EarlierPair, ...],
+        heard: set[int],
+        replay_horizon: float,
+        timing: RetryTiming,
+    ) -> None:
+        self.lost: tuple[int, ...] = ()
+        self._request = request
+        self._earlier_by_number = {each.number: each for each in earlier}
+        self._heard = heard
+        self._horizon = replay_horizon
+        self._patience = timing.patience
+        self._backoff = Backoff(timing)
+        self._next_part_by_incarnation: dict[int, int] = {}
+
+    def finished(self) -> bool:
+        """Whether every earlier pair is heard or given up."""
+        return not self._unheard()
+
+    def since(self, number: int, default: float) -> float:
+        """Return since when an earlier pair has been waited for."""
+        earlier = self._earlier_by_number.get(number)
+        return default if earlier is None else earlier.since
+
+    def recovering(self, now: float) -> bool:
+        """Whether a pair has been silent for long, or has surely ended."""
+        return any(self._is_silent(each, now) for each in self._unheard())
+
+    def give_up_lost(self, now: float) -> None:
+        """Count pairs as lost that were silent for the longest replay time."""
+        for each in self._unheard():
+            if now >= each.since + self._horizon:
+                self.lost += (each.number,)
+                self._heard.add(each.number)
+
+    def due_requests(self, now: float) -> list[Effect]:
+        """Return the requests to send, or send again, at this time."""
+        if self.finished() or not self._backoff.take(now):
+            return []
+        return [self._ask(member) for member in self._askable_by_run().values()]
+
+    def expects(self, given: BucketGiven) -> bool:
+        """Whether these contents are the next part from an asked agent."""
+        if given.view != self._request.view:
+            return False
+        wanted = self._next_part_by_incarnation.get(given.incarnation, 0)
+        if given.part != wanted:
+            return False
+        return given.incarnation in self._askable_by_run()
+
+    def hear(self, given: BucketGiven) -> list[Effect]:
+        """Count an expected part and return the request for the next one."""
+        member = self._askable_by_run()[given.incarnation]
+        following = given.part + 1
+        self._next_part_by_incarnation[given.incarnation] = following
+        if following < given.parts:
+            return [self._ask(member)]
+        self._heard.update(
+            each.number
+            for each in self._unheard()
+            if _has_run(each.members, member.incarnation)
+        )
+        self._heard.update(self._earlier_by_number.keys() & given.covered)
+        return []
+
+    def next_due(self, now: float) -> float:
+        """Return when to look again, in seconds; infinity once finished."""
+        unheard = self._unheard()
+        if not unheard:
+            return _NEVER
+        times = [self._backoff.due]
+        for each in unheard:
+            silent_at = each.since + self._patience
+            horizon = each.since + self._horizon
+            times.append(horizon if silent_at <= now else silent_at)
+        return min(times)
+
+    def _unheard(self) -> list[EarlierPair]:
+        return [
+            each
+            for number, each in self._earlier_by_number.items()
+            if number not in self._heard
+        ]
+
+    def _is_silent(self, earlier: EarlierPair, now: float) -> bool:
+        return not earlier.members or now >= earlier.since + self._patience
+
+    def _askable_by_run(self) -> dict[int, ViewMember]:
+        return {
+            member.incarnation: member
+            for each in self._unheard()
+            for member in each.members
+        }
+
+    def _ask(self, member: ViewMember) -> Send:
+        run = member.incarnation
+        request = attrs.evolve(
+            self._request,
+            asked_incarnation=run,
+            part=self._next_part_by_incarnation.get(run, 0),
+        )
+        return Send(member.endpoint, request)
+
+
+def _has_run(members: tuple[ViewMember, ...], incarnation: int) -> bool:
+    return any(member.incarnation == incarnation for member in members)
--- /dev/null
+++ b/redwingstream/placement/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of placement, handoff and recording."""
--- /dev/null
+++ b/redwingstream/placement/tests/fakes.py
@@ -0,0 +1,171 @@
+"""A store in memory and keepers joined by a network that tests control."""
+
+import attrs
+
+from redwingstream.flows.records import FlowKey, FlowRecord
+from redwingstream.placement.effects import Effect, Send
+from redwingstream.placement.keeper import BucketKeeper
+from redwingstream.placement.messages import BucketContents
+from redwingstream.requests.records import (
+    LedgerEntry,
+    RequestKey,
+    RequestState,
+)
+from redwingstream.tables.rows import EarlierView, PoolView, ViewMember
+
+POOL = 'sward-live'
+HORIZON = 300.0
+NEVER = 1e9
+
+
+def member(
+    host: str, incarnation: int, zone: str = 'carse', weight: int = 100
+) -> ViewMember:
+    """Return a member whose endpoint is its host name."""
+    return ViewMember(host, incarnation, host, zone, weight)
+
+
+def view(
+    number: int, *members: ViewMember, after: PoolView | None = None
+) -> PoolView:
+    """Return a view; it follows another one that is not yet settled."""
+    unsettled: tuple[EarlierView, ...] = ()
+    if after is not None:
+        former = EarlierView(after.number, after.members)
+        unsettled = (former, *after.unsettled)
+    return PoolView(POOL, number, members, unsettled)
+
+
+def started(message_id: int, answer: bytes = b'') -> BucketContents:
+    """Return contents with one request that may have run."""
+    key = RequestKey('10.0.0.1:4000', '10.9.0.1:5683', message_id, b't')
+    entry = LedgerEntry(key, b'sum', RequestState.STARTED, answer)
+    return BucketContents(entries=(entry,))
+
+
+def flow(port: int, carrier: str, closed: bool = False) -> BucketContents:
+    """Return contents with one established flow."""
+    key = FlowKey(f'10.0.0.1:{port}', '10.9.0.1:5683')
+    return BucketContents(flows=(FlowRecord(key, carrier, closed=closed),))
+
+
+@attrs.define
+class MemoryStore:
+    """Contents by bucket and key; first states never replace final ones."""
+
+    entries_by_bucket: dict[int, dict[RequestKey, LedgerEntry]] = attrs.field(
+        factory=dict
+    )
+    flows_by_bucket: dict[int, dict[FlowKey, FlowRecord]] = attrs.field(
+        factory=dict
+    )
+
+    def export(self, bucket: int) -> BucketContents:
+        """Return everything of a bucket."""
+        return BucketContents(
+            tuple(self.entries_by_bucket.get(bucket, {}).values()),
+            tuple(self.flows_by_bucket.get(bucket, {}).values()),
+        )
+
+    def merge(self, bucket: int, contents: BucketContents) -> None:
+        """Add what is new; a closed flow is removed."""
+        entry_by_key = self.entries_by_bucket.setdefault(bucket, {})
+        for entry in contents.entries:
+            known = entry_by_key.get(entry.key)
+            if known is None or known.state is RequestState.STARTED:
+                entry_by_key[entry.key] = entry
+        flow_by_key = self.flows_by_bucket.setdefault(bucket, {})
+        for record in contents.flows:
+            if record.closed:
+                flow_by_key.pop(record.key, None)
+            else:
+                flow_by_key[record.key] = record
+
+    def drop(self, bucket: int) -> None:
+        """Forget a bucket."""
+        self.entries_by_bucket.pop(bucket, None)
+        self.flows_by_bucket.pop(bucket, None)
+
+
+@attrs.define
+class Agent:
+    """A keeper, its store and what it has asked for so far."""
+
+    me: ViewMember
+    buckets: int = 1
+    store: MemoryStore = attrs.field(factory=MemoryStore)
+    keeper: BucketKeeper = attrs.field(init=False)
+    done: list[Effect] = attrs.field(factory=list)
+
+    def __attrs_post_init__(self) -> None:
+        """Start the keeper of this run."""
+        self.keeper = BucketKeeper(
+            self.me.host,
+            self.me.incarnation,
+            POOL,
+            self.store,
+            HORIZON,
+            self.buckets,
+        )
+
+
+@attrs.define
+class Network:
+    """Carries messages between agents, in order, unless a host is cut off."""
+
+    agent_by_host: dict[str, Agent] = attrs.field(factory=dict)
+    cut: set[str] = attrs.field(factory=set)
+    held: list[tuple[str, Send]] = attrs.field(factory=list)
+    now: float = 0
+
+    def join(self, me: ViewMember, buckets: int = 1) -> Agent:
+        """Start a run of an agent; it replaces a former one of its host."""
+        agent = Agent(me, buckets)
+        self.agent_by_host[me.host] = agent
+        return agent
+
+    def carry_out(self, agent: Agent, effects: list[Effect]) -> None:
+        """Note effects and queue what they send."""
+        agent.done.extend(effects)
+        for effect in effects:
+            if isinstance(effect, Send):
+                self.held.append((agent.me.endpoint, effect))
+
+    def adopt(self, committed: PoolView, *hosts: str) -> None:
+        """Let hosts, or all that are not cut off, adopt a view."""
+        for host in hosts or self.agent_by_host.keys() - self.cut:
+            agent = self.agent_by_host[host]
+            self.carry_out(agent, agent.keeper.adopt(committed, self.now))
+
+    def record(
+        self, host: str, contents: BucketContents, give_up_at: float = NEVER
+    ) -> int:
+        """Record in bucket 0 and return the ticket."""
+        agent = self.agent_by_host[host]
+        ticket, effects = agent.keeper.record(
+            0, contents, self.now, give_up_at
+        )
+        self.carry_out(agent, effects)
+        return ticket
+
+    def deliver(self) -> None:
+        """Deliver everything, and what follows from it."""
+        while self.held:
+            source, send = self.held.pop(0)
+            if self.cut.isdisjoint((source, send.endpoint)):
+                self._hand_over(source, send)
+
+    def run(self, seconds: float, step: float = 0.05) -> None:
+        """Let time pass for every agent that is not cut off."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now += step
+            for host in self.agent_by_host.keys() - self.cut:
+                agent = self.agent_by_host[host]
+                self.carry_out(agent, agent.keeper.tick(self.now))
+            self.deliver()
+
+    def _hand_over(self, source: str, send: Send) -> None:
+        agent = self.agent_by_host[send.endpoint]
+        effects = agent.keeper.on_message(send.message, self.now, source)
+        self.carry_out(agent, effects)
