--- /dev/null
+++ b/redwingstream/flows/carried.py
@@ -0,0 +1,119 @@
+"""The feeds of a carrier by key, from their first record to their end."""
+
+import math
+import random
+
+import attrs
+from aiocoap.message import Message
+
+from redwingstream.errors import ResultCode
+from redwingstream.flows.effects import CloseFeed, FeedClosed, FeedEffect
+from redwingstream.flows.feed_state import Delivery, Feed, FeedLimits
+from redwingstream.flows.effects import FeedSource
+from redwingstream.flows.notifications import Notifications
+from redwingstream.flows.records import FlowKey, FlowRecord
+from redwingstream.flows.registrations import Registrations
+from redwingstream.wire import coap
+
+
+class CarriedFeeds:
+    """Opens and ends feeds; keeps both sides of each in step.
+
+    Parameters
+    ----------
+    notifications : Notifications
+        The callers' side.
+    registrations : Registrations
+        The server's side.
+    """
+
+    def __init__(
+        self, notifications: Notifications, registrations: Registrations
+    ) -> None:
+        self._notifications = notifications
+        self._registrations = registrations
+        self._feed_by_key: dict[FlowKey, Feed] = {}
+
+    def __len__(self) -> int:
+        """Return how many feeds there are."""
+        return len(self._feed_by_key)
+
+    def keys(self) -> tuple[FlowKey, ...]:
+        """Return the feeds that are not being closed."""
+        return tuple(
+            key for key, feed in self._feed_by_key.items() if not feed.closing
+        )
+
+    def find(self, key: FlowKey) -> Feed | None:
+        """Return a feed, also one that is being closed."""
+        return self._feed_by_key.get(key)
+
+    def find_open(self, key: FlowKey) -> Feed | None:
+        """Return a feed that is not being closed."""
+        feed = self._feed_by_key.get(key)
+        return None if feed is None or feed.closing else feed
+
+    def find_source(self, source: FeedSource) -> Feed | None:
+        """Return the feed whose present registration this is."""
+        feed = self._feed_by_key.get(source.key)
+        return None if feed is None or feed.source != source else feed
+
+    def add(self, record: FlowRecord, now: float) -> Feed:
+        """Open a feed, in place of one with its key that is being closed."""
+        former = self._feed_by_key.get(record.key)
+        if former is not None:
+            self.remove(former)
+        feed = Feed(record, Delivery())
+        self._feed_by_key[record.key] = feed
+        self._registrations.wait(feed, now)
+        return feed
+
+    def adopt(self, feed: Feed, record: FlowRecord) -> None:
+        """Go on under another record of the same feed."""
+        if record.generation > feed.record.generation:
+            feed.delivery.counter = 0
+        feed.record = record
+
+    def remove(self, feed: Feed) -> list[FeedEffect]:
+        """Forget a feed; the server is told when it has it."""
+        self._feed_by_key.pop(feed.key, None)
+        self._notifications.forget(feed)
+        self._registrations.forget(feed)
+        return [] if feed.source is None else [CloseFeed(feed.source)]
+
+    def close(self, feed: Feed, why: ResultCode) -> list[FeedEffect]:
+        """Forget a feed and tell its home."""
+        effects = self.remove(feed)
+        if not feed.closing:
+            effects.append(FeedClosed(_closed(feed.record), why))
+        return effects
+
+    def finish(
+        self, feed: Feed, response: Message, why: ResultCode, now: float
+    ) -> list[FeedEffect]:
+        """Send the final answer; forget the feed when it is acknowledged."""
+        self._notifications.forget(feed)
+        self._registrations.forget(feed)
+        feed.source = None
+        feed.closing = True
+        effects = self._notifications.send(feed, response, now)
+        effects.append(FeedClosed(_closed(feed.record), why))
+        return effects
+
+
+def come_back(rng: random.Random, limits: FeedLimits) -> int:
+    """Return a Max-Age in seconds, spread over twice the least one."""
+    return math.ceil(limits.come_back * (1 + rng.random()))
+
+
+def final_answer(why: ResultCode, max_age: int) -> Message:
+    """Return the last message of a feed given up: 5.03 with Max-Age."""
+    answer = Message(
+        code=coap.SERVICE_UNAVAILABLE, payload=why.name.lower().encode()
+    )
+    answer.opt.max_age = max_age
+    return answer
+
+
+def _closed(record: FlowRecord) -> FlowRecord:
+    return attrs.evolve(record, closed=True)
--- a/redwingstream/flows/paths.py
+++ b/redwingstream/flows/paths.py
@@ -1,6 +1,6 @@
 """Through which balancer a packet goes back to a caller."""
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 import attrs
 
@@ -50,9 +50,23 @@
         elif self._is_old(oldest, now):
             self._path_by_balancer.pop(oldest)
 
-    def lost(self, balancer: str) -> None:
-        """Forget a balancer that is no member any more."""
-        self._path_by_balancer.pop(balancer, None)
+    def set_members(self, balancers: Collection[str], now: float) -> None:
+        """Take the balancers that are members: forget others, add new ones.
+
+        Notes
+        -----
+        When all balancers are replaced while a caller has nothing to send,
+        none of the new ones has been heard from; without this its feed would
+        have no way back.
+        """
+        for former in tuple(self._path_by_balancer):
+            if former not in balancers:
+                self._path_by_balancer.pop(former)
+        heard = self._path_by_balancer
+        room = self._capacity - len(heard)
+        fresh = [name for name in balancers if name not in heard][:room]
+        # First in order: the least recently heard.
+        self._path_by_balancer = {name: _Path(now) for name in fresh} | heard
 
     def unanswered(self, balancer: str) -> None:
         """Note that what was sent through a balancer was not acknowledged."""
--- a/redwingstream/flows/table.py
+++ b/redwingstream/flows/table.py
@@ -138,12 +138,12 @@
         for key in tuple(self._keys_by_bucket.get(bucket, ())):
             self._forget(key)
         ended = [
-            key
-            for key, entry in self._tombstone_by_key.items()
+            entry.record.key
+            for entry in self._tombstone_by_key.values()
             if entry.bucket == bucket
         ]
-        for key in ended:
-            self._tombstone_by_key.pop(key)
+        for late in ended:
+            self._tombstone_by_key.pop(late)
 
     def carried_by(self, host: str) -> tuple[FlowRecord, ...]:
         """Return the open flows that a host carries."""
