--- /dev/null
+++ b/redwingstream/flows/caller_ids.py
@@ -0,0 +1,54 @@
+"""Message ids of a carrier towards each caller."""
+
+import random
+
+import xxhash
+
+from redwingstream.flows.message_ids import EXCHANGE_LIFETIME, MessageIds
+from redwingstream.wire import coap
+
+ID_RANGES = 32
+IDS_PER_RANGE = coap.MESSAGE_ID_LIMIT // ID_RANGES
+
+Ends = tuple[str, str]
+"""``IP:PORT`` of the caller and of the service."""
+
+
+class CallerIds:
+    """Message ids from one range, in turn for each pair of ends.
+
+    Parameters
+    ----------
+    host : str
+        Decides the range.
+    rng : random.Random
+        Gives first message ids.
+
+    Notes
+    -----
+    A caller drops a confirmable message as a duplicate when its id was used
+    from the same address before.  Several carriers speak to one caller from
+    one service address, so each takes ids from a range chosen by its host.
+    """
+
+    def __init__(self, host: str, rng: random.Random) -> None:
+        self._rng = rng
+        self._first = xxhash.xxh32_intdigest(host) % ID_RANGES * IDS_PER_RANGE
+        # With the time of last use; those used last stand last.
+        self._ids_by_ends: dict[Ends, tuple[MessageIds, float]] = {}
+
+    def take(self, ends: Ends, now: float) -> int | None:
+        """Return a message id, or None while all may still be in use."""
+        known = self._ids_by_ends.pop(ends, None)
+        if known is None:
+            start = self._rng.randrange(IDS_PER_RANGE)
+            known = (MessageIds(start, self._first, IDS_PER_RANGE), now)
+        self._ids_by_ends[ends] = (known[0], now)
+        return known[0].take(now)
+
+    def forget_idle(self, now: float) -> None:
+        """Forget callers that were sent nothing for long enough."""
+        for ends, (_, used) in tuple(self._ids_by_ends.items()):
+            if now - used <= EXCHANGE_LIFETIME:
+                return
+            self._ids_by_ends.pop(ends)
--- a/redwingstream/flows/carried.py
+++ b/redwingstream/flows/carried.py
@@ -25,13 +25,23 @@
         The callers' side.
     registrations : Registrations
         The server's side.
+    rng : random.Random
+        Spreads times to come back.
+    limits : FeedLimits
+        Bounds and times.
     """
 
     def __init__(
-        self, notifications: Notifications, registrations: Registrations
+        self,
+        notifications: Notifications,
+        registrations: Registrations,
+        rng: random.Random,
+        limits: FeedLimits,
     ) -> None:
         self._notifications = notifications
         self._registrations = registrations
+        self._rng = rng
+        self._limits = limits
         self._feed_by_key: dict[FlowKey, Feed] = {}
 
     def __len__(self) -> int:
@@ -100,19 +110,25 @@
         effects.append(FeedClosed(_closed(feed.record), why))
         return effects
 
+    def repeat(self, key: FlowKey, now: float) -> list[FeedEffect]:
+        """Repeat a notification, or give up a caller that never answers."""
+        feed = self._feed_by_key[key]
+        if self._notifications.is_exhausted(feed):
+            self._notifications.counters.unanswered += 1
+            return self.close(feed, ResultCode.TIMED_OUT)
+        return self._notifications.repeat(feed, now)
+
+    def final_answer(self, why: ResultCode) -> Message:
+        """Return the last message of a feed: 5.03 and when to come back."""
+        answer = Message(
+            code=coap.SERVICE_UNAVAILABLE, payload=why.name.lower().encode()
+        )
+        answer.opt.max_age = self.come_back()
+        return answer
 
-def come_back(rng: random.Random, limits: FeedLimits) -> int:
-    """Return a Max-Age in seconds, spread over twice the least one."""
-    return math.ceil(limits.come_back * (1 + rng.random()))
-
-
-def final_answer(why: ResultCode, max_age: int) -> Message:
-    """Return the last message of a feed given up: 5.03 with Max-Age."""
-    answer = Message(
-        code=coap.SERVICE_UNAVAILABLE, payload=why.name.lower().encode()
-    )
-    answer.opt.max_age = max_age
-    return answer
+    def come_back(self) -> int:
+        """Return a Max-Age in seconds, spread so that callers do not meet."""
+        return math.ceil(self._limits.come_back * (1 + self._rng.random()))
 
 
 def _closed(record: FlowRecord) -> FlowRecord:
--- a/redwingstream/flows/feeds.py
+++ b/redwingstream/flows/feeds.py
@@ -6,11 +6,8 @@
 from aiocoap.message import Message
 
 from redwingstream.errors import ResultCode
-from redwingstream.flows.carried import (
-    CarriedFeeds,
-    come_back,
-    final_answer,
-)
+from redwingstream.flows.caller_ids import CallerIds
+from redwingstream.flows.carried import CarriedFeeds
 from redwingstream.flows.effects import (
     CloseFeed,
     FeedClosed,
@@ -20,7 +17,7 @@
     OpenFeed,
     SendToCaller,
 )
-from redwingstream.flows.feed_state import Feed, FeedCounters, FeedLimits
+from redwingstream.flows.feed_state import FeedCounters, FeedLimits
 from redwingstream.flows.notifications import Notifications
 from redwingstream.flows.observe import is_newer
 from redwingstream.flows.paths import ReturnPaths
@@ -63,14 +60,16 @@
         limits: FeedLimits | None = None,
     ) -> None:
         self._pool = pool
-        self._rng = rng
         self._limits = limits or FeedLimits()
         self.counters = FeedCounters()
+        self._ids = CallerIds(host, rng)
         self._notifications = Notifications(
-            host, paths, rng, self._limits, self.counters
+            self._ids, paths, self._limits, self.counters
         )
         self._registrations = Registrations(rng, self._limits)
-        self._feeds = CarriedFeeds(self._notifications, self._registrations)
+        self._feeds = CarriedFeeds(
+            self._notifications, self._registrations, rng, self._limits
+        )
 
     def __len__(self) -> int:
         """Return how many feeds are carried."""
@@ -99,7 +98,9 @@
         """
         feed = self._feeds.find_open(record.key)
         if feed is None and len(self._feeds) >= self._limits.capacity:
-            return self._refuse(record, request, balancer)
+            self.counters.refused += 1
+            come_back = self._feeds.come_back()
+            return _refuse(record, request, balancer, come_back)
         effects = _acknowledge(record.key, request, balancer)
         if feed is None:
             self.counters.opened += 1
@@ -215,14 +216,14 @@
             return []
         match response:
             case None if feed.established:
-                return self._register_again(feed, now)
-            case None:
-                return self._feeds.finish(feed, self._final(why), why, now)
+                self._registrations.wait_again(feed, now)
             case Message(code=coap.SERVICE_UNAVAILABLE) if feed.established:
-                later = now + (response.opt.max_age or 0)
-                return self._register_again(feed, later)
+                max_age = response.opt.max_age or 0
+                self._registrations.wait_again(feed, now, max_age)
             case _:
-                return self._feeds.finish(feed, response, why, now)
+                final = response or self._feeds.final_answer(why)
+                return self._feeds.finish(feed, final, why, now)
+        return []
 
     def next_registrations(self, now: float, room: int) -> list[OpenFeed]:
         """Return the registrations to send to the server now.
@@ -261,7 +262,7 @@
             return []
         self.counters.given_up += 1
         effects = self._notifications.send_copies(
-            feed, self._final(why), FINAL_COPIES, now
+            feed, self._feeds.final_answer(why), FINAL_COPIES, now
         )
         return effects + self._feeds.close(feed, why)
 
@@ -269,46 +270,26 @@
         """Repeat notifications that wait for their ACK."""
         effects: list[FeedEffect] = []
         for key in self._notifications.timers.pop_due(now):
-            feed = self._feeds.find(key)
-            if feed is not None:
-                effects.extend(self._repeat(feed, now))
-        self._notifications.forget_idle_callers(now)
+            effects.extend(self._feeds.repeat(key, now))
+        self._ids.forget_idle(now)
         return effects
 
     def next_due(self) -> float | None:
         """Return when :meth:`poll` is due, or None."""
         return self._notifications.timers.next_due()
 
-    def _repeat(self, feed: Feed, now: float) -> list[FeedEffect]:
-        if self._notifications.is_exhausted(feed):
-            self.counters.unanswered += 1
-            return self._feeds.close(feed, ResultCode.TIMED_OUT)
-        return self._notifications.repeat(feed, now)
-
-    def _register_again(self, feed: Feed, now: float) -> list[FeedEffect]:
-        feed.failures += 1
-        self._registrations.wait(feed, now)
-        return []
-
-    def _final(self, why: ResultCode) -> Message:
-        return final_answer(why, come_back(self._rng, self._limits))
 
-    def _refuse(
-        self, record: FlowRecord, request: Message, balancer: str
-    ) -> list[FeedEffect]:
-        self.counters.refused += 1
-        key = record.key
-        refusal = coap.refusal(
-            request,
-            ResultCode.OVERLOADED,
-            come_back(self._rng, self._limits),
-        )
-        payload = coap.encode(refusal)
-        closed = attrs.evolve(record, closed=True)
-        return [
-            SendToCaller(balancer, key.caller, key.service, payload),
-            FeedClosed(closed, ResultCode.OVERLOADED),
-        ]
+def _refuse(
+    record: FlowRecord, request: Message, balancer: str, come_back: int
+) -> list[FeedEffect]:
+    key = record.key
+    refusal = coap.refusal(request, ResultCode.OVERLOADED, come_back)
+    payload = coap.encode(refusal)
+    closed = attrs.evolve(record, closed=True)
+    return [
+        SendToCaller(balancer, key.caller, key.service, payload),
+        FeedClosed(closed, ResultCode.OVERLOADED),
+    ]
 
 
 def _acknowledge(
--- a/redwingstream/flows/notifications.py
+++ b/redwingstream/flows/notifications.py
@@ -1,73 +1,52 @@
 """Notifications on their way to callers, until they are acknowledged."""
 
-import random
-
-import xxhash
 from aiocoap.message import Message
 
+from redwingstream.flows.caller_ids import CallerIds, Ends
 from redwingstream.flows.effects import (
     FeedEffect,
     GenerationWanted,
     SendToCaller,
 )
 from redwingstream.flows.feed_state import Feed, FeedCounters, FeedLimits
-from redwingstream.flows.message_ids import EXCHANGE_LIFETIME, MessageIds
 from redwingstream.flows.observe import COUNTER_LIMIT, sequence_number
 from redwingstream.flows.paths import ReturnPaths
 from redwingstream.flows.records import FlowKey
 from redwingstream.flows.timers import Timers
 from redwingstream.wire import coap
 
-ID_RANGES = 32
-IDS_PER_RANGE = coap.MESSAGE_ID_LIMIT // ID_RANGES
-
 _HOLD = 1.0
 _WARN_AT = COUNTER_LIMIT - 1024
 _WARN_EACH = 64
 
-_Ends = tuple[str, str]
-
 
 class Notifications:
     """Sends notifications and repeats the newest until its ACK arrives.
 
     Parameters
     ----------
-    host : str
-        Decides the range of message ids.
+    ids : CallerIds
+        Message ids towards callers.
     paths : ReturnPaths
         The balancers known.
-    rng : random.Random
-        Gives first message ids.
     limits : FeedLimits
         Bounds and times.
     counters : FeedCounters
         Shared with the carrier.
-
-    Notes
-    -----
-    A caller drops a confirmable message as a duplicate when its id was used
-    from the same address before.  Several carriers speak to one caller from
-    one service address, so each takes ids from a range chosen by its host.
     """
 
     def __init__(
         self,
-        host: str,
+        ids: CallerIds,
         paths: ReturnPaths,
-        rng: random.Random,
         limits: FeedLimits,
         counters: FeedCounters,
     ) -> None:
         self.timers: Timers[FlowKey] = Timers()
         self._paths = paths
-        self._rng = rng
+        self._ids = ids
         self._limits = limits
-        self._counters = counters
-        self._first_id = (
-            xxhash.xxh32_intdigest(host) % ID_RANGES * IDS_PER_RANGE
-        )
-        self._ids_by_ends: dict[_Ends, tuple[MessageIds, float]] = {}
+        self.counters = counters
         self._key_by_message_id: dict[tuple[str, str, int], FlowKey] = {}
 
     def send(
@@ -84,7 +63,7 @@
         delivery = feed.delivery
         if delivery.message_id is not None:
             if delivery.held:
-                self._counters.superseded += 1
+                self.counters.superseded += 1
             delivery.held = coap.encode(message)
             return []
         return self._send_first(feed, message, now)
@@ -103,7 +82,7 @@
             return []
         return self._send_first(feed, coap.decode(delivery.held), now)
 
-    def find(self, ends: _Ends, message_id: int) -> FlowKey | None:
+    def find(self, ends: Ends, message_id: int) -> FlowKey | None:
         """Return whose notification a message id belongs to."""
         return self._key_by_message_id.get((*ends, message_id))
 
@@ -135,11 +114,11 @@
         delivery = feed.delivery
         if delivery.message_id is None:
             return self.send_held(feed, now)
-        self._counters.repeats += 1
+        self.counters.repeats += 1
         if delivery.tried:
             self._paths.unanswered(delivery.tried[-1])
         if delivery.held:
-            self._counters.superseded += 1
+            self.counters.superseded += 1
             self._forget_id(feed)
             return self._send_first(feed, coap.decode(delivery.held), now)
         return self._transmit(feed, now)
@@ -162,13 +141,6 @@
                 tried.append(balancer)
         return [_to_caller(feed, balancer, payload) for balancer in tried]
 
-    def forget_idle_callers(self, now: float) -> None:
-        """Forget message ids of callers that were sent nothing for long."""
-        for ends, (_, used) in tuple(self._ids_by_ends.items()):
-            if now - used <= EXCHANGE_LIFETIME:
-                return
-            self._ids_by_ends.pop(ends)
-
     def _send_first(
         self, feed: Feed, message: Message, now: float
     ) -> list[FeedEffect]:
@@ -182,7 +154,7 @@
             self.timers.start(feed.key, now + _HOLD)
             return self._warn(feed)
         self._number(feed, message, message_id)
-        self._counters.notified += 1
+        self.counters.notified += 1
         return self._transmit(feed, now) + self._warn(feed)
 
     def _number(self, feed: Feed, message: Message, message_id: int) -> None:
@@ -214,14 +186,7 @@
         return [_to_caller(feed, balancer, delivery.packet)]
 
     def _take_id(self, feed: Feed, now: float) -> int | None:
-        ends = (feed.key.caller, feed.key.service)
-        known = self._ids_by_ends.pop(ends, None)
-        if known is None:
-            start = self._rng.randrange(IDS_PER_RANGE)
-            known = (MessageIds(start, self._first_id, IDS_PER_RANGE), now)
-        # Behind the others: the one sent to last.
-        self._ids_by_ends[ends] = (known[0], now)
-        return known[0].take(now)
+        return self._ids.take((feed.key.caller, feed.key.service), now)
 
     def _forget_id(self, feed: Feed) -> None:
         message_id = feed.delivery.message_id
--- a/redwingstream/flows/registrations.py
+++ b/redwingstream/flows/registrations.py
@@ -35,11 +35,30 @@
         self._timers: Timers[FlowKey] = Timers()
 
     def wait(self, feed: Feed, now: float) -> None:
-        """Let a feed wait; the longer, the more often it has failed."""
-        feed.source = None
+        """Let a new feed wait for room."""
         feed.waiting_since = now
         self._feed_by_key[feed.key] = feed
-        self._timers.start(feed.key, now + self._backoff(feed))
+        self._timers.start(feed.key, now)
+
+    def wait_again(self, feed: Feed, now: float, at_least: float = 0) -> None:
+        """Let a feed wait; the longer, the more often it has failed.
+
+        Parameters
+        ----------
+        feed : Feed
+            Registered once, or tried to.
+        now : float
+            The time.
+        at_least : float
+            Seconds for which the server does not want to be asked.
+        """
+        if not feed.failures:
+            feed.waiting_since = now
+        feed.source = None
+        feed.failures += 1
+        self._feed_by_key[feed.key] = feed
+        delay = max(at_least, self._backoff(feed))
+        self._timers.start(feed.key, now + delay)
 
     def forget(self, feed: Feed) -> None:
         """Register a feed no more."""
@@ -56,8 +75,6 @@
         return self._feed_by_key.values()
 
     def _backoff(self, feed: Feed) -> float:
-        if not feed.failures:
-            return 0
         delay = self._limits.first_backoff * 2 ** (feed.failures - 1)
         spread = self._rng.random() + 1 / 2
         return min(delay, self._limits.max_backoff) * spread
