Check placement under faults with a state machine

A model of control, network and agents counts how often each request ran and which flows somebody still holds. Found while writing it: an agent frozen for the replay time while it takes a bucket over would give a healthy pair up, so only time spent asking counts now.

--- /dev/null
+++ b/properties/test_placement.py
@@ -0,0 +1,158 @@
+"""Keepers of one pool under every mixture of faults keep their promises."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from redwingstream.placement.effects import InEffect
+from redwingstream.placement.tests.fakes import HORIZON
+from redwingstream.placement.tests.model import (
+    BUCKETS,
+    ZONE_BY_HOST,
+    Cluster,
+    end_of_faults,
+)
+
+HOSTS = st.sampled_from(sorted(ZONE_BY_HOST))
+KEYS = st.integers(min_value=0, max_value=7)
+PORTS = st.integers(min_value=4000, max_value=4005)
+INDEXES = st.integers(min_value=0, max_value=63)
+VIEWS_BACK = st.integers(min_value=-3, max_value=-1)
+SOME_HOSTS = st.sets(HOSTS, max_size=5)
+
+
+class KeepersUnderFaults(RuleBasedStateMachine):
+    """Messages are lost, late, doubled; agents freeze, end and start again."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.cluster = Cluster()
+
+    @rule(hosts=SOME_HOSTS, adopting=SOME_HOSTS)
+    def change_view(self, hosts: set[str], adopting: set[str]) -> None:
+        """Control commits a view; some hosts hear of it at once."""
+        self.cluster.commit(hosts)
+        for host in sorted(adopting):
+            self.cluster.adopt(host, -1)
+
+    @rule()
+    def settle_view(self) -> None:
+        """Control finds that all members have reported the newest view."""
+        self.cluster.settle()
+
+    @rule(host=HOSTS, index=VIEWS_BACK)
+    def adopt(self, host: str, index: int) -> None:
+        """A host gets the tables, perhaps old ones, perhaps skipping some."""
+        self.cluster.adopt(host, index)
+
+    @rule(hosts=SOME_HOSTS, seconds=st.sampled_from((0.0, 0.1, 0.6)))
+    def tick(self, hosts: set[str], seconds: float) -> None:
+        """Time passes and some hosts notice."""
+        self.cluster.now += seconds
+        for host in sorted(hosts):
+            self.cluster.tick(host)
+
+    @rule(index=INDEXES)
+    def deliver(self, index: int) -> None:
+        """Any message arrives, in any order."""
+        self.cluster.deliver(index)
+
+    @rule(index=INDEXES)
+    def deliver_twice(self, index: int) -> None:
+        """A message arrives and will arrive again."""
+        self.cluster.deliver(index, keep=True)
+
+    @rule(index=INDEXES)
+    def lose(self, index: int) -> None:
+        """A message is lost."""
+        if self.cluster.wire:
+            self.cluster.wire.pop(index % len(self.cluster.wire))
+
+    @rule()
+    def deliver_all(self) -> None:
+        """The network catches up."""
+        self.cluster.drain()
+
+    @rule()
+    def calm(self) -> None:
+        """Nothing fails for a moment."""
+        self.cluster.calm(1)
+
+    @rule(host=HOSTS, key=KEYS)
+    def request(self, host: str, key: int) -> None:
+        """A balancer hands a request or its replay to any host."""
+        self.cluster.request(host, key)
+
+    @rule(host=HOSTS, port=PORTS)
+    def open_flow(self, host: str, port: int) -> None:
+        """A flow is established at a host."""
+        self.cluster.open_flow(host, port)
+
+    @rule(host=HOSTS)
+    def freeze(self, host: str) -> None:
+        """A host stops without losing its memory."""
+        if host in self.cluster.run_by_host:
+            self.cluster.run_by_host[host].frozen = True
+
+    @rule(host=HOSTS)
+    def thaw(self, host: str) -> None:
+        """It goes on as if no time had passed."""
+        if host in self.cluster.run_by_host:
+            self.cluster.run_by_host[host].frozen = False
+
+    @rule(host=HOSTS)
+    def kill(self, host: str) -> None:
+        """A host dies."""
+        self.cluster.kill(host)
+
+    @rule(host=HOSTS)
+    def restart(self, host: str) -> None:
+        """An agent starts again with an empty memory."""
+        self.cluster.kill(host)
+        self.cluster.start(host)
+
+    @rule()
+    def wait_for_horizon(self) -> None:
+        """Those who run are calm; then the longest replay time passes."""
+        self.cluster.calm(HORIZON + 4)
+
+    @invariant()
+    def each_request_runs_at_most_once(self) -> None:
+        """No key takes effect twice, over all runs of all hosts."""
+        assert not self.cluster.run_twice()
+
+    @invariant()
+    def no_accepted_flow_is_forgotten(self) -> None:
+        """One of its pair lives on, so somebody holds it."""
+        assert not self.cluster.forgotten()
+
+    def teardown(self) -> None:
+        """Once faults stop, every bucket comes into effect and settles."""
+        cluster = self.cluster
+        end_of_faults(cluster)
+        if cluster.run_by_host:
+            assert not cluster.views[-1].unsettled
+        for bucket in range(BUCKETS):
+            self._check_bucket(bucket)
+        assert not cluster.run_twice()
+
+    def _check_bucket(self, bucket: int) -> None:
+        cluster = self.cluster
+        pair = cluster.home(bucket)
+        if pair.home is None:
+            return
+        keeper = cluster.run_by_host[pair.home.host].agent.keeper
+        assert keeper.status(bucket) == InEffect()
+        kept = bucket not in cluster.lossy | cluster.cut_off
+        for port in sorted(cluster.flows[bucket]) if kept else ():
+            for each in pair.members():
+                assert cluster.holds_flow(each.host, port)
+        for key in range(bucket, 8, BUCKETS):
+            cluster.request(pair.home.host, key)
+        cluster.calm(1)
+
+
+TestKeepersUnderFaults = KeepersUnderFaults.TestCase
+TestKeepersUnderFaults.settings = settings(
+    max_examples=120, stateful_step_count=60
+)
--- a/redwingstream/placement/duty.py
+++ b/redwingstream/placement/duty.py
@@ -168,11 +168,11 @@
         """Refuse all that waits: another agent is home now."""
         return self.outbox.refuse(ResultCode.STALE, _everything)
 
-    def next_due(self, now: float) -> float:
+    def next_due(self) -> float:
         """Return when to advance again, in seconds; infinity when idle."""
         if not self._is_ruling():
             return self.outbox.next_give_up()
-        asked = _NEVER if self._in_effect else self.takeover.next_due(now)
+        asked = _NEVER if self._in_effect else self.takeover.next_due()
         return min(asked, self.outbox.next_due())
 
     def _is_ruling(self) -> bool:
@@ -183,7 +183,7 @@
         if self.takeover.finished():
             return self._enter_effect()
         effects = self.takeover.due_requests(now)
-        if not self._recovering and self.takeover.recovering(now):
+        if not self._recovering and self.takeover.recovering():
             self._recovering = True
             refused = self.outbox.refuse(ResultCode.RECOVERING, _has_entries)
             effects.extend(refused)
--- a/redwingstream/placement/keeper.py
+++ b/redwingstream/placement/keeper.py
@@ -143,10 +143,7 @@
     def next_wakeup(self, now: float) -> float:
         """Return when to call :meth:`tick`, in seconds; infinity when idle."""
         return min(
-            (
-                self._duty_by_bucket[bucket].next_due(now)
-                for bucket in self._busy
-            ),
+            (self._duty_by_bucket[bucket].next_due() for bucket in self._busy),
             default=_NEVER,
         )
 
@@ -257,7 +254,7 @@
             EarlierPair(
                 number=number,
                 members=self._pairs.living(pair),
-                since=_waited_since(former, number, now),
+                waited=0 if former is None else former.takeover.waited(number),
             )
             for number, pair in self._pairs.earlier(bucket).items()
         )
@@ -273,6 +270,7 @@
             heard=self._fenced_by_bucket[bucket].heard,
             replay_horizon=self._horizon,
             timing=self._timing,
+            now=now,
         )
 
     def _remember(
@@ -344,7 +342,3 @@
     if heir is None or pair.heir is None or ruled > former.term.view:
         return False
     return heir.incarnation == pair.heir.incarnation
-
-
-def _waited_since(former: HomeDuty | None, number: int, now: float) -> float:
-    return now if former is None else former.takeover.since(number, now)
--- a/redwingstream/placement/rendezvous.py
+++ b/redwingstream/placement/rendezvous.py
@@ -89,7 +89,7 @@
     """
     if not members:
         return Pair()
-    salt = f'|{pool}|{bucket}'
+    salt = f'|{pool}|{bucket}'.encode()
     ranked = sorted(
         members,
         key=lambda member: (_score(member, salt), member.host),
@@ -135,10 +135,11 @@
         return found
 
 
-def _score(member: ViewMember, salt: str) -> float:
+def _score(member: ViewMember, salt: bytes) -> float:
     # -w / ln(u) with u uniform in (0, 1): the chance to have the highest score
     # is proportional to the weight.  The incarnation stays out of the hash, so
     # that an agent that restarts gets its buckets back.  52 bits and a half
     # keep u exact and strictly between 0 and 1, where the logarithm is not 0.
-    drawn = xxhash.xxh3_64_intdigest(member.host + salt) >> _DROPPED_BITS
+    drawn = xxhash.xxh3_64_intdigest(member.host.encode() + salt)
+    drawn >>= _DROPPED_BITS
     return -member.weight / math.log((drawn + 0.5) / _FRACTION_SPAN)
--- a/redwingstream/placement/takeover.py
+++ b/redwingstream/placement/takeover.py
@@ -20,13 +20,13 @@
         Number of the earlier view.
     members : tuple of ViewMember
         Home and heir, without runs that are known to have ended; may be empty.
-    since : float
-        When this agent started to wait for one of them, in seconds.
+    waited : float
+        Seconds for which this agent has been asking them under former views.
     """
 
     number: int
     members: tuple[ViewMember, ...]
-    since: float
+    waited: float
 
 
 class Takeover:
@@ -44,6 +44,8 @@
         Seconds after which a pair that nobody heard is given up as lost.
     timing : RetryTiming
         Pauses between repeats.
+    now : float
+        Seconds.
 
     Notes
     -----
@@ -60,13 +62,16 @@
         heard: set[int],
         replay_horizon: float,
         timing: RetryTiming,
+        now: float,
     ) -> None:
         self.lost: tuple[int, ...] = ()
         self._request = request
         self._earlier_by_number = {each.number: each for each in earlier}
         self._heard = heard
         self._horizon = replay_horizon
-        self._patience = timing.patience
+        self._timing = timing
+        self._asking_for: float = 0
+        self._looked_at = now
         self._backoff = Backoff(timing)
         self._next_part_by_incarnation: dict[int, int] = {}
 
@@ -74,19 +79,32 @@
         """Whether every earlier pair is heard or given up."""
         return not self._unheard()
 
-    def since(self, number: int, default: float) -> float:
-        """Return since when an earlier pair has been waited for."""
+    def waited(self, number: int) -> float:
+        """Return for how many seconds an earlier pair has been asked."""
         earlier = self._earlier_by_number.get(number)
-        return default if earlier is None else earlier.since
+        return 0 if earlier is None else earlier.waited + self._asking_for
 
-    def recovering(self, now: float) -> bool:
+    def recovering(self) -> bool:
         """Whether a pair has been silent for long, or has surely ended."""
-        return any(self._is_silent(each, now) for each in self._unheard())
+        return any(
+            not each.members
+            or self.waited(each.number) >= self._timing.patience
+            for each in self._unheard()
+        )
 
     def give_up_lost(self, now: float) -> None:
-        """Count pairs as lost that were silent for the longest replay time."""
+        """Count pairs as lost that were silent for the longest replay time.
+
+        Only time counts in which this agent was asking.  One that is itself
+        frozen for that long would otherwise find the time over when it runs
+        again, and come into effect beside a pair that is well and was never
+        asked.  A pause between two looks counts as two repeats at most.
+        """
+        pause = min(now - self._looked_at, 2 * self._timing.longest)
+        self._asking_for += max(pause, 0)
+        self._looked_at = now
         for each in self._unheard():
-            if now >= each.since + self._horizon:
+            if self.waited(each.number) >= self._horizon:
                 self.lost += (each.number,)
                 self._heard.add(each.number)
 
@@ -120,17 +138,9 @@
         self._heard.update(self._earlier_by_number.keys() & given.covered)
         return []
 
-    def next_due(self, now: float) -> float:
+    def next_due(self) -> float:
         """Return when to look again, in seconds; infinity once finished."""
-        unheard = self._unheard()
-        if not unheard:
-            return _NEVER
-        times = [self._backoff.due]
-        for each in unheard:
-            silent_at = each.since + self._patience
-            horizon = each.since + self._horizon
-            times.append(horizon if silent_at <= now else silent_at)
-        return min(times)
+        return _NEVER if self.finished() else self._backoff.due
 
     def _unheard(self) -> list[EarlierPair]:
         return [
@@ -139,9 +149,6 @@
             if number not in self._heard
         ]
 
-    def _is_silent(self, earlier: EarlierPair, now: float) -> bool:
-        return not earlier.members or now >= earlier.since + self._patience
-
     def _askable_by_run(self) -> dict[int, ViewMember]:
         return {
             member.incarnation: member
--- a/redwingstream/placement/tests/fakes.py
+++ b/redwingstream/placement/tests/fakes.py
@@ -142,9 +142,7 @@
     ) -> int:
         """Record in bucket 0 and return the ticket."""
         agent = self.agent_by_host[host]
-        ticket, effects = agent.keeper.record(
-            0, contents, self.now, give_up_at
-        )
+        ticket, effects = agent.keeper.record(0, contents, self.now, give_up_at)
         self.carry_out(agent, effects)
         return ticket
 
