Test ledger and admission, and mend what the tests found

Found by the state machines: - A replay postponed the expiry of the home's entry only; after the loss of the home its heir forgot the request too early and ran it again. The horizon now counts from the first packet. - A server that turned cold while idle was filled by the first burst. More than the cold limit is now started only while a run has lately completed in time. - An answer merged over an ANSWERED entry without one was not kept.

--- /dev/null
+++ b/redwingstream/admission/choice.py
@@ -0,0 +1,118 @@
+"""Which other agent is to take work that this one cannot."""
+
+import random
+from collections import deque
+
+import attrs
+
+from redwingstream.admission.limit import COLD_LIMIT
+from redwingstream.forwarding.messages import LoadReport
+
+# Seconds after which a report says nothing any more.
+REPORT_EXPIRY = 1.5
+# Seconds before a report's arrival in which work sent to its host may not be
+# in it yet: both ways between zones, and the time that it waited to be sent.
+REPORT_LAG = 0.05
+
+
+@attrs.define
+class _Peer:
+    """Latest report of a host, and the times of what it was sent since."""
+
+    report: LoadReport
+    reported_at: float
+    sent_at: deque[float] = attrs.field(factory=deque)
+
+    @property
+    def room(self) -> int:
+        """Requests that it can still take."""
+        return self.report.limit - self.report.in_flight - len(self.sent_at)
+
+    @property
+    def load(self) -> float:
+        """Fraction of its limit that is in use."""
+        return 1 - self.room / self.report.limit
+
+    def may_take(self, now: float) -> bool:
+        """Whether it is neither stale nor draining nor cold, and has room.
+
+        A cold server gets the little that it can bear from its own home
+        buckets.  A draining one reports a limit of 0.
+        """
+        is_stale = now - self.reported_at > REPORT_EXPIRY
+        is_cold = self.report.limit <= COLD_LIMIT
+        return not is_stale and not is_cold and self.room > 0
+
+
+class PeerLoads:
+    """Latest load reports of the other agents of a pool.
+
+    Parameters
+    ----------
+    random : random.Random
+        Where candidates are drawn from.
+    """
+
+    def __init__(self, random: random.Random) -> None:
+        self._random = random
+        self._by_host: dict[str, _Peer] = {}
+
+    def reported(self, report: LoadReport, now: float) -> None:
+        """Take a report, unless it is from an earlier run of its agent.
+
+        Parameters
+        ----------
+        report : LoadReport
+            What the agent says.
+        now : float
+            Seconds.
+        """
+        former = self._by_host.get(report.host)
+        peer = _Peer(report, now)
+        if former is not None:
+            if former.report.incarnation > report.incarnation:
+                return
+            # Sent so lately that the report cannot know of it.
+            recent = (at for at in former.sent_at if now - at < REPORT_LAG)
+            peer.sent_at.extend(recent)
+        self._by_host[report.host] = peer
+
+    def forget(self, host: str) -> None:
+        """Remove a host that has left."""
+        self._by_host.pop(host, None)
+
+    def choose(self, exclude: frozenset[str], now: float) -> str | None:
+        """Return the less loaded of two random hosts with room.
+
+        What is sent is counted until the next report: with the report alone
+        everybody would send to the same host until it is heard again.
+
+        Parameters
+        ----------
+        exclude : frozenset of str
+            Hosts that are no choice.
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        str or None
+            None when nobody has said that it has room.
+        """
+        # Sorted, so that a seed gives one outcome in whatever order reports
+        # arrived.
+        candidates = sorted(
+            host
+            for host, peer in self._by_host.items()
+            if host not in exclude and peer.may_take(now)
+        )
+        if not candidates:
+            return None
+        drawn = self._random.sample(candidates, min(2, len(candidates)))
+        chosen = min(drawn, key=self._load_of)
+        self._by_host[chosen].sent_at.append(now)
+        return chosen
+
+    def _load_of(self, host: str) -> tuple[float, int]:
+        peer = self._by_host[host]
+        return (peer.load, peer.report.flows)
--- a/redwingstream/admission/limit.py
+++ b/redwingstream/admission/limit.py
@@ -7,9 +7,9 @@
 
 import enum
 import math
-from collections import deque
 
 from redwingstream.admission.evidence import Evidence
+from redwingstream.admission.in_flight import RunsInFlight
 from redwingstream.admission.latency import LatencyExpectation
 
 # What a server is given after an announcement or any sign of a cold start.
@@ -49,32 +49,30 @@
     expected_latency : float, optional
         Seconds that a warm server of the pool takes.  Without it, a server is
         taken for warm once its latencies have stopped falling.
-
-    Attributes
-    ----------
-    in_flight : int
-        Runs started and not finished.
-    limit : int
-        How many there may be; 0 while draining.
     """
 
     def __init__(
         self, ceiling: int, expected_latency: float | None = None
     ) -> None:
-        self.in_flight = 0
         self._ceiling = ceiling
         self._raised_to = COLD_LIMIT
         self._is_draining = False
         self._expected = LatencyExpectation(expected_latency)
         self._evidence = Evidence()
         self._jumps = 0
+        self._proven_at = -math.inf
         self._pause = FIRST_PAUSE
         self._paused_until = -math.inf
-        self._started_at: deque[float] = deque()
+        self._runs = RunsInFlight()
+
+    @property
+    def in_flight(self) -> int:
+        """Runs started and not finished."""
+        return len(self._runs)
 
     @property
     def limit(self) -> int:
-        """How many runs there may be at once."""
+        """How many runs there may be at once; 0 while draining."""
         return 0 if self._is_draining else self._raised_to
 
     @property
@@ -108,8 +106,7 @@
         """
         if not self.has_room(now):
             return False
-        self.in_flight += 1
-        self._started_at.append(now)
+        self._runs.start(now)
         return True
 
     def finished(
@@ -127,11 +124,10 @@
             Seconds.
         """
         was_in_use = self.in_flight >= self._raised_to
-        self.in_flight -= 1
-        self._forget_start(now - latency)
+        self._runs.end(now - latency)
         match run_result:
             case RunResult.COMPLETED:
-                self._completed(latency, was_in_use)
+                self._completed(latency, was_in_use, now)
             case RunResult.REFUSED:
                 self._refused(now)
             case RunResult.TIMED_OUT:
@@ -153,30 +149,30 @@
         """Start nothing more; what runs may finish."""
         self._is_draining = True
 
-    def _limit_now(self, now: float) -> int:
-        # A server that turns cold without a word shows it first by runs that
-        # do not come back.  Waiting for their latency would let through as
-        # many starts as other runs happen to end; a run overdue already
-        # counts.
-        if self.limit and self._is_overdue(now):
-            return min(COLD_LIMIT, self.limit)
-        return self.limit
-
-    def _is_overdue(self, now: float) -> bool:
-        if not self._started_at:
-            return False
-        return self._expected.is_jump(now - self._started_at[0])
-
-    def _forget_start(self, started_at: float) -> None:
-        nearest = min(self._started_at, key=lambda at: abs(at - started_at))
-        self._started_at.remove(nearest)
+    def resume(self, now: float) -> None:
+        """Take work again, as from a server that has just started."""
+        self._is_draining = False
+        self.server_restarted(now)
 
-    def _completed(self, latency: float, was_in_use: bool) -> None:
+    def _limit_now(self, now: float) -> int:
+        # A server that turns cold without a word shows it first by a run that
+        # does not come back, then by one that took too long; an idle server
+        # shows nothing at all.  So more than the cold limit is started only
+        # while nothing is overdue and a run has lately completed in time.
+        # Without this hold every run that ended in between, or the first burst
+        # after a pause, would be let through in full and bring it down.
+        unproven_for = max(self._runs.longest(now), now - self._proven_at)
+        if not self._expected.is_jump(unproven_for):
+            return self.limit
+        return min(COLD_LIMIT, self.limit)
+
+    def _completed(self, latency: float, was_in_use: bool, now: float) -> None:
         self._pause = FIRST_PAUSE
         if self._expected.is_jump(latency):
             self._jumped(latency)
             return
         self._jumps = 0
+        self._proven_at = now
         self._expected.observe(latency)
         if not was_in_use or self._raised_to >= self._ceiling:
             return
@@ -187,6 +183,7 @@
 
     def _jumped(self, latency: float) -> None:
         self._jumps += 1
+        self._proven_at = -math.inf
         self._evidence.start_anew()
         if self._jumps >= JUMPS_TO_RELEARN:
             # Not cold but slower for good, such as after a new release: the
--- /dev/null
+++ b/redwingstream/admission/tests/test_choice.py
@@ -0,0 +1,74 @@
+"""Choice of another agent by its load reports."""
+
+import random
+from collections import Counter
+
+from redwingstream.admission.choice import REPORT_EXPIRY, PeerLoads
+from redwingstream.forwarding.messages import LoadReport
+
+NOBODY = frozenset()
+
+
+def peers(**in_flight_by_host) -> PeerLoads:
+    loads = PeerLoads(random.Random(1))
+    for host, in_flight in in_flight_by_host.items():
+        loads.reported(LoadReport(host, 1, in_flight, 3, 0), now=0)
+    return loads
+
+
+class TestChoose:
+    def test_less_loaded_of_two(self):
+        loads = peers(carse1=2, fife1=0)
+        assert loads.choose(NOBODY, now=0) == 'fife1'
+
+    def test_excluded_host_is_no_choice(self):
+        loads = peers(carse1=0, fife1=2)
+        assert loads.choose(frozenset(('carse1',)), now=0) == 'fife1'
+
+    def test_stale_cold_draining_and_full_hosts_are_no_choice(self):
+        loads = peers(full1=3)
+        loads.reported(LoadReport('cold1', 1, 0, 1, 0), now=0)
+        loads.reported(LoadReport('draining1', 1, 0, 0, 0), now=0)
+        assert loads.choose(NOBODY, now=0) is None
+        loads.reported(LoadReport('warm1', 1, 0, 2, 0), now=0)
+        assert loads.choose(NOBODY, now=0) == 'warm1'
+        assert loads.choose(NOBODY, now=REPORT_EXPIRY + 1) is None
+
+    def test_host_is_not_chosen_beyond_the_room_that_it_reported(self):
+        """Every balancer's new work goes to one host, which falls over.
+
+        It reports that it has room; until its next report, which is late,
+        everybody sends to it.  Cause: choosing by a report without counting
+        what was sent since.
+        """
+        loads = peers(carse1=1, fife1=0)
+        chosen = Counter(loads.choose(NOBODY, now=0) for _ in range(10))
+        assert chosen == {'carse1': 2, 'fife1': 3, None: 5}
+
+    def test_report_that_cannot_know_of_what_was_sent(self):
+        loads = peers(carse1=2)
+        assert loads.choose(NOBODY, now=0.1) == 'carse1'
+        loads.reported(LoadReport('carse1', 1, 2, 3, 0), now=0.11)
+        assert loads.choose(NOBODY, now=0.11) is None
+        loads.reported(LoadReport('carse1', 1, 2, 3, 0), now=0.3)
+        assert loads.choose(NOBODY, now=0.3) == 'carse1'
+
+    def test_report_of_an_earlier_run_is_not_taken(self):
+        loads = PeerLoads(random.Random(1))
+        loads.reported(LoadReport('carse1', 2, 0, 0, 0), now=0)
+        loads.reported(LoadReport('carse1', 1, 0, 3, 0), now=0)
+        assert loads.choose(NOBODY, now=0) is None
+
+    def test_forgotten_host_is_no_choice(self):
+        loads = peers(carse1=0)
+        loads.forget('carse1')
+        assert loads.choose(NOBODY, now=0) is None
+
+    def test_two_choices_are_more_even_than_one(self):
+        names = {f'host{number}': 0 for number in range(20)}
+        loads = PeerLoads(random.Random(1))
+        for host in names:
+            loads.reported(LoadReport(host, 1, 0, 100, 0), now=0)
+        chosen = Counter(loads.choose(NOBODY, now=0) for _ in range(1000))
+        one = random.Random(1).choices(sorted(names), k=1000)
+        assert max(chosen.values()) <= 54 < max(Counter(one).values())
--- a/redwingstream/requests/ledger.py
+++ b/redwingstream/requests/ledger.py
@@ -38,8 +38,8 @@
     """Bounded memory of non-idempotent requests.
 
     It forgets nothing that could be replayed into a second run: neither a run
-    in progress here, nor anything seen within the replay horizon.  When there
-    is no room left, it refuses new work.
+    in progress here, nor anything first seen within the replay horizon.  When
+    there is no room left, it refuses new work.
 
     Parameters
     ----------
@@ -47,8 +47,10 @@
         How many entries it begins or accepts; contents of a bucket that it
         takes over are merged beyond that, and new work waits until they go.
     replay_horizon : float
-        Seconds after the last packet of a request in which another can come
-        (``EXCHANGE_LIFETIME`` of RFC 7252 is 247).
+        Seconds after the first packet of a request in which others of it can
+        come (``EXCHANGE_LIFETIME`` of RFC 7252 is 247).  It is not counted
+        from the last packet, of which the heir hears nothing: when it took
+        over, it would forget a request that its former home still knew.
 
     Attributes
     ----------
@@ -107,10 +109,7 @@
         """
         slot = self._slots.get(key, checksum)
         if slot is not None:
-            # A caller that repeats itself has not got its answer and is likely
-            # to repeat itself once more: the entry stays for another horizon.
             self.counters.replayed += 1
-            self._slots.touch(slot, now)
             return _replay_of(slot)
         if self.refusals.holds(bucket, key, checksum, now):
             return self._refuse(bucket, key, checksum, now)
@@ -149,7 +148,9 @@
             self.counters.unmatched += 1
             return
         self._slots.improve(slot, state, answer)
-        self._slots.touch(slot, now)
+        # More than is promised, for callers that repeat a request that took
+        # long: the heir's entry is not postponed by this.
+        self._slots.postpone(slot, now)
 
     def abandon(
         self, key: RequestKey, checksum: bytes, answer: bytes, now: float
@@ -174,7 +175,7 @@
             self.counters.unmatched += 1
             return
         self._slots.abandon(slot, answer)
-        self._slots.touch(slot, now)
+        self._slots.postpone(slot, now)
 
     def entry(
         self, key: RequestKey, checksum: bytes, now: float | None = None
@@ -191,7 +192,7 @@
         slot = self._slots.get(key, checksum)
         if slot is None:
             return None
-        return slot.to_entry(slot.last_seen if now is None else now)
+        return slot.to_entry(slot.kept_since if now is None else now)
 
     def export(self, bucket: int, now: float) -> tuple[LedgerEntry, ...]:
         """Return the entries of a bucket, for its next home or its heir."""
@@ -224,9 +225,9 @@
     def expire(self, now: float) -> None:
         """Forget what is older than the replay horizon and not running."""
         oldest = self._slots.oldest()
-        while oldest and now - oldest.last_seen > self.replay_horizon:
+        while oldest and now - oldest.kept_since > self.replay_horizon:
             if oldest.is_running:
-                self._slots.touch(oldest, now)
+                self._slots.postpone(oldest, now)
             else:
                 self.counters.expired += 1
                 self._slots.remove(oldest)
@@ -246,7 +247,7 @@
         oldest = self._slots.oldest()
         if oldest is None or self.has_room(1):
             return 1
-        wait = math.ceil(oldest.last_seen + self.replay_horizon - now)
+        wait = math.ceil(oldest.kept_since + self.replay_horizon - now)
         return max(1, min(wait, MAX_COME_BACK))
 
     def _make_room(self, now: float) -> None:
--- a/redwingstream/requests/records.py
+++ b/redwingstream/requests/records.py
@@ -61,8 +61,8 @@
     answer : bytes
         The packet that the caller was sent, when there is one.
     age : float
-        Seconds since a packet of it was last seen; clocks of two processes
-        differ, so ages travel and times do not.
+        Seconds since it was first seen, or since it ended; clocks of two
+        processes differ, so ages travel and times do not.
     """
 
     key: RequestKey
--- a/redwingstream/requests/store.py
+++ b/redwingstream/requests/store.py
@@ -1,4 +1,4 @@
-"""Entries of a ledger in the order in which they were last seen."""
+"""Entries of a ledger in the order in which they arrived."""
 
 from collections import OrderedDict
 from collections.abc import Iterator
@@ -41,8 +41,9 @@
         How far it came.
     answer : bytes
         What the caller was told, up to :data:`ANSWER_LIMIT`.
-    last_seen : float
-        Time of the last packet of it, in seconds.
+    kept_since : float
+        Time in seconds from which its stay is counted: that of its first
+        packet, and later that of its end.
     is_running : bool
         True while this process has the run in its hands.
     """
@@ -52,7 +53,7 @@
     checksum: bytes
     state: RequestState
     answer: bytes
-    last_seen: float
+    kept_since: float
     is_running: bool
 
     @property
@@ -62,7 +63,7 @@
 
     def to_entry(self, now: float) -> LedgerEntry:
         """Return it as it travels."""
-        age = max(0, now - self.last_seen)
+        age = max(0, now - self.kept_since)
         return LedgerEntry(
             self.key, self.checksum, self.state, self.answer, age
         )
@@ -103,7 +104,7 @@
         return iter(self._by_bucket.get(bucket, {}).values())
 
     def oldest(self) -> Slot | None:
-        """Return the entry that was last seen or merged the longest ago."""
+        """Return the entry that has been here the longest."""
         return next(iter(self._by_identity.values()), None)
 
     def oldest_not_run(self) -> Slot | None:
@@ -130,9 +131,9 @@
         if not of_bucket:
             self._by_bucket.pop(slot.bucket)
 
-    def touch(self, slot: Slot, now: float) -> None:
-        """Note that another packet of the request was seen."""
-        slot.last_seen = max(slot.last_seen, now)
+    def postpone(self, slot: Slot, now: float) -> None:
+        """Count an entry's stay from now."""
+        slot.kept_since = now
         self._by_identity.move_to_end(slot.identity)
 
     def improve(self, slot: Slot, state: RequestState, answer: bytes) -> None:
@@ -140,7 +141,8 @@
         slot.is_running = False
         if is_contradiction(slot.state, state):
             self._counters.contradictions += 1
-        if beats(state, slot.state):
+        is_missing = state is slot.state and not slot.answer
+        if is_missing or beats(state, slot.state):
             self._set_state(slot, state, answer)
 
     def abandon(self, slot: Slot, answer: bytes) -> None:
@@ -150,19 +152,17 @@
 
     def merge(self, bucket: int, entry: LedgerEntry, now: float) -> None:
         """Take an entry of another ledger."""
-        last_seen = now - entry.age
         slot = self.get(entry.key, entry.checksum)
         if slot is None:
-            self._add_merged(bucket, entry, last_seen)
+            self._add_merged(bucket, entry, now - entry.age)
             return
-        slot.last_seen = max(slot.last_seen, last_seen)
         # Of a run in progress here another process can only know the outcome;
         # its STARTED or UNKNOWN is an echo of what this one recorded there.
         if is_outcome_known(entry.state) or not slot.is_running:
             self.improve(slot, entry.state, entry.answer)
 
     def _add_merged(
-        self, bucket: int, entry: LedgerEntry, last_seen: float
+        self, bucket: int, entry: LedgerEntry, kept_since: float
     ) -> None:
         slot = Slot(
             bucket,
@@ -170,7 +170,7 @@
             entry.checksum,
             entry.state,
             self._kept(entry.answer),
-            last_seen,
+            kept_since,
             is_running=False,
         )
         self.add(slot)
