--- a/redwingstream/flows/blocks.py
+++ b/redwingstream/flows/blocks.py
@@ -25,6 +25,18 @@
     return block is not None and block.more
 
 
+def resource_of(request: Message) -> str:
+    """Return what a request asks for, whichever block of it."""
+    path = '/'.join(request.opt.uri_path)
+    return '?'.join((path, *request.opt.uri_query))
+
+
+@attrs.frozen
+class _Name:
+    flow: FlowKey
+    resource: str
+
+
 @attrs.define
 class _Transfer:
     bucket: int
@@ -39,7 +51,7 @@
     host : str
         The agent's host.
     capacity : int
-        Flows kept at most; the one longest without a block goes first.
+        Transfers kept at most; the one longest without a block goes first.
 
     Notes
     -----
@@ -53,43 +65,44 @@
     def __init__(self, host: str, capacity: int) -> None:
         self._host = host
         self._capacity = capacity
-        # The flow longest without a block first.
-        self._transfer_by_key: dict[FlowKey, _Transfer] = {}
+        # The transfer longest without a block first.
+        self._transfer_by_name: dict[_Name, _Transfer] = {}
 
     def __len__(self) -> int:
-        """Return how many flows have a transfer under way."""
-        return len(self._transfer_by_key)
+        """Return how many transfers are under way."""
+        return len(self._transfer_by_name)
 
     def note(
-        self, bucket: int, key: FlowKey, response: Message, now: float
+        self,
+        bucket: int,
+        key: FlowKey,
+        request: Message,
+        response: Message,
+        now: float,
     ) -> None:
-        """Note an answer: a transfer begins, goes on or ends.
-
-        Notes
-        -----
-        One caller may have several transfers under way.  A flow counts until
-        the last block of the latest one, or until it times out.
-        """
+        """Note an answer: a transfer begins, goes on or ends."""
         flow = attrs.evolve(key, token=b'')
-        self._transfer_by_key.pop(flow, None)
+        name = _Name(flow, resource_of(request))
+        self._transfer_by_name.pop(name, None)
         if not has_more_blocks(response):
             return
-        self._transfer_by_key[flow] = _Transfer(bucket, now)
-        if len(self._transfer_by_key) > self._capacity:
-            self._transfer_by_key.pop(next(iter(self._transfer_by_key)))
+        self._transfer_by_name[name] = _Transfer(bucket, now)
+        if len(self._transfer_by_name) > self._capacity:
+            self._transfer_by_name.pop(next(iter(self._transfer_by_name)))
 
     def placements(self, bucket: int, now: float) -> tuple[FlowRecord, ...]:
-        """Return a placement for each transfer of a bucket under way."""
-        return tuple(
-            FlowRecord(key, self._host)
-            for key, transfer in self._transfer_by_key.items()
+        """Return a placement for each flow of a bucket with a transfer."""
+        flows = {
+            name.flow: None
+            for name, transfer in self._transfer_by_name.items()
             if transfer.bucket == bucket
             and now - transfer.last_block < TRANSFER_TIMEOUT
-        )
+        }
+        return tuple(FlowRecord(flow, self._host) for flow in flows)
 
     def expire(self, now: float) -> None:
         """Forget transfers that callers have given up."""
-        for key, transfer in tuple(self._transfer_by_key.items()):
+        for name, transfer in tuple(self._transfer_by_name.items()):
             if now - transfer.last_block < TRANSFER_TIMEOUT:
                 return
-            self._transfer_by_key.pop(key)
+            self._transfer_by_name.pop(name)
--- a/redwingstream/flows/caller_ids.py
+++ b/redwingstream/flows/caller_ids.py
@@ -33,7 +33,8 @@
 
     def __init__(self, host: str, rng: random.Random) -> None:
         self._rng = rng
-        self._first = xxhash.xxh32_intdigest(host) % ID_RANGES * IDS_PER_RANGE
+        place = xxhash.xxh32_intdigest(host.encode()) % ID_RANGES
+        self._first = place * IDS_PER_RANGE
         # With the time of last use; those used last stand last.
         self._ids_by_ends: dict[Ends, tuple[MessageIds, float]] = {}
 
