Add the operators' tool

Cause: operators drive the system by two tables and zone marks; a change whose answer is lost must not be made twice. Ruled out: a fresh request id for each try (the repeat would be a conflict with the change itself). Conclusion: one request id for all tries of a command, the leader found by asking, and the tool says who lags.

--- /dev/null
+++ b/redwingstream/operators/commands/base.py
@@ -0,0 +1,132 @@
+"""Settings, the client, output and result codes of every command."""
+
+import asyncio
+import contextlib
+import os
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+import attrs
+from cleo.commands.command import Command
+from cleo.helpers import option
+
+from redwingstream.errors import RedwingstreamError, ResultCode
+from redwingstream.keyfile import read_key_file
+from redwingstream.operators.client import ControlClient
+from redwingstream.operators.rendering import json_text
+from redwingstream.operators.settings import OperatorSettings
+from redwingstream.settings.reading import (
+    flag_of,
+    info_of,
+    read_settings,
+    variable_of,
+)
+from redwingstream.wire.calls import MAX_CALL_SIZE, CallClient
+from redwingstream.wire.frames import FrameCodec
+
+
+def setting_options() -> list[Any]:
+    """Return the options that every command has."""
+    options = [
+        option(
+            flag_of(field.name),
+            description=(
+                f'{info_of(field).help} Allowed: {info_of(field).allowed}. '
+                f'Environment: {variable_of(field.name)}.'
+            ),
+            flag=False,
+        )
+        for field in attrs.fields(OperatorSettings)
+    ]
+    options.append(option('json', description='Write JSON for programs.'))
+    return options
+
+
+class OperatorCommand(Command):
+    """Reads the settings, runs one coroutine, exits with a result code.
+
+    Subclasses override :meth:`run_command`.
+    """
+
+    options = setting_options()
+    settings: OperatorSettings
+    key: bytes
+
+    def handle(self) -> int:
+        """Run the command; return the number of its result code."""
+        try:
+            return int(self._handle())
+        except RedwingstreamError as error:
+            self._show_error(error)
+            return int(error.code)
+
+    async def run_command(self, client: ControlClient) -> ResultCode:
+        """Do what the command is for."""
+        raise NotImplementedError
+
+    def check(self) -> None:
+        """Check what was written on the command line; no call is made yet."""
+
+    def show(self, shown: object, lines: Iterable[str]) -> None:
+        """Write a result: the object as JSON, or the lines for people."""
+        if self.option('json'):
+            self.show_text(json_text(shown))
+            return
+        for text in lines:
+            self.show_text(text)
+
+    def show_text(self, text: str) -> None:
+        """Write text as it is."""
+        self.line(_plain(text))
+
+    def say(self, text: str) -> None:
+        """Write a remark for people, never into the JSON."""
+        self.line_error(_plain(text))
+
+    def _handle(self) -> ResultCode:
+        fields = attrs.fields(OperatorSettings)
+        flags = {
+            flag_of(field.name): self.option(flag_of(field.name))
+            for field in fields
+        }
+        self.settings = read_settings(OperatorSettings, flags, os.environ)
+        self.key = read_key_file(self.settings.key_file)
+        self.check()
+        return asyncio.run(self._run())
+
+    async def _run(self) -> ResultCode:
+        with _open_client(self.settings, self.key) as client:
+            return await self.run_command(client)
+
+    def _show_error(self, error: RedwingstreamError) -> None:
+        if self.option('json'):
+            failure = _Failure(error.code, error.code.name, str(error))
+            self.show_text(json_text(failure))
+            return
+        code = f'{error.code.name}, {int(error.code)}'
+        self.line_error(_plain(f'redwingstream: {error} [{code}]'))
+
+
+@attrs.frozen
+class _Failure:
+    """An error as ``--json`` shows it."""
+
+    code: int
+    name: str
+    error: str
+
+
+@contextlib.contextmanager
+def _open_client(
+    settings: OperatorSettings, key: bytes
+) -> Iterator[ControlClient]:
+    calls = CallClient(FrameCodec(key, MAX_CALL_SIZE))
+    try:
+        yield ControlClient(calls, settings.control, settings.timeout)
+    finally:
+        calls.close()
+
+
+def _plain(text: str) -> str:
+    """Return text in which nothing is taken for a style tag."""
+    return text.replace('<', r'\<')
--- /dev/null
+++ b/redwingstream/operators/commands/members.py
@@ -0,0 +1,85 @@
+"""Commands on members: drain, undrain, status, dump."""
+
+from cleo.helpers import argument
+
+from redwingstream.endpoints import Endpoint, parse_endpoint
+from redwingstream.errors import ResultCode, SettingError
+from redwingstream.operators.client import ControlClient
+from redwingstream.operators.commands.base import OperatorCommand
+from redwingstream.operators.commands.change import ChangeCommand
+from redwingstream.operators.overview import tables_of, take_overview
+from redwingstream.operators.reports import overview_lines
+from redwingstream.tables.messages import DrainMember, Edits
+
+
+class _DrainCommand(ChangeCommand):
+    """Asks one member to leave, or to stay."""
+
+    arguments = [argument('host', 'Name of the host.')]
+    draining: bool
+
+    def make_edits(self) -> Edits:
+        """Change one member."""
+        host = self.argument('host')
+        return Edits(drain=(DrainMember(host, self.draining),))
+
+
+class Drain(_DrainCommand):
+    """Asks a member to leave."""
+
+    name = 'drain'
+    description = 'Give a host no new work; what it carries goes on.'
+    draining = True
+
+
+class Undrain(_DrainCommand):
+    """Takes the request to leave back."""
+
+    name = 'undrain'
+    description = 'Give a host new work again.'
+    draining = False
+
+
+class Status(OperatorCommand):
+    """Shows every process."""
+
+    name = 'status'
+    description = 'Show members, load and the revision in force on each.'
+
+    async def run_command(self, client: ControlClient) -> ResultCode:
+        """Ask every process; exit with NOT_IN_FORCE when some lag."""
+        overview = await take_overview(client)
+        self.show(overview, overview_lines(overview))
+        lags = any(process.lags for process in overview.processes)
+        return ResultCode.NOT_IN_FORCE if lags else ResultCode.OK
+
+
+class Dump(OperatorCommand):
+    """Shows the state of one process."""
+
+    name = 'dump'
+    description = 'Show the state of one process as JSON.'
+    arguments = [
+        argument('process', 'Host name of a member, or IP:PORT of a process.')
+    ]
+
+    async def run_command(self, client: ControlClient) -> ResultCode:
+        """Write the dump as it came."""
+        endpoint = await self._find(client, self.argument('process'))
+        text = await client.dump(endpoint)
+        self.show_text(text)
+        return ResultCode.OK
+
+    async def _find(self, client: ControlClient, process: str) -> Endpoint:
+        if ':' in process:
+            return parse_endpoint(process)
+        tables = tables_of(await client.read_tables())
+        member = tables.member_by_host.get(process)
+        if member is None:
+            known = ', '.join(sorted(tables.member_by_host)) or 'none'
+            raise SettingError(
+                f'no member has host name {process!r}; members are: {known}; '
+                'a control instance is named by its IP:PORT',
+                ResultCode.UNKNOWN_ROW,
+            )
+        return parse_endpoint(member.endpoint)
--- /dev/null
+++ b/redwingstream/operators/settings.py
@@ -0,0 +1,33 @@
+"""Settings of the operators' tool: flags and environment variables."""
+
+import pathlib
+
+import attrs
+
+from redwingstream.endpoints import Endpoint
+from redwingstream.settings.parsers import parse_endpoints, parse_seconds
+from redwingstream.settings.reading import setting
+
+DEFAULT_TIMEOUT = 10
+
+
+@attrs.frozen(kw_only=True)
+class OperatorSettings:
+    """What every command needs to know."""
+
+    control: tuple[Endpoint, ...] = setting(
+        parse_endpoints,
+        'comma-separated IP:PORT',
+        'The control instances.',
+    )
+    key_file: pathlib.Path = setting(
+        pathlib.Path,
+        'path of a file of 16 to 64 bytes that only its owner can read',
+        'Key under which the processes of the system take calls.',
+    )
+    timeout: float = setting(
+        parse_seconds,
+        'a positive number of seconds',
+        'How long a command tries before it gives up.',
+        default=DEFAULT_TIMEOUT,
+    )
--- a/redwingstream/tests/test_keyfile.py
+++ b/redwingstream/tests/test_keyfile.py
@@ -12,7 +12,7 @@
 def key_path(tmp_path):
     """A key file as it should be."""
     path = tmp_path / 'key'
-    path.write_bytes(KEY + b'\n')
+    path.write_bytes(b''.join((KEY, b'\n')))
     path.chmod(0o600)
     return path
 
