--- a/standins/resources.py
+++ b/standins/resources.py
@@ -10,7 +10,6 @@
 from aiocoap.message import Message
 
 from redwingstream.wire import coap
-from standins.work import Work
 
 FEED_PATHS = frozenset(('feed', 'board'))
 SUBMIT_PATHS = frozenset(('readings', 'reservations'))
@@ -78,13 +77,28 @@
 
 @attrs.frozen
 class LoadState:
-    """What ``/load`` tells."""
+    """What ``/load`` tells.
+
+    Parameters
+    ----------
+    healthy : bool
+        Whether it takes new work.
+    running, waiting : int
+        Requests in hand.
+    slots : int
+        Requests that it runs at once.
+    feeds : int
+        Observers.
+    taken : int
+        Requests and registrations that came to it since it started.
+    """
 
     healthy: bool = True
     running: int = 0
     waiting: int = 0
     slots: int = 0
     feeds: int = 0
+    taken: int = 0
 
 
 @attrs.define
@@ -105,15 +119,14 @@
         factory=lambda: deque(maxlen=MAX_PAST_STATES)
     )
 
-    def note(self, work: Work, feeds: int, now: float) -> None:
+    def note(self, state: LoadState, now: float) -> None:
         """Remember the state of now for the answers to come."""
-        self._past.append((now, _load_state(work, feeds, now)))
+        self._past.append((now, state))
 
-    def tell(self, work: Work, feeds: int, now: float) -> LoadState:
-        """Return the state that the endpoint tells of."""
+    def tell(self, told: LoadState, now: float) -> LoadState:
+        """Return the state that the endpoint tells of, given the true one."""
         if self.lies:
-            return LoadState(slots=work.limits.slots)
-        told = _load_state(work, feeds, now)
+            return LoadState(slots=told.slots)
         if self.lag <= 0:
             return told
         for at, state in self._past:
@@ -169,13 +182,3 @@
         response.opt.etag = etag_of(body)
         response.opt.block2 = (number, start + size < len(body), exponent)
         return response
-
-
-def _load_state(work: Work, feeds: int, now: float) -> LoadState:
-    return LoadState(
-        healthy=not work.is_fallen(now) and not work.draining,
-        running=work.running,
-        waiting=work.waiting,
-        slots=work.limits.slots,
-        feeds=feeds,
-    )
--- a/standins/server.py
+++ b/standins/server.py
@@ -20,7 +20,7 @@
 from standins.feeds import Feeds
 from standins.jobs import COME_BACK, SEPARATE_AFTER, Jobs
 from standins.reliable import Duplicates, ReliableSender, Target
-from standins.resources import FEED_PATHS, Load, Resources
+from standins.resources import FEED_PATHS, Load, LoadState, Resources
 from standins.work import Admission, Limits
 
 TICK_PERIOD = 0.1
@@ -35,6 +35,7 @@
     """What came in since the start."""
 
     requests: int = 0
+    taken: int = 0
     repeated: int = 0
     malformed: int = 0
 
@@ -138,12 +139,11 @@
 
     def _answer_operator(self, request: Message) -> Message:
         now = self._loop.time()
-        work = self.jobs.work
         if request.opt.uri_path == _TURN_COLD:
-            work.turn_cold(now)
+            self.jobs.work.turn_cold(now)
             logging.info('backend: turned cold')
             return coap.reply_to(request, coap.CHANGED)
-        told = self.load.tell(work, self.feeds.count, now)
+        told = self.load.tell(self._state(now), now)
         if request.opt.uri_path == _HEALTH and not told.healthy:
             return coap.refusal(request, ResultCode.DRAINING, COME_BACK)
         encoded = json.dumps(attrs.asdict(told)).encode()
@@ -155,6 +155,7 @@
         if request.opt.observe != coap.OBSERVE_REGISTER:
             self.feeds.remove(source, request.token)
             return self.feeds.state_for(request)
+        self.counters.taken += 1
         is_new = not self.feeds.has(source, request.token)
         if is_new and self.jobs.work.draining:
             return self.jobs.refuse(request)
@@ -162,6 +163,7 @@
         return registered or self.jobs.refuse(request)
 
     def _start_job(self, request: Message, source: Target) -> None:
+        self.counters.taken += 1
         separate = self._loop.call_later(
             SEPARATE_AFTER, self._acknowledge, request, source
         )
@@ -211,10 +213,21 @@
         self.jobs.stop()
         self._sender.close()
 
+    def _state(self, now: float) -> LoadState:
+        work = self.jobs.work
+        return LoadState(
+            healthy=not work.is_fallen(now) and not work.draining,
+            running=work.running,
+            waiting=work.waiting,
+            slots=work.limits.slots,
+            feeds=self.feeds.count,
+            taken=self.counters.taken,
+        )
+
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_PERIOD)
             now = self._loop.time()
-            self.load.note(self.jobs.work, self.feeds.count, now)
+            self.load.note(self._state(now), now)
             if not self.jobs.work.is_fallen(now):
                 self.feeds.notify(now)
