--- a/standins/client.py
+++ b/standins/client.py
@@ -58,6 +58,7 @@
 
     def __init__(self, seed: int, timing: Timing | None = None) -> None:
         self.counters = OutcomeCounters()
+        self.last_frame = b''
         self._random = random.Random(seed)
         self._sender = ReliableSender(self.send_raw, seed, timing)
         self._duplicates = Duplicates()
@@ -164,7 +165,7 @@
         return await self.request(service, packet)
 
     def send_raw(self, frame: bytes, target: Target) -> None:
-        """Send bytes as they are, for instance a packet once more."""
+        """Send bytes as they are, for instance ``last_frame`` once more."""
         if self._socket is not None:
             self._socket.send(frame, target)
 
@@ -178,6 +179,7 @@
         waiter.message_id = self._sender.send(
             packet, target, lambda: waiter.resolve(None)
         )
+        self.last_frame = coap.encode(packet)
         try:
             async with asyncio.timeout(deadline or MAX_TRANSMIT_WAIT):
                 return await waiter.response
--- a/standins/server.py
+++ b/standins/server.py
@@ -77,14 +77,17 @@
     @contextlib.contextmanager
     def open(self, endpoint: Endpoint) -> Iterator[Endpoint]:
         """Serve on an endpoint until the block ends; yields the real one."""
-        with open_datagrams(endpoint, self.take) as opened:
+        with (
+            open_datagrams(endpoint, self.take) as opened,
+            contextlib.closing(self._sender),
+        ):
             self._socket = opened
             ticking = asyncio.create_task(self._tick())
             try:
                 yield opened.endpoint
             finally:
                 ticking.cancel()
-                self._close()
+                self.jobs.stop()
 
     async def drain(self, feed_seconds: float) -> None:
         """Take no new work; wait for what runs, and a while for feeds."""
@@ -209,10 +212,6 @@
         if self._socket is not None:
             self._socket.send(frame, target)
 
-    def _close(self) -> None:
-        self.jobs.stop()
-        self._sender.close()
-
     def _state(self, now: float) -> LoadState:
         work = self.jobs.work
         return LoadState(
