--- /dev/null
+++ b/redwingstream/agent/assignments.py
@@ -0,0 +1,99 @@
+"""Requests that a home has another agent run."""
+
+import attrs
+
+from redwingstream.agent.parts import AgentParts, carrier_name
+from redwingstream.agent.runs import Run
+from redwingstream.forwarding.messages import Assigned
+from redwingstream.requests.records import RequestKey
+
+REPEAT_AFTER = 0.25
+MAX_COPIES = 4
+OUTCOME_GRACE = 1.0
+"""Seconds after its deadline in which an outcome may still arrive."""
+
+
+@attrs.define(eq=False)
+class _Assignment:
+    run: Run
+    message: Assigned
+    endpoint: str
+    sent_at: float
+    copies: int = 1
+
+
+class Assignments:
+    """Runs at other agents, repeated until their outcome comes.
+
+    Parameters
+    ----------
+    parts : AgentParts
+        The agent.
+
+    Notes
+    -----
+    Repeating guards against a lost datagram, which would leave a request
+    *unknown* that was never run.  It is safe because the carrier knows what it
+    was assigned, and another run of it refuses the assignment.
+    """
+
+    def __init__(self, parts: AgentParts) -> None:
+        self._parts = parts
+        self._assignment_by_key: dict[RequestKey, _Assignment] = {}
+
+    def __len__(self) -> int:
+        """Return how many outcomes are awaited."""
+        return len(self._assignment_by_key)
+
+    def choose(self, now: float) -> str:
+        """Return a carrier with room, or an empty text."""
+        host = self._parts.loads.choose(frozenset((self._parts.me.host,)), now)
+        member = self._parts.tables.member_by_host.get(host or '')
+        if member is None or self._parts.tables.is_zone_out(member.zone):
+            return ''
+        return carrier_name(member.host, member.incarnation)
+
+    def start(self, run: Run, carrier: str, now: float) -> None:
+        """Have a carrier run a request."""
+        endpoint = self._parts.endpoint_of_carrier(carrier)
+        incarnation = int(carrier.rpartition('#')[2])
+        message = Assigned(
+            packet=run.packet,
+            home=self._parts.me.endpoint,
+            generation=0,
+            carrier_incarnation=incarnation,
+            wants_outcome=True,
+        )
+        assignment = _Assignment(run, message, endpoint or '', now)
+        self._assignment_by_key[run.key] = assignment
+        self._send(assignment, now)
+
+    def has(self, key: RequestKey) -> bool:
+        """Whether the outcome of a request is awaited."""
+        return key in self._assignment_by_key
+
+    def finish(self, key: RequestKey) -> Run | None:
+        """Take out a request whose outcome has come."""
+        assignment = self._assignment_by_key.pop(key, None)
+        return None if assignment is None else assignment.run
+
+    def tick(self, now: float) -> list[Run]:
+        """Repeat what is due; take out the runs past their deadline."""
+        late = []
+        for key, assignment in list(self._assignment_by_key.items()):
+            if now > assignment.run.deadline + OUTCOME_GRACE:
+                self._assignment_by_key.pop(key)
+                late.append(assignment.run)
+            elif self._is_due(assignment, now):
+                assignment.copies += 1
+                self._send(assignment, now)
+        return late
+
+    def _is_due(self, assignment: _Assignment, now: float) -> bool:
+        is_spent = assignment.copies >= MAX_COPIES
+        return not is_spent and now - assignment.sent_at >= REPEAT_AFTER
+
+    def _send(self, assignment: _Assignment, now: float) -> None:
+        assignment.sent_at = now
+        if assignment.endpoint:
+            self._parts.out.to_peer(assignment.endpoint, assignment.message)
--- /dev/null
+++ b/redwingstream/agent/home.py
@@ -0,0 +1,205 @@
+"""Decides on idempotent requests of the buckets of which this agent is home."""
+
+import attrs
+from aiocoap.message import Message
+
+from redwingstream.agent.assignments import Assignments
+from redwingstream.agent.carrier import Carrier
+from redwingstream.agent.feeds import FeedRelay
+from redwingstream.agent.parts import AgentParts
+from redwingstream.agent.replies import Replies
+from redwingstream.agent.runs import Run, deadline_of
+from redwingstream.errors import ResultCode
+from redwingstream.flows.blocks import is_later_block
+from redwingstream.flows.records import FlowKey, FlowRecord
+from redwingstream.forwarding.messages import Assigned, Packet
+from redwingstream.placement.effects import Effect
+from redwingstream.placement.messages import BucketContents
+from redwingstream.wire import coap
+
+RECORD_TIMEOUT = 2.0
+
+
+@attrs.frozen(eq=False)
+class _WaitingFeed:
+    record: FlowRecord
+    packet: Packet
+    request: Message
+
+
+class HomeDesk:
+    """Places feeds and plain requests, and remembers where.
+
+    Parameters
+    ----------
+    parts : AgentParts
+        The agent.
+    replies : Replies
+        Builds and sends final answers.
+    carrier : Carrier
+        Runs at the own server.
+    feeds : FeedRelay
+        Feeds of the own server.
+    assignments : Assignments
+        Chooses other agents.
+    """
+
+    def __init__(
+        self,
+        parts: AgentParts,
+        replies: Replies,
+        carrier: Carrier,
+        feeds: FeedRelay,
+        assignments: Assignments,
+    ) -> None:
+        self._parts = parts
+        self._replies = replies
+        self._carrier = carrier
+        self._feeds = feeds
+        self._assignments = assignments
+        self._waiting_by_ticket: dict[int, _WaitingFeed] = {}
+        self._waiting_keys: set[FlowKey] = set()
+
+    def plain(
+        self, packet: Packet, request: Message, bucket: int, now: float
+    ) -> list[Effect]:
+        """Have a plain idempotent request run where its flow is."""
+        record = self._record_of(packet, request.token, now)
+        if record is not None and self._pass_on(packet, record):
+            return []
+        if request.opt.observe == coap.OBSERVE_CANCEL:
+            self._feeds.deregister(packet, request, now)
+        slot = self._carrier.reserve(now)
+        if slot is not None:
+            run = Run(packet, request, bucket, deadline_of(request, now))
+            self._carrier.start(run, slot, now)
+            return []
+        return self._place_elsewhere(packet, request, bucket, now)
+
+    def feed(
+        self, packet: Packet, request: Message, bucket: int, now: float
+    ) -> list[Effect]:
+        """Open a feed, or take the repetition of its registration."""
+        key = FlowKey(packet.caller, packet.service, request.token)
+        if key in self._waiting_keys:
+            return []
+        record = self._record_of(packet, request.token, now)
+        if record is not None and record.registration:
+            if self._go_on(record, packet, request, now):
+                return []
+        carrier = self._choose_for_feed(now)
+        if not carrier:
+            self._replies.refuse(packet, request, ResultCode.OVERLOADED, now)
+            return []
+        opened = FlowRecord(
+            key=key,
+            carrier=carrier,
+            generation=self._parts.store.flows.next_generation(key),
+            registration=packet.payload,
+        )
+        waiting = _WaitingFeed(opened, packet, request)
+        return self._record_feed(waiting, bucket, now)
+
+    def recorded(self, ticket: int, now: float) -> bool:
+        """Start a feed that home and heir hold; False if it is none."""
+        waiting = self._take_waiting(ticket)
+        if waiting is None:
+            return False
+        self._go_on(waiting.record, waiting.packet, waiting.request, now)
+        return True
+
+    def refused(self, ticket: int, reason: ResultCode, now: float) -> None:
+        """Refuse a feed that could not be recorded."""
+        waiting = self._take_waiting(ticket)
+        if waiting is not None:
+            packet = waiting.packet
+            self._replies.refuse(packet, waiting.request, reason, now)
+
+    def _record_of(
+        self, packet: Packet, token: bytes, now: float
+    ) -> FlowRecord | None:
+        return self._parts.store.flows.carrier_of(
+            packet.caller, packet.service, token, now
+        )
+
+    def _go_on(
+        self,
+        record: FlowRecord,
+        packet: Packet,
+        request: Message,
+        now: float,
+    ) -> bool:
+        """Hand a registration to the feed's carrier, if that lives."""
+        if record.carrier == self._parts.me.carrier:
+            self._feeds.register(record, packet, request, now)
+            return True
+        return self._pass_on(packet, record)
+
+    def _pass_on(self, packet: Packet, record: FlowRecord) -> bool:
+        """Send a packet to the agent that carries its flow, if that lives."""
+        if record.carrier == self._parts.me.carrier:
+            return False
+        endpoint = self._parts.endpoint_of_carrier(record.carrier)
+        if endpoint is None:
+            return False
+        self._parts.metrics.count('passed_on')
+        assigned = Assigned(
+            packet=packet,
+            home=self._parts.me.endpoint,
+            generation=record.generation,
+            carrier_incarnation=int(record.carrier.rpartition('#')[2]),
+        )
+        self._parts.out.to_peer(endpoint, assigned)
+        return True
+
+    def _choose_for_feed(self, now: float) -> str:
+        if self._feeds.has_room(now):
+            return self._parts.me.carrier
+        return self._assignments.choose(now)
+
+    def _place_elsewhere(
+        self, packet: Packet, request: Message, bucket: int, now: float
+    ) -> list[Effect]:
+        # A block after the first must come from the server that sent the
+        # first: another one may have another representation.
+        carrier = ''
+        if not is_later_block(request):
+            carrier = self._assignments.choose(now)
+        if not carrier:
+            self._replies.refuse(packet, request, ResultCode.OVERLOADED, now)
+            return []
+        self._parts.metrics.count('placed_elsewhere')
+        key = FlowKey(packet.caller, packet.service)
+        record = FlowRecord(
+            key, carrier, self._parts.store.flows.next_generation(key)
+        )
+        self._parts.store.flows.put(bucket, record, now)
+        self._pass_on(packet, record)
+        # Not waited for: a placement that is forgotten costs a transfer in
+        # blocks its next block, which its caller asks for again.
+        _, effects = self._parts.keeper.record(
+            bucket,
+            BucketContents(flows=(record,)),
+            now,
+            now + RECORD_TIMEOUT,
+        )
+        return effects
+
+    def _record_feed(
+        self, waiting: _WaitingFeed, bucket: int, now: float
+    ) -> list[Effect]:
+        ticket, effects = self._parts.keeper.record(
+            bucket,
+            BucketContents(flows=(waiting.record,)),
+            now,
+            now + RECORD_TIMEOUT,
+        )
+        self._waiting_by_ticket[ticket] = waiting
+        self._waiting_keys.add(waiting.record.key)
+        return effects
+
+    def _take_waiting(self, ticket: int) -> _WaitingFeed | None:
+        waiting = self._waiting_by_ticket.pop(ticket, None)
+        if waiting is not None:
+            self._waiting_keys.discard(waiting.record.key)
+        return waiting
--- /dev/null
+++ b/redwingstream/agent/parts.py
@@ -0,0 +1,224 @@
+"""The decision objects of one agent, put together."""
+
+import random
+
+import attrs
+
+from redwingstream.admission.choice import PeerLoads
+from redwingstream.admission.come_back import ComeBack, OverloadGauge
+from redwingstream.admission.feeds import FeedLimit
+from redwingstream.admission.limit import ConcurrencyLimit
+from redwingstream.admission.retry_budget import RetryBudget
+from redwingstream.agent.outlets import Outlets
+from redwingstream.agent.store import AgentStore
+from redwingstream.flows.feeds import FeedCarrier
+from redwingstream.flows.paths import ReturnPaths
+from redwingstream.flows.upstream import Upstream
+from redwingstream.membership.peers import PeerLinks
+from redwingstream.node.metrics import Metrics
+from redwingstream.placement.keeper import BucketKeeper
+from redwingstream.placement.rendezvous import PairTable, bucket_of
+from redwingstream.tables.routing import Routing
+from redwingstream.tables.rows import ViewMember
+from redwingstream.tables.snapshot import Tables
+
+REPLAY_HORIZON = 247.0
+"""Seconds in which a caller may repeat a message (RFC 7252, section 4.8.2)."""
+
+
+@attrs.frozen
+class AgentIdentity:
+    """Who this agent is.
+
+    Parameters
+    ----------
+    host : str
+        Name of its host.
+    incarnation : int
+        Which run of it, as admitted.
+    endpoint : str
+        ``IP:PORT`` of it.
+    zone : str
+        Its availability zone.
+    pool : str
+        Pool that its server serves.
+    buckets : int
+        How many buckets the pool has.
+    key : bytes
+        Key of the bucket hash.
+    """
+
+    host: str
+    incarnation: int
+    endpoint: str
+    zone: str
+    pool: str
+    buckets: int
+    key: bytes
+
+    @property
+    def carrier(self) -> str:
+        """How flow records name this run of the agent."""
+        return carrier_name(self.host, self.incarnation)
+
+
+@attrs.frozen
+class ServerCapacity:
+    """What the backend server can bear at the most.
+
+    Parameters
+    ----------
+    slots : int
+        Requests at once.
+    connections : int
+        Feeds at once.
+    """
+
+    slots: int
+    connections: int
+
+
+@attrs.define(eq=False)
+class AgentParts:
+    """State that the modules of an agent share; each part has one owner.
+
+    Parameters
+    ----------
+    me : AgentIdentity
+        Who this agent is.
+    out : Outlets
+        What it can do.
+    metrics : Metrics
+        What it counts.
+    store : AgentStore
+        Ledger, flows and transfers by bucket.
+    keeper : BucketKeeper
+        Which buckets are here, and under which fence.
+    upstream : Upstream
+        The server's side.
+    feeds : FeedCarrier
+        The callers' side of the feeds carried here.
+    """
+
+    me: AgentIdentity
+    out: Outlets
+    metrics: Metrics
+    store: AgentStore
+    keeper: BucketKeeper
+    upstream: Upstream
+    feeds: FeedCarrier
+    paths: ReturnPaths
+    limit: ConcurrencyLimit
+    feed_limit: FeedLimit
+    loads: PeerLoads
+    come_back: ComeBack
+    gauge: OverloadGauge
+    budget: RetryBudget
+    links: PeerLinks = attrs.field(factory=PeerLinks)
+    tables: Tables = attrs.field(factory=Tables)
+    routing: Routing = attrs.field(factory=lambda: Routing({}))
+    pairs: PairTable | None = None
+    is_leaving: bool = False
+    server_is_silent: bool = False
+
+    def follow(self, tables: Tables) -> None:
+        """Go by newer tables from now on."""
+        if tables.route_by_key != self.tables.route_by_key:
+            self.routing = Routing(tables.route_by_key)
+        view = tables.view_by_pool.get(self.me.pool)
+        self.pairs = None if view is None else PairTable.of_view(view)
+        self.tables = tables
+
+    def bucket_of(self, caller: str, service: str) -> int:
+        """Return the bucket of a flow in this agent's pool."""
+        return bucket_of(caller, service, self.me.buckets, self.me.key)
+
+    def home_of(self, bucket: int) -> ViewMember | None:
+        """Return the home of a bucket in the newest view known here."""
+        return None if self.pairs is None else self.pairs.pair(bucket).home
+
+    def heir_of(self, bucket: int) -> ViewMember | None:
+        """Return the heir of a bucket in the newest view known here."""
+        return None if self.pairs is None else self.pairs.pair(bucket).heir
+
+    def is_me(self, member: ViewMember | None) -> bool:
+        """Whether a member of a view is this run of this agent."""
+        if member is None:
+            return False
+        return carrier_name(member.host, member.incarnation) == self.me.carrier
+
+    def is_zone_out(self) -> bool:
+        """Whether the zone of this agent is out of service."""
+        return self.tables.is_zone_out(self.me.zone)
+
+    def is_carrier_in_zone_out(self, carrier: str) -> bool:
+        """Whether a carrier stands in a zone that is out of service."""
+        member = self.tables.member_by_host.get(carrier.rpartition('#')[0])
+        return member is not None and self.tables.is_zone_out(member.zone)
+
+    def endpoint_of_carrier(self, carrier: str) -> str | None:
+        """Return where a carrier is reached; None when that run is gone."""
+        host, _, incarnation = carrier.rpartition('#')
+        member = self.tables.member_by_host.get(host)
+        if member is None or str(member.incarnation) != incarnation:
+            return None
+        return member.endpoint
+
+
+def carrier_name(host: str, incarnation: int) -> str:
+    """Return how flow records name a run of an agent.
+
+    A host name alone would let a restarted agent, which remembers nothing,
+    pass for the one that carried the flow.
+    """
+    return f'{host}#{incarnation}'
+
+
+def make_parts(
+    me: AgentIdentity,
+    capacity: ServerCapacity,
+    out: Outlets,
+    metrics: Metrics,
+    rng: random.Random,
+) -> AgentParts:
+    """Return the parts of an agent that has just been admitted.
+
+    Parameters
+    ----------
+    me : AgentIdentity
+        Who it is.
+    capacity : ServerCapacity
+        What its server bears.
+    out : Outlets
+        What it can do.
+    metrics : Metrics
+        What it counts.
+    rng : random.Random
+        Where tokens, delays and choices are drawn from.
+    """
+    paths = ReturnPaths()
+    store = AgentStore(me.carrier, REPLAY_HORIZON)
+    keeper = BucketKeeper(
+        host=me.host,
+        incarnation=me.incarnation,
+        pool=me.pool,
+        store=store,
+        replay_horizon=REPLAY_HORIZON,
+        buckets=me.buckets,
+    )
+    return AgentParts(
+        me=me,
+        out=out,
+        metrics=metrics,
+        store=store,
+        keeper=keeper,
+        upstream=Upstream(rng),
+        feeds=FeedCarrier(me.carrier, me.pool, paths, rng),
+        paths=paths,
+        limit=ConcurrencyLimit(capacity.slots),
+        feed_limit=FeedLimit(capacity.connections),
+        loads=PeerLoads(rng),
+        come_back=ComeBack(rng),
+        gauge=OverloadGauge(),
+        budget=RetryBudget(),
+    )
--- /dev/null
+++ b/redwingstream/agent/reports.py
@@ -0,0 +1,88 @@
+"""What an agent tells the others of its pool without being asked."""
+
+from redwingstream.agent.parts import AgentParts
+from redwingstream.flows.records import FlowRecord
+from redwingstream.forwarding.messages import CarriedFeeds, LoadReport
+from redwingstream.membership.messages import Probe
+from redwingstream.tables.rows import ViewMember
+
+LOAD_INTERVAL = 0.3
+REPORTED_PEERS = 8
+"""How many peers hear a load report; in a larger pool they take turns."""
+
+ASSERT_INTERVAL = 10.0
+RECORDS_IN_MESSAGE = 64
+
+
+class Reports:
+    """Load reports, carried feeds and probes.
+
+    Parameters
+    ----------
+    parts : AgentParts
+        The agent.
+    """
+
+    def __init__(self, parts: AgentParts) -> None:
+        self._parts = parts
+        self._load_at = float()
+        self._assert_at = float()
+        self._turn = 0
+
+    def assert_soon(self) -> None:
+        """Tell the homes of the feeds carried here: the view changed."""
+        self._assert_at = float()
+
+    def tick(self, now: float) -> None:
+        """Send what is due."""
+        if now >= self._load_at:
+            self._load_at = now + LOAD_INTERVAL
+            self._report_load()
+        if now >= self._assert_at:
+            self._assert_at = now + ASSERT_INTERVAL
+            self._report_feeds()
+        revision = self._parts.tables.revision
+        for peer in self._parts.links.due_probes(now):
+            self._parts.out.to_peer(str(peer), Probe(revision))
+
+    def _report_load(self) -> None:
+        parts = self._parts
+        takes_work = not (
+            parts.is_leaving or parts.is_zone_out() or parts.server_is_silent
+        )
+        report = LoadReport(
+            host=parts.me.host,
+            incarnation=parts.me.incarnation,
+            in_flight=parts.limit.in_flight,
+            limit=parts.limit.limit if takes_work else 0,
+            flows=len(parts.feeds),
+        )
+        for peer in self._next_peers():
+            parts.out.to_peer(peer.endpoint, report)
+
+    def _next_peers(self) -> list[ViewMember]:
+        view = self._parts.tables.view_by_pool.get(self._parts.me.pool)
+        members = () if view is None else view.members
+        others = [peer for peer in members if not self._parts.is_me(peer)]
+        if len(others) <= REPORTED_PEERS:
+            return others
+        start = self._turn % len(others)
+        self._turn += REPORTED_PEERS
+        return (others + others)[start : start + REPORTED_PEERS]
+
+    def _report_feeds(self) -> None:
+        parts = self._parts
+        records_by_home: dict[str, list[FlowRecord]] = {}
+        for record in parts.feeds.records():
+            key = record.key
+            home = parts.home_of(parts.bucket_of(key.caller, key.service))
+            if home is not None and not parts.is_me(home):
+                records_by_home.setdefault(home.endpoint, []).append(record)
+        for endpoint, records in records_by_home.items():
+            self._send_feeds(endpoint, records)
+
+    def _send_feeds(self, endpoint: str, records: list[FlowRecord]) -> None:
+        for start in range(0, len(records), RECORDS_IN_MESSAGE):
+            part = tuple(records[start : start + RECORDS_IN_MESSAGE])
+            message = CarriedFeeds(self._parts.me.pool, part)
+            self._parts.out.to_peer(endpoint, message)
--- a/redwingstream/balancer/forwarder.py
+++ b/redwingstream/balancer/forwarder.py
@@ -60,7 +60,7 @@
         old_views = self._tables.view_by_pool
         for pool, view in tables.view_by_pool.items():
             if old_views.get(pool) != view:
-                self._pairs_by_pool[pool] = PairTable(view)
+                self._pairs_by_pool[pool] = PairTable.of_view(view)
         for pool in old_views.keys() - tables.view_by_pool.keys():
             self._pairs_by_pool.pop(pool, None)
         self._tables = tables
@@ -110,7 +110,7 @@
         pairs = self._pairs_by_pool.get(pool)
         if pairs is None:
             return None
-        pair = pairs[bucket]
+        pair = pairs.pair(bucket)
         if pair.home is None:
             return None
         home = parse_endpoint(pair.home.endpoint)
--- a/redwingstream/daemon.py
+++ b/redwingstream/daemon.py
@@ -69,7 +69,7 @@
         endpoint=settings.endpoint,
         zone=settings.zone,
         data_folder=settings.data_folder,
-        replicas=settings.replicas,
+        replicas=tuple(settings.replicas.values()),
         key=key,
     )
     running = asyncio.create_task(run_control(control_settings))
--- a/redwingstream/flows/carried.py
+++ b/redwingstream/flows/carried.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from collections.abc import Iterator
 
 import attrs
 from aiocoap.message import Message
@@ -54,6 +55,12 @@
             key for key, feed in self._feed_by_key.items() if not feed.closing
         )
 
+    def records(self) -> Iterator[FlowRecord]:
+        """Yield the records of the feeds that are not being closed."""
+        for feed in self._feed_by_key.values():
+            if not feed.closing:
+                yield feed.record
+
     def find(self, key: FlowKey) -> Feed | None:
         """Return a feed, also one that is being closed."""
         return self._feed_by_key.get(key)
--- a/redwingstream/flows/feeds.py
+++ b/redwingstream/flows/feeds.py
@@ -79,6 +79,10 @@
         """Return the feeds carried, but for those being closed."""
         return self._feeds.keys()
 
+    def records(self) -> tuple[FlowRecord, ...]:
+        """Return the records of the feeds carried, as far as known here."""
+        return tuple(self._feeds.records())
+
     def register(
         self, record: FlowRecord, request: Message, balancer: str, now: float
     ) -> list[FeedEffect]:
--- a/redwingstream/flows/table.py
+++ b/redwingstream/flows/table.py
@@ -153,6 +153,14 @@
             if entry.record.carrier == host
         )
 
+    def feeds(self) -> tuple[FlowRecord, ...]:
+        """Return the records of all open feeds."""
+        return tuple(
+            entry.record
+            for entry in self._entry_by_key.values()
+            if entry.record.registration
+        )
+
     def expire(self, now: float) -> None:
         """Forget idle plain placements and old tombstones."""
         placements = _older(
--- a/redwingstream/forwarding/messages.py
+++ b/redwingstream/forwarding/messages.py
@@ -69,6 +69,9 @@
     generation : int
         Generation of the flow's record; see
         :class:`~redwingstream.flows.records.FlowRecord`.
+    carrier_incarnation : int
+        Run of the carrier that is meant.  A later run does not know what the
+        former one has run, so it must not run a repeated assignment.
     wants_outcome : bool
         True for a non-idempotent request: the home's ledger waits for
         :class:`RunOutcome`, and the home answers the caller.
@@ -77,6 +80,7 @@
     packet: Packet
     home: str
     generation: int
+    carrier_incarnation: int
     wants_outcome: bool = False
 
 
@@ -157,3 +161,57 @@
 
     key: FlowKey
     generation: int
+
+
+@message(kind=55)
+class TakeFeed:
+    """A home tells an agent to go on with an established feed.
+
+    Parameters
+    ----------
+    record : FlowRecord
+        The feed's new record; it names the receiver as carrier.
+    observe : int
+        Last sequence number that the caller may have been sent.
+    former : str
+        ``IP:PORT`` of the carrier that lets go of it; empty when it is gone.
+    """
+
+    record: FlowRecord
+    observe: int
+    former: str
+
+
+@message(kind=56)
+class FeedEnd:
+    """A carrier tells the home that a feed has ended.
+
+    Parameters
+    ----------
+    pool : str
+        Pool of the feed.
+    record : FlowRecord
+        The closed record.
+    """
+
+    pool: str
+    record: FlowRecord
+
+
+@message(kind=57)
+class CarriedFeeds:
+    """A carrier tells a home which of its feeds it carries.
+
+    Sent to each new home of a bucket: after both home and heir were lost, the
+    new home learns the flows from those who carry them.
+
+    Parameters
+    ----------
+    pool : str
+        Pool of the feeds.
+    records : tuple of FlowRecord
+        The feeds, a datagram's worth at most.
+    """
+
+    pool: str
+    records: tuple[FlowRecord, ...]
--- a/redwingstream/settings/parsers.py
+++ b/redwingstream/settings/parsers.py
@@ -7,7 +7,9 @@
 
 MAX_WEIGHT = 10000
 MAX_NAME = 64
+MAX_COUNT = 1000000
 ENDPOINT_ALLOWED = 'IP:PORT, for instance 127.0.0.1:7000'
+COUNT_ALLOWED = f'1 to {MAX_COUNT}'
 NAME_ALLOWED = f'letters, digits, - and _, {MAX_NAME} at most'
 
 
@@ -42,6 +44,14 @@
     return weight
 
 
+def parse_count(text: str) -> int:
+    """Read a positive number of things."""
+    count = int(text)
+    if not 0 < count <= MAX_COUNT:
+        raise SettingError(f'{count} is out of range')
+    return count
+
+
 def parse_seconds(text: str) -> float:
     """Read a positive number of seconds."""
     seconds = float(text)
--- a/redwingstream/settings/roles.py
+++ b/redwingstream/settings/roles.py
@@ -7,9 +7,11 @@
 
 from redwingstream.endpoints import Endpoint, parse_endpoint
 from redwingstream.settings.parsers import (
+    COUNT_ALLOWED,
     ENDPOINT_ALLOWED,
     MAX_WEIGHT,
     NAME_ALLOWED,
+    parse_count,
     parse_endpoints,
     parse_name,
     parse_replicas,
@@ -20,6 +22,8 @@
 from redwingstream.tables.rows import DEFAULT_WEIGHT
 
 DEFAULT_DRAIN_SECONDS = 30
+DEFAULT_SLOTS = 64
+DEFAULT_CONNECTIONS = 2000
 
 
 @attrs.frozen(kw_only=True)
@@ -96,6 +100,19 @@
         'Share of the new flows relative to other servers of the pool.',
         default=DEFAULT_WEIGHT,
     )
+    slots: int = setting(
+        parse_count,
+        COUNT_ALLOWED,
+        'Requests that the backend server can run at once at the most; how '
+        'many it is given below that is found out.',
+        default=DEFAULT_SLOTS,
+    )
+    connections: int = setting(
+        parse_count,
+        COUNT_ALLOWED,
+        'Feeds that the backend server can carry at the most.',
+        default=DEFAULT_CONNECTIONS,
+    )
     drain_seconds: float = setting(
         parse_seconds,
         'a positive number',
