--- a/redwingstream/agent/carrier.py
+++ b/redwingstream/agent/carrier.py
@@ -112,9 +112,7 @@
             effects = self._parts.upstream.cancel(started.exchange, now)
             self._perform(effects, now)
 
-    def responded(
-        self, owner: object, response: Message, latency: float, now: float
-    ) -> None:
+    def responded(self, owner: object, response: Message, now: float) -> None:
         """Take the server's answer."""
         started = self._started_by_owner.pop(owner, None)
         if started is None:
@@ -128,7 +126,9 @@
             return
         self._finish(started, RunResult.COMPLETED, now)
         flow = FlowKey(run.packet.caller, run.packet.service)
-        self._parts.store.transfers.note(run.bucket, flow, response, now)
+        self._parts.store.transfers.note(
+            run.bucket, flow, run.request, response, now
+        )
         self._on_end(RunEnd(run, RequestState.ANSWERED, answer), now)
 
     def failed(
