Condense ended requests of a full ledger in place of refusing new ones

Ended entries now go into a Bloom filter for each bucket, earlier requests of a caller before its last one (the rule of the related paper): a replay then gets *unknown*, never a second run.

BucketContents has a new field, condensed, which must travel with entries. Ledger.refusals became Ledger.condensed. Ruled out: forgetting by the paper's rule alone, which runs replays of concurrent callers again.

--- a/redwingstream/placement/messages.py
+++ b/redwingstream/placement/messages.py
@@ -3,7 +3,7 @@
 import attrs
 
 from redwingstream.flows.records import FlowRecord
-from redwingstream.requests.records import LedgerEntry
+from redwingstream.requests.records import CondensedRequests, LedgerEntry
 from redwingstream.wire.messages import message
 
 
@@ -17,10 +17,13 @@
         Non-idempotent requests.
     flows : tuple of FlowRecord
         Established feeds and placements elsewhere.
+    condensed : CondensedRequests
+        Non-idempotent requests without an entry; in the first part only.
     """
 
     entries: tuple[LedgerEntry, ...] = ()
     flows: tuple[FlowRecord, ...] = ()
+    condensed: CondensedRequests = CondensedRequests()
 
 
 @message(kind=64)
--- a/redwingstream/requests/counters.py
+++ b/redwingstream/requests/counters.py
@@ -12,8 +12,8 @@
     fresh, replayed, refused : int
         Requests begun, found again, and refused for want of room.
     expired, condensed : int
-        Entries forgotten after the replay horizon, and surely-not-run entries
-        condensed into a filter.
+        Entries forgotten after the replay horizon, and entries condensed into
+        a filter because the ledger was full.
     answers_too_large : int
         Answers too large to keep, which replays do not get.
     unmatched : int
--- a/redwingstream/requests/refusals.py
+++ b/redwingstream/requests/filters.py
@@ -1,7 +1,7 @@
-"""Which requests were refused, in a fixed number of bytes.
+"""Sets of requests in a fixed number of bytes.
 
-A Bloom filter errs on one side only: it may call a new request refused, which
-the caller is then told and which is true; it never calls a refused one new.
+A Bloom filter errs on one side only: it may hold a new request, which is then
+not run; it never lets go of one that was added.
 """
 
 import hashlib
@@ -9,16 +9,17 @@
 from redwingstream.errors import WireError
 from redwingstream.requests.records import RequestKey
 
-# 32,768 bits hold 3,400 refusals (a thousand a second on a host with 73
-# buckets, over a horizon of 247 s) at about 1 % of false hits.
 FILTER_BYTES = 4096
+# Requests in one generation up to which 0.1 % of new requests at the most are
+# mistaken for one of them.
+FILTER_CAPACITY = 2000
 _FILTER_BITS = FILTER_BYTES * 8
 _POSITIONS = 6
 _POSITION_BYTES = 2
 
 
-class RefusalFilter:
-    """Remembers refused requests for at least the replay horizon.
+class RequestFilter:
+    """Remembers requests for at least the replay horizon.
 
     Two generations of bits: one is filled, the other is kept until everything
     in it is older than the horizon.
@@ -26,7 +27,7 @@
     Parameters
     ----------
     horizon : float
-        Seconds for which a refusal is remembered at least.
+        Seconds for which a request is remembered at least.
     now : float
         Seconds.
     """
@@ -36,14 +37,21 @@
         self._turned_at = now
         self._newer = 0
         self._older = 0
+        self._added = 0
 
     def add(self, positions: int, now: float) -> None:
-        """Remember a refused request by its bits."""
+        """Remember a request by its bits."""
         self._turn(now)
         self._newer |= positions
+        self._added += 1
+
+    def is_full(self, now: float) -> bool:
+        """Whether more would be mistaken for others too often."""
+        self._turn(now)
+        return self._added >= FILTER_CAPACITY
 
     def holds(self, positions: int, now: float) -> bool:
-        """Whether a request was, or may have been, refused lately."""
+        """Whether a request was, or may have been, added lately."""
         self._turn(now)
         generations = (self._newer, self._older)
         return any(bits & positions == positions for bits in generations)
@@ -62,21 +70,22 @@
         # what is by now older than the horizon.
         self._older = self._newer if elapsed <= 2 * self._horizon else 0
         self._newer = 0
+        self._added = 0
         self._turned_at = now
 
 
-class RefusalFilters:
-    """A filter for each bucket in which a request was refused.
+class RequestFilters:
+    """A filter for each bucket of which a request was added.
 
     Parameters
     ----------
     horizon : float
-        Seconds for which a refusal is remembered at least.
+        Seconds for which a request is remembered at least.
     """
 
     def __init__(self, horizon: float) -> None:
         self._horizon = horizon
-        self._by_bucket: dict[int, RefusalFilter] = {}
+        self._by_bucket: dict[int, RequestFilter] = {}
 
     @property
     def size(self) -> int:
@@ -86,25 +95,30 @@
     def add(
         self, bucket: int, key: RequestKey, checksum: bytes, now: float
     ) -> None:
-        """Remember a refused request."""
+        """Remember a request."""
         self._of_bucket(bucket, now).add(_positions(key, checksum), now)
 
     def holds(
         self, bucket: int, key: RequestKey, checksum: bytes, now: float
     ) -> bool:
-        """Whether a request was, or may have been, refused lately."""
-        refusals = self._by_bucket.get(bucket)
-        if refusals is None:
+        """Whether a request was, or may have been, added lately."""
+        requests = self._by_bucket.get(bucket)
+        if requests is None:
             return False
-        return refusals.holds(_positions(key, checksum), now)
+        return requests.holds(_positions(key, checksum), now)
+
+    def is_full(self, bucket: int, now: float) -> bool:
+        """Whether a bucket's filter should take no more."""
+        requests = self._by_bucket.get(bucket)
+        return requests is not None and requests.is_full(now)
 
     def export(self, bucket: int, now: float) -> bytes:
-        """Return a bucket's filter; empty when nothing was refused."""
-        refusals = self._by_bucket.get(bucket)
-        return b'' if refusals is None else refusals.export(now)
+        """Return a bucket's filter; empty when nothing was added."""
+        requests = self._by_bucket.get(bucket)
+        return b'' if requests is None else requests.export(now)
 
     def merge(self, bucket: int, exported: bytes, now: float) -> None:
-        """Add a filter exported elsewhere, as if all in it were refused now.
+        """Add a filter exported elsewhere, as if all in it were added now.
 
         Raises
         ------
@@ -115,7 +129,7 @@
             return
         if len(exported) != FILTER_BYTES:
             raise WireError(
-                f'refusal filter has {len(exported)} bytes, '
+                f'filter of requests has {len(exported)} bytes, '
                 f'must have {FILTER_BYTES}'
             )
         bits = int.from_bytes(exported, 'big')
@@ -125,12 +139,12 @@
         """Forget a bucket."""
         self._by_bucket.pop(bucket, None)
 
-    def _of_bucket(self, bucket: int, now: float) -> RefusalFilter:
-        refusals = self._by_bucket.get(bucket)
-        if refusals is None:
-            refusals = RefusalFilter(self._horizon, now)
-            self._by_bucket[bucket] = refusals
-        return refusals
+    def _of_bucket(self, bucket: int, now: float) -> RequestFilter:
+        requests = self._by_bucket.get(bucket)
+        if requests is None:
+            requests = RequestFilter(self._horizon, now)
+            self._by_bucket[bucket] = requests
+        return requests
 
 
 def _positions(key: RequestKey, checksum: bytes) -> int:
--- a/redwingstream/requests/ledger.py
+++ b/redwingstream/requests/ledger.py
@@ -18,17 +18,18 @@
     Running,
     WasNotRun,
 )
+from redwingstream.requests.condensed import CondensedMemory
 from redwingstream.requests.counters import LedgerCounters
 from redwingstream.requests.records import (
     LedgerEntry,
     RequestKey,
     RequestState,
 )
-from redwingstream.requests.refusals import RefusalFilters
-from redwingstream.requests.store import ANSWER_LIMIT, Slot, SlotStore
+from redwingstream.requests.slots import ANSWER_LIMIT, Slot
+from redwingstream.requests.store import SlotStore
 
 # Bytes that an entry costs besides its answer: docs/design/ledger.md.
-ENTRY_COST = 700
+ENTRY_COST = 800
 # Callers that are refused for want of room are asked to wait this many seconds
 # at the most, however long the oldest entry still has to stay.
 MAX_COME_BACK = 30
@@ -39,7 +40,9 @@
 
     It forgets nothing that could be replayed into a second run: neither a run
     in progress here, nor anything first seen within the replay horizon.  When
-    there is no room left, it refuses new work.
+    there is no room left, it condenses ended requests, whose replays then get
+    *unknown* in place of the answer; when that is at its bound too, it refuses
+    new work.
 
     Parameters
     ----------
@@ -54,8 +57,9 @@
 
     Attributes
     ----------
-    refusals : RefusalFilters
-        Requests refused for want of room; they travel with a bucket's entries.
+    condensed : CondensedMemory
+        Requests without an entry.  What it exports of a bucket must travel
+        with the bucket's entries, or they could run again at the next home.
     counters : LedgerCounters
         What happened so far.
     """
@@ -64,7 +68,7 @@
         self.capacity = capacity
         self.replay_horizon = replay_horizon
         self.counters = LedgerCounters()
-        self.refusals = RefusalFilters(replay_horizon)
+        self.condensed = CondensedMemory(replay_horizon)
         self._slots = SlotStore(self.counters)
 
     def __len__(self) -> int:
@@ -75,7 +79,7 @@
     def bytes_held(self) -> int:
         """Estimated memory in bytes: entries, answers and filters."""
         entries = len(self) * ENTRY_COST
-        return entries + self._slots.answer_bytes + self.refusals.size
+        return entries + self._slots.answer_bytes + self.condensed.size
 
     @property
     def bytes_bound(self) -> int:
@@ -83,9 +87,33 @@
         return self.capacity * (ENTRY_COST + ANSWER_LIMIT)
 
     def has_room(self, count: int) -> bool:
-        """Whether an heir may accept so many entries that are new to it."""
+        """Whether there is room for so many new entries as things stand."""
         return len(self) + count <= self.capacity
 
+    def make_room(self, count: int, now: float) -> bool:
+        """Expire and condense entries until there is room for new ones.
+
+        Parameters
+        ----------
+        count : int
+            How many; an heir asks for the new ones in a record.
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        bool
+            False means: refuse the record or the request.
+        """
+        self.expire(now)
+        while not self.has_room(count):
+            slot = self._slots.condensable()
+            if slot is None or not self.condensed.take(slot, now):
+                return False
+            self._slots.remove(slot)
+            self.counters.condensed += 1
+        return True
+
     def begin(
         self, bucket: int, key: RequestKey, checksum: bytes, now: float
     ) -> Begun:
@@ -111,10 +139,12 @@
         if slot is not None:
             self.counters.replayed += 1
             return _replay_of(slot)
-        if self.refusals.holds(bucket, key, checksum, now):
+        if self.condensed.ended.holds(bucket, key, checksum, now):
+            self.counters.replayed += 1
+            return OutcomeUnknown(b'')
+        if self.condensed.refused.holds(bucket, key, checksum, now):
             return self._refuse(bucket, key, checksum, now)
-        self._make_room(now)
-        if not self.has_room(1):
+        if not self.make_room(1, now):
             return self._refuse(bucket, key, checksum, now)
         self.counters.fresh += 1
         started = RequestState.STARTED
@@ -220,7 +250,7 @@
         """Forget a bucket that is neither home nor heir here any more."""
         for slot in tuple(self._slots.of_bucket(bucket)):
             self._slots.remove(slot)
-        self.refusals.drop(bucket)
+        self.condensed.drop(bucket)
 
     def expire(self, now: float) -> None:
         """Forget what is older than the replay horizon and not running."""
@@ -239,7 +269,7 @@
         # Without this a duplicate of a refused packet, late on its way, could
         # find room and run although its caller was told *not run* and has
         # sent the work again under a new message id: it would be done twice.
-        self.refusals.add(bucket, key, checksum, now)
+        self.condensed.refused.add(bucket, key, checksum, now)
         self.counters.refused += 1
         return Full(self._come_back(now))
 
@@ -250,15 +280,6 @@
         wait = math.ceil(oldest.kept_since + self.replay_horizon - now)
         return max(1, min(wait, MAX_COME_BACK))
 
-    def _make_room(self, now: float) -> None:
-        self.expire(now)
-        condensable = self._slots.oldest_not_run()
-        while condensable and not self.has_room(1):
-            self.refusals.add(condensable.bucket, *condensable.identity, now)
-            self._slots.remove(condensable)
-            self.counters.condensed += 1
-            condensable = self._slots.oldest_not_run()
-
 
 def _replay_of(slot: Slot) -> Begun:
     """Return what another packet of a known request gets."""
--- a/redwingstream/requests/records.py
+++ b/redwingstream/requests/records.py
@@ -70,3 +70,19 @@
     state: RequestState
     answer: bytes = b''
     age: float = 0
+
+
+@attrs.frozen
+class CondensedRequests:
+    """Requests of a bucket without entries, as Bloom filters.
+
+    Parameters
+    ----------
+    refused : bytes
+        Filter of those that surely did not run; empty for none.
+    ended : bytes
+        Filter of those that ran or may have run; empty for none.
+    """
+
+    refused: bytes = b''
+    ended: bytes = b''
--- a/redwingstream/requests/store.py
+++ b/redwingstream/requests/store.py
@@ -3,8 +3,7 @@
 from collections import OrderedDict
 from collections.abc import Iterator
 
-import attrs
-
+from redwingstream.requests.condensing import CondensingOrder
 from redwingstream.requests.counters import LedgerCounters
 from redwingstream.requests.records import (
     LedgerEntry,
@@ -15,58 +14,8 @@
     beats,
     is_contradiction,
     is_outcome_known,
-    is_surely_not_run,
 )
-
-# A CoAP message of this size fits any path unfragmented (RFC 7252, section
-# 4.6); larger answers travel as blocks, each an answer of its own.
-ANSWER_LIMIT = 1152
-
-Identity = tuple[RequestKey, bytes]
-
-
-@attrs.define
-class Slot:
-    """An entry, with what concerns this process only.
-
-    Parameters
-    ----------
-    bucket : int
-        Bucket of its flow.
-    key : RequestKey
-        Which request.
-    checksum : bytes
-        Digest of what it asks for.
-    state : RequestState
-        How far it came.
-    answer : bytes
-        What the caller was told, up to :data:`ANSWER_LIMIT`.
-    kept_since : float
-        Time in seconds from which its stay is counted: that of its first
-        packet, and later that of its end.
-    is_running : bool
-        True while this process has the run in its hands.
-    """
-
-    bucket: int
-    key: RequestKey
-    checksum: bytes
-    state: RequestState
-    answer: bytes
-    kept_since: float
-    is_running: bool
-
-    @property
-    def identity(self) -> Identity:
-        """What the entry is found by."""
-        return (self.key, self.checksum)
-
-    def to_entry(self, now: float) -> LedgerEntry:
-        """Return it as it travels."""
-        age = max(0, now - self.kept_since)
-        return LedgerEntry(
-            self.key, self.checksum, self.state, self.answer, age
-        )
+from redwingstream.requests.slots import ANSWER_LIMIT, Identity, Slot
 
 
 class SlotStore:
@@ -88,8 +37,7 @@
         self._counters = counters
         self._by_identity: OrderedDict[Identity, Slot] = OrderedDict()
         self._by_bucket: dict[int, dict[Identity, Slot]] = {}
-        # Surely not run, in the order in which they may be condensed.
-        self._not_run_by_identity: dict[Identity, Slot] = {}
+        self._condensing = CondensingOrder()
 
     def __len__(self) -> int:
         """Return the number of entries."""
@@ -107,9 +55,9 @@
         """Return the entry that has been here the longest."""
         return next(iter(self._by_identity.values()), None)
 
-    def oldest_not_run(self) -> Slot | None:
-        """Return the entry that has been known as not run the longest."""
-        return next(iter(self._not_run_by_identity.values()), None)
+    def condensable(self) -> Slot | None:
+        """Return the entry whose details are missed the least."""
+        return self._condensing.first()
 
     def add(self, slot: Slot) -> None:
         """Take a new entry."""
@@ -117,14 +65,13 @@
         self._by_identity[identity] = slot
         self._by_bucket.setdefault(slot.bucket, {})[identity] = slot
         self.answer_bytes += len(slot.answer)
-        if is_surely_not_run(slot.state):
-            self._not_run_by_identity[identity] = slot
+        self._condensing.add(slot)
 
     def remove(self, slot: Slot) -> None:
         """Forget an entry."""
         identity = slot.identity
         self._by_identity.pop(identity)
-        self._not_run_by_identity.pop(identity, None)
+        self._condensing.remove(slot)
         self.answer_bytes -= len(slot.answer)
         of_bucket = self._by_bucket[slot.bucket]
         of_bucket.pop(identity)
@@ -188,7 +135,4 @@
         self.answer_bytes += len(kept) - len(slot.answer)
         slot.state = state
         slot.answer = kept
-        if is_surely_not_run(state):
-            self._not_run_by_identity[slot.identity] = slot
-        else:
-            self._not_run_by_identity.pop(slot.identity, None)
+        self._condensing.place(slot)
