--- a/properties/test_feeds.py
+++ b/properties/test_feeds.py
@@ -51,12 +51,17 @@
     sent: float
 
 
+def may_lose(machine: 'FeedMachine') -> bool:
+    """Whether one more packet may be lost."""
+    return machine.losses < MAX_LOSSES and bool(machine.in_flight)
+
+
 class FeedMachine(RuleBasedStateMachine):
     """One caller's feed, three servers that may carry it, four balancers."""
 
     def __init__(self) -> None:
         super().__init__()
-        self.now = 0.0
+        self.now = float()
         self.rng = random.Random(7)
         self.caller = FakeCaller()
         self.home = FlowTable(capacity=10, idle_timeout=60)
@@ -90,7 +95,7 @@
         if self.in_flight:
             self.deliver(self.in_flight[index % len(self.in_flight)])
 
-    @precondition(lambda self: self.losses < MAX_LOSSES and self.in_flight)
+    @precondition(may_lose)
     @rule(index=st.integers(0, 30))
     def lose(self, index: int) -> None:
         """Lose any of the packets on their way."""
@@ -109,12 +114,19 @@
             self.collect()
 
     @rule()
-    def publish(self) -> None:
-        """Let every server have a new reading."""
-        self.reading += 1
-        for host, server in self.servers.items():
-            for packet, source in server.publish(self.reading):
-                self.put('from server', host, packet, source)
+    def deliver_newest(self) -> None:
+        """Deliver the packet that was sent last."""
+        if self.in_flight:
+            self.deliver(self.in_flight.pop())
+
+    @rule(times=st.integers(1, 3))
+    def publish(self, times: int = 1) -> None:
+        """Let every server have new readings."""
+        for _ in range(times):
+            self.reading += 1
+            for host, server in self.servers.items():
+                for packet, source in server.publish(self.reading):
+                    self.put('from server', host, packet, source)
 
     @rule(host=st.sampled_from(HOSTS))
     def restart_server(self, host: str) -> None:
@@ -267,4 +279,4 @@
 
 
 TestFeeds = FeedMachine.TestCase
-TestFeeds.settings = settings(max_examples=150, stateful_step_count=40)
+TestFeeds.settings = settings(max_examples=300, stateful_step_count=40)
--- a/redwingstream/flows/links.py
+++ b/redwingstream/flows/links.py
@@ -96,7 +96,7 @@
     ) -> list[SendToServer]:
         """Note that nothing came for a request; probe if it is one of many."""
         link = self._links[source]
-        if link.last_heard >= sent_at:
+        if link.last_heard > sent_at:
             return []
         link.unanswered += 1
         if link.unanswered < SILENT_TIMEOUTS or self._probe is not None:
--- a/redwingstream/flows/tests/fakes.py
+++ b/redwingstream/flows/tests/fakes.py
@@ -30,7 +30,7 @@
 ) -> Message:
     """Build a caller's confirmable request."""
     built = Message(code=code, payload=payload)
-    built.mtype, built.mid, built.token = coap.CON, message_id, token
+    _name(built, message_id, token)
     built.opt.uri_path = ('growth', 'field-7')
     built.opt.observe = observe
     return built
@@ -39,10 +39,16 @@
 def response(token: bytes, message_id: int, payload: bytes = b'1') -> Message:
     """Build a server's separate confirmable response."""
     built = Message(code=coap.CONTENT, payload=payload)
-    built.mtype, built.mid, built.token = coap.CON, message_id, token
+    _name(built, message_id, token)
     return built
 
 
+def _name(message: Message, message_id: int, token: bytes) -> None:
+    message.mtype = coap.CON
+    message.mid = message_id
+    message.token = token
+
+
 REGISTRATION = coap.encode(request(observe=coap.OBSERVE_REGISTER))
 
 
--- /dev/null
+++ b/redwingstream/flows/tests/test_blocks.py
@@ -0,0 +1,66 @@
+"""Answers in several blocks stay with one server."""
+
+from aiocoap.message import Message
+
+from redwingstream.flows.blocks import (
+    TRANSFER_TIMEOUT,
+    Transfers,
+    is_later_block,
+)
+from redwingstream.flows.records import FlowKey, FlowRecord
+from redwingstream.flows.tests.fakes import CALLER, KEY, SERVICE, request
+from redwingstream.wire import coap
+
+BUCKET = 4
+PLACEMENT = FlowRecord(FlowKey(CALLER, SERVICE), 'a')
+
+
+def block(number: int, more: bool) -> Message:
+    """Build one block of an answer."""
+    answer = Message(code=coap.CONTENT, payload=b'x' * 16)
+    answer.opt.block2 = (number, more, 0)
+    return answer
+
+
+def ask(path: str) -> Message:
+    """Build a request for a report."""
+    asked = request()
+    asked.opt.uri_path = (path,)
+    return asked
+
+
+class TestTransfers:
+    """What the old home of a bucket hands over."""
+
+    def test_transfer_under_way_moves_as_a_placement(self) -> None:
+        """An adviser's report would break off half way.
+
+        The first blocks came from the home's own server; then the bucket gets
+        another home, whose server has another representation.
+        """
+        transfers = Transfers('a', 10)
+        for report in ('spring', 'autumn'):
+            transfers.note(BUCKET, KEY, ask(report), block(0, True), 1)
+        transfers.note(BUCKET, KEY, ask('spring'), block(1, False), 2)
+        assert transfers.placements(BUCKET, 3) == (PLACEMENT,)
+        assert transfers.placements(BUCKET + 1, 3) == ()
+        transfers.note(BUCKET, KEY, ask('autumn'), block(1, False), 4)
+        assert len(transfers) == 0
+
+    def test_bounds_what_it_keeps(self) -> None:
+        transfers = Transfers('a', 2)
+        for number in range(3):
+            asked = ask(str(number))
+            transfers.note(BUCKET, KEY, asked, block(0, True), number)
+        assert len(transfers) == 2
+        assert transfers.placements(BUCKET, TRANSFER_TIMEOUT + 3) == ()
+        transfers.expire(TRANSFER_TIMEOUT + 1)
+        assert len(transfers) == 1
+
+    def test_knows_later_blocks(self) -> None:
+        asked = request()
+        assert not is_later_block(asked)
+        asked.opt.block2 = (0, False, 6)
+        assert not is_later_block(asked)
+        asked.opt.block2 = (2, False, 6)
+        assert is_later_block(asked)
--- /dev/null
+++ b/redwingstream/flows/tests/test_feeds.py
@@ -0,0 +1,357 @@
+"""Feeds between a carrier and its callers, packet by packet."""
+
+import random
+
+import attrs
+import pytest
+from aiocoap.message import Message
+
+from redwingstream.errors import ResultCode
+from redwingstream.flows import effects
+from redwingstream.flows.caller_ids import CallerIds
+from redwingstream.flows.feed_state import FeedLimits
+from redwingstream.flows.feeds import FeedCarrier
+from redwingstream.flows.observe import COUNTER_LIMIT, is_newer
+from redwingstream.flows.paths import ReturnPaths
+from redwingstream.flows.records import FlowKey
+from redwingstream.flows.tests.fakes import (
+    CALLER,
+    KEY,
+    SERVICE,
+    TOKEN,
+    record,
+    request,
+    response,
+)
+from redwingstream.forwarding.messages import FeedMoved
+from redwingstream.wire import coap
+
+BALANCERS = ('b1', 'b2', 'b3')
+LIMITS = FeedLimits(capacity=50)
+
+
+def make_carrier(host: str = 'a', limits: FeedLimits = LIMITS) -> FeedCarrier:
+    """Build a carrier that has heard from three balancers."""
+    paths = ReturnPaths()
+    for now, balancer in enumerate(BALANCERS):
+        paths.heard(balancer, now)
+    return FeedCarrier(host, 'sward-live', paths, random.Random(2), limits)
+
+
+def make_feed(
+    carrier: FeedCarrier, key: FlowKey = KEY, generation: int = 0
+) -> effects.FeedSource:
+    """Register a feed and let its server take it."""
+    asked = request(observe=coap.OBSERVE_REGISTER, token=key.token)
+    carrier.register(record('a', generation, key), asked, 'b1', 0)
+    return carrier.next_registrations(0, 1)[0].source
+
+
+def update(reading: int) -> Message:
+    """Build a server's notification."""
+    built = response(b'upstream', reading, str(reading).encode())
+    built.opt.observe = reading
+    return built
+
+
+def notify(
+    carrier: FeedCarrier,
+    source: effects.FeedSource,
+    reading: int,
+    now: float = 0,
+) -> Message:
+    """Pass a notification on; return what the caller gets."""
+    found = carrier.update(source, update(reading), now)
+    return coap.decode(found[0].payload)
+
+
+def reply(
+    carrier: FeedCarrier,
+    notification: Message,
+    mtype: coap.aiocoap.Type = coap.ACK,
+    now: float = 0,
+) -> list:
+    """Let the caller answer a notification."""
+    empty = coap.empty(mtype, notification.mid)
+    return carrier.reply(CALLER, SERVICE, empty, now)
+
+
+class TestNotifications:
+    """The newest state reaches the caller, once and in order."""
+
+    def test_carries_the_callers_token_and_own_numbers(self) -> None:
+        carrier = make_carrier()
+        source = make_feed(carrier)
+        first = notify(carrier, source, 17)
+        assert (first.token, first.mtype) == (TOKEN, coap.CON)
+        assert (first.payload, first.opt.observe) == (b'17', 0)
+        reply(carrier, first)
+        second = notify(carrier, source, 18)
+        assert second.opt.observe == 1
+        assert second.mid != first.mid
+
+    def test_repeats_through_another_balancer_until_the_ack(self) -> None:
+        """A planner would miss a reading when a balancer dies.
+
+        The notification goes through a balancer that has just died; the same
+        packet must come through the others.
+        """
+        carrier = make_carrier()
+        source = make_feed(carrier)
+        sent = carrier.update(source, update(17), 0)
+        for _ in BALANCERS[1:]:
+            sent.extend(carrier.poll(carrier.next_due()))
+        assert {given.balancer for given in sent} == set(BALANCERS)
+        assert len({given.payload for given in sent}) == 1
+        reply(carrier, coap.decode(sent[0].payload))
+        assert carrier.next_due() is None
+
+    def test_repeats_the_newest_state_only(self) -> None:
+        carrier = make_carrier()
+        source = make_feed(carrier)
+        first = notify(carrier, source, 1)
+        assert carrier.update(source, update(2), 0) == []
+        assert carrier.update(source, update(3), 0) == []
+        repeated = coap.decode(carrier.poll(1)[0].payload)
+        assert repeated.payload == b'3'
+        assert repeated.mid != first.mid
+        assert is_newer(repeated.opt.observe, first.opt.observe)
+        assert carrier.counters.superseded == 2
+        assert reply(carrier, first) == []
+        assert carrier.next_due() is not None
+
+    def test_sends_what_was_held_at_the_ack(self) -> None:
+        carrier = make_carrier()
+        source = make_feed(carrier)
+        first = notify(carrier, source, 1)
+        carrier.update(source, update(2), 0)
+        held = reply(carrier, first)[0]
+        assert coap.decode(held.payload).payload == b'2'
+
+    @pytest.mark.parametrize(
+        ('why', 'repeats'), [(ResultCode.TIMED_OUT, 4), (ResultCode.OK, 0)]
+    )
+    def test_ends_a_feed_whose_caller_is_gone(
+        self, why: ResultCode, repeats: int
+    ) -> None:
+        """Servers would feed callers that have gone for ever.
+
+        The caller has been switched off, or has restarted and rejects the
+        notification.  The server and the home are told.
+        """
+        carrier = make_carrier()
+        source = make_feed(carrier)
+        sent = notify(carrier, source, 1)
+        found = []
+        if repeats:
+            while carrier.next_due() is not None:
+                found = carrier.poll(carrier.next_due())
+        else:
+            found = reply(carrier, sent, coap.RST)
+        closed = attrs.evolve(record('a'), closed=True)
+        assert found == [
+            effects.CloseFeed(source),
+            effects.FeedClosed(closed, why),
+        ]
+        assert len(carrier) == 0
+        assert carrier.counters.repeats == repeats
+
+    def test_no_way_back_is_not_the_callers_fault(self) -> None:
+        paths = ReturnPaths()
+        carrier = FeedCarrier('a', 'sward-live', paths, random.Random(1))
+        source = make_feed(carrier)
+        assert carrier.update(source, update(1), 0) == []
+        for now in range(100):
+            assert carrier.poll(now) == []
+        paths.heard('b1', 100)
+        assert carrier.poll(100)
+
+    def test_asks_for_a_generation_before_numbers_run_out(self) -> None:
+        """A lot board would stop after 262144 states.
+
+        Its numbers under one generation are used up; the newest state waits
+        for the record of the next one.
+        """
+        carrier = make_carrier()
+        source = make_feed(carrier)
+        feed = carrier._feeds.find(KEY)
+        feed.delivery.counter = COUNTER_LIMIT - 1
+        last = notify(carrier, source, 1)
+        wanted = effects.GenerationWanted(record('a'))
+        reply(carrier, last)
+        assert carrier.update(source, update(2), 0) == [wanted]
+        taken = carrier.take(record('a', 1), last.opt.observe, 1)
+        following = coap.decode(taken[0].payload)
+        assert following.payload == b'2'
+        assert is_newer(following.opt.observe, last.opt.observe)
+
+
+class TestRegistration:
+    """Callers that register, again, or no more."""
+
+    def test_registering_again_opens_no_second_feed(self) -> None:
+        carrier = make_carrier()
+        source = make_feed(carrier)
+        first = notify(carrier, source, 5)
+        reply(carrier, first)
+        again = request(observe=coap.OBSERVE_REGISTER, message_id=2)
+        found = carrier.register(record('a'), again, 'b2', 1)
+        ack, state = [coap.decode(sent.payload) for sent in found]
+        assert (ack.mtype, ack.mid, ack.code) == (coap.ACK, 2, coap.EMPTY)
+        assert state.payload == b'5'
+        assert is_newer(state.opt.observe, first.opt.observe)
+        assert len(carrier) == 1
+        assert carrier.next_registrations(1, 10) == []
+
+    def test_refuses_above_its_capacity_at_once(self) -> None:
+        carrier = make_carrier(limits=FeedLimits(capacity=1))
+        make_feed(carrier)
+        other = attrs.evolve(KEY, token=b'other')
+        asked = request(observe=coap.OBSERVE_REGISTER)
+        found = carrier.register(record('a', key=other), asked, 'b2', 1)
+        refusal = coap.decode(found[0].payload)
+        assert refusal.code is coap.SERVICE_UNAVAILABLE
+        assert LIMITS.come_back <= refusal.opt.max_age <= 2 * LIMITS.come_back
+        assert found[1].record.closed
+
+    def test_caller_deregisters(self) -> None:
+        carrier = make_carrier()
+        source = make_feed(carrier)
+        found = carrier.deregister(KEY)
+        assert found[0] == effects.CloseFeed(source)
+        assert found[1].why is ResultCode.OK
+        assert carrier.deregister(KEY) == []
+
+    def test_first_registration_that_fails_is_answered_at_once(self) -> None:
+        carrier = make_carrier()
+        source = make_feed(carrier)
+        found = carrier.ended(source, ResultCode.NO_SERVER, None, 1)
+        final = coap.decode(found[0].payload)
+        assert final.code is coap.SERVICE_UNAVAILABLE
+        assert final.opt.observe is None
+        assert found[1].record.closed
+        assert carrier.handover(KEY) is None
+        reply(carrier, final)
+        assert len(carrier) == 0
+
+
+class TestMoves:
+    """Feeds that another server goes on with."""
+
+    def test_new_carrier_looks_newer_whatever_the_old_one_sends(self) -> None:
+        """A planner would see an old reading after a newer one.
+
+        The feed moves; the former carrier has not heard of it and sends on,
+        a few numbers ahead of those that it named in the move.
+        """
+        former, latter = make_carrier('a'), make_carrier('b')
+        source = make_feed(former)
+        reply(former, notify(former, source, 1))
+        move = former.handover(KEY)
+        late = notify(former, source, 2)
+        moved = record('b', 1)
+        assert latter.take(moved, move.observe, 1) == []
+        opened = latter.next_registrations(1, 1)[0]
+        assert opened.request.token == TOKEN
+        fresh = notify(latter, opened.source, 2)
+        assert is_newer(fresh.opt.observe, late.opt.observe)
+        assert former.moved(FeedMoved(KEY, 0)) == []
+        assert former.moved(FeedMoved(KEY, 1)) == [effects.CloseFeed(source)]
+        assert len(former) == 0
+        assert former.next_due() is None
+
+    def test_late_state_of_an_earlier_stay_goes_nowhere(self) -> None:
+        """A planner would see an old reading as the newest.
+
+        A feed moves away and back; then the server's answer to its first
+        registration arrives, and would get a number of the new generation.
+        """
+        carrier = make_carrier()
+        earlier = make_feed(carrier)
+        carrier.moved(FeedMoved(KEY, 1))
+        carrier.take(record('a', 2), COUNTER_LIMIT, 1)
+        carrier.next_registrations(1, 1)
+        stale = carrier.update(earlier, update(1), 2)
+        assert stale == [effects.CloseFeed(earlier)]
+        assert carrier.counters.late == 1
+
+    def test_asks_for_a_generation_that_looks_newer(self) -> None:
+        carrier = make_carrier()
+        found = carrier.take(record('a', 1), 3 * COUNTER_LIMIT, 1)
+        assert found == [effects.GenerationWanted(record('a', 1))]
+
+    def test_message_ids_differ_between_carriers(self) -> None:
+        """A caller would drop a reading as a duplicate.
+
+        Two carriers send to one caller from one service address, and start at
+        the same place of their ranges.
+        """
+        ends = (CALLER, SERVICE)
+        taken = {
+            CallerIds(host, random.Random(1)).take(ends, 0)
+            for host in ('carse-1', 'strathmore-1')
+        }
+        assert len(taken) == 2
+
+
+class TestServerTrouble:
+    """Servers that restart or refuse, and zones taken out."""
+
+    def test_restart_brings_feeds_back_as_there_is_room(self) -> None:
+        """A restarted server would fall over under all its feeds at once.
+
+        Ten established feeds end together; each round registers no more than
+        there is room for, and every feed comes back.
+        """
+        carrier = make_carrier()
+        for number in range(10):
+            key = attrs.evolve(KEY, token=bytes([number]))
+            source = make_feed(carrier, key)
+            notify(carrier, source, 1)
+            carrier.ended(source, ResultCode.NO_SERVER, None, 1)
+        assert carrier.next_registrations(9, 0) == []
+        assert len(carrier.without_server(9, 5)) == 10
+        rounds = [carrier.next_registrations(9, 4) for _ in range(4)]
+        assert [len(opened) for opened in rounds] == [4, 4, 2, 0]
+        assert len({one.source for some in rounds for one in some}) == 10
+
+    def test_established_feed_outlives_a_refusal(self) -> None:
+        carrier = make_carrier()
+        source = make_feed(carrier)
+        notify(carrier, source, 1)
+        refusal = Message(code=coap.SERVICE_UNAVAILABLE)
+        refusal.opt.max_age = 7
+        assert carrier.ended(source, ResultCode.OK, refusal, 0) == []
+        assert carrier.next_registrations(6, 1) == []
+        assert carrier.next_registrations(8, 1)[0].source.attempt == 2
+
+    def test_servers_last_word_is_passed_on(self) -> None:
+        carrier = make_carrier()
+        source = make_feed(carrier)
+        reply(carrier, notify(carrier, source, 1))
+        gone = Message(code=coap.aiocoap.NOT_FOUND)
+        found = carrier.ended(source, ResultCode.OK, gone, 0)
+        final = coap.decode(found[0].payload)
+        assert final.code is coap.aiocoap.NOT_FOUND
+        assert (final.token, final.mtype) == (TOKEN, coap.CON)
+
+    def test_zone_out_answers_each_caller_at_once(self) -> None:
+        """Shuttle drivers would watch a board that stands still.
+
+        Their zone is taken out: each gets the final answer through two
+        balancers, and nothing is left to be acknowledged.
+        """
+        carrier = make_carrier()
+        source = make_feed(carrier)
+        notify(carrier, source, 1)
+        found = carrier.give_up(KEY, ResultCode.ZONE_OUT, 1)
+        copies = [one for one in found if hasattr(one, 'payload')]
+        assert len({copy.balancer for copy in copies}) == 2
+        final = coap.decode(copies[0].payload)
+        assert (final.mtype, final.token) == (coap.NON, TOKEN)
+        assert final.payload == b'zone_out'
+        assert final.opt.max_age >= LIMITS.come_back
+        assert found[2] == effects.CloseFeed(source)
+        assert found[3].record.closed
+        assert carrier.next_due() is None
+        assert len(carrier) == 0
