--- a/demo/layout.py
+++ b/demo/layout.py
@@ -123,11 +123,6 @@
         """Return where a backend server notes what it has run."""
         return self.folder / f'{server.host}.runs'
 
-    def tables(self) -> str:
-        """Return the file for the operators' tool."""
-        services = self.services
-        return TABLES.format(sward=services[SWARD], cover=services[COVER])
-
     def commands(self) -> dict[str, list[str]]:
         """Return the command line of each process by its name."""
         command_by_name = {'fabric': self._fabric()}
@@ -222,6 +217,12 @@
         ]
 
 
+def tables_text(layout: Layout) -> str:
+    """Return the file of tables for the operators' tool."""
+    services = layout.services
+    return TABLES.format(sward=services[SWARD], cover=services[COVER])
+
+
 def find_layout(folder: pathlib.Path) -> Layout:
     """Return a layout whose ports are all free.
 
--- a/demo/tayside.py
+++ b/demo/tayside.py
@@ -26,7 +26,15 @@
     check_submission,
     zone_of,
 )
-from demo.layout import BALANCERS, SERVERS, SWARD, ZONES, Layout, find_layout
+from demo.layout import (
+    BALANCERS,
+    SERVERS,
+    SWARD,
+    ZONES,
+    Layout,
+    find_layout,
+    tables_text,
+)
 from demo.operators import Operator
 from demo.processes import Fleet, running
 from redwingstream.errors import ResultCode
@@ -94,7 +102,7 @@
 
     async def _load_tables(self) -> bool:
         path = self._layout.folder / 'tables.toml'
-        path.write_text(self._layout.tables())
+        path.write_text(tables_text(self._layout))
         applied = await self._operator.run('apply', str(path), '--yes')
         return self._report.add(
             Finding(applied.went_well, f'tables: {applied.first_line()}')
--- a/redwingstream/operators/overview.py
+++ b/redwingstream/operators/overview.py
@@ -17,6 +17,13 @@
 CONTROL_ROLE = 'control'
 
 
+@attrs.frozen
+class ConsensusVitals:
+    """What the overview takes of a control instance's consensus."""
+
+    role: str = ''
+
+
 @attrs.frozen
 class Vitals:
     """What the overview takes from the dump of a process.
@@ -33,6 +40,8 @@
         Feeds that it carries.
     limit : int or None
         Requests that its server may run at once.
+    consensus : ConsensusVitals or None
+        Of a control instance.
     """
 
     host: str = ''
@@ -40,6 +49,7 @@
     in_flight: int | None = None
     flows: int | None = None
     limit: int | None = None
+    consensus: ConsensusVitals | None = None
 
 
 @attrs.frozen
--- a/redwingstream/operators/reports.py
+++ b/redwingstream/operators/reports.py
@@ -78,7 +78,9 @@
         return 'lags'
     if process.member is not None and process.member.draining:
         return 'draining'
-    return 'in force'
+    consensus = process.vitals.consensus
+    role = consensus.role if consensus else ''
+    return f'in force, {role}' if role else 'in force'
 
 
 def _number(number: int | None, absent: str) -> str:
--- /dev/null
+++ b/redwingstream/operators/tests/test_overview.py
@@ -0,0 +1,24 @@
+"""Tests of the status of all processes."""
+
+import pytest
+
+from redwingstream.operators.client import ControlClient
+from redwingstream.operators.overview import take_overview
+from redwingstream.operators.reports import overview_lines
+from redwingstream.operators.tests.fakes import CONTROL, FakeFleet
+
+
+@pytest.mark.looptime
+class TestOverview:
+    async def test_says_who_lags_and_who_is_silent(self):
+        fleet = FakeFleet(silent={CONTROL[2]}, agent_revision=6)
+        overview = await take_overview(ControlClient(fleet, CONTROL, 10))
+        lagging = [process.lags for process in overview.processes]
+        assert lagging == [False, False, True, True]
+        assert overview.zones_out == ('strathmore',)
+        *_, silent, agent = overview_lines(overview)
+        assert silent.endswith('silent')
+        assert agent.split() == [
+            *('agent', 'sward-1', 'carse', 'sward-live', '100'),
+            *('3', '-', '-', '6', 'lags'),
+        ]
--- a/standins/fabric.py
+++ b/standins/fabric.py
@@ -83,17 +83,21 @@
     @contextlib.contextmanager
     def open(
         self, inside: Endpoint, services: Sequence[Endpoint]
-    ) -> Iterator[None]:
-        """Open the socket towards balancers and those of the services."""
+    ) -> Iterator[tuple[Endpoint, ...]]:
+        """Open the socket towards balancers and those of the services.
+
+        Yields
+        ------
+        tuple of Endpoint
+            Where the services really are; port 0 takes a free one.
+        """
         with contextlib.ExitStack() as stack:
             self._inside = stack.enter_context(
                 open_datagrams(inside, self.take_answer)
             )
             for service in services:
-                receiver = functools.partial(self.take_request, service)
-                opened = stack.enter_context(open_datagrams(service, receiver))
-                self._socket_by_service[service] = opened
-            yield
+                stack.enter_context(self._open_service(service))
+            yield tuple(self._socket_by_service)
 
     def take_request(
         self, service: Endpoint, payload: bytes, source: tuple[str, int]
@@ -119,6 +123,18 @@
         target = way.caller.as_pair()
         self._with_faults(functools.partial(outside.send, payload, target))
 
+    @contextlib.contextmanager
+    def _open_service(self, service: Endpoint) -> Iterator[None]:
+        bound: list[Endpoint] = []
+
+        def receive(payload: bytes, source: tuple[str, int]) -> None:
+            self.take_request(bound[0], payload, source)
+
+        with open_datagrams(service, receive) as opened:
+            bound.append(opened.endpoint)
+            self._socket_by_service[opened.endpoint] = opened
+            yield
+
     def _spray(self, datagram: bytes) -> None:
         if not self.balancers or self._inside is None:
             self.counters.unrouted += 1
