--- a/demo/checks.py
+++ b/demo/checks.py
@@ -20,6 +20,7 @@
 REPLAYS = 3
 REPLAY_PAUSE = 0.3
 STATES_WANTED = 4
+DEADLINE = 8.0
 PROBE_DEADLINE = 3.0
 REPORT_NAME = 'spring-2026'
 FEED_PATH = 'feed'
@@ -104,7 +105,7 @@
     def one_more(self) -> Client:
         """Return a caller with an address that nobody used so far."""
         self._used += 1
-        client = Client(self._used, _TIMING)
+        client = Client(self._used, _TIMING, DEADLINE)
         address = self.layout.caller_at(self._used)
         self._stack.enter_context(client.open(address))
         return client
--- a/demo/tayside.py
+++ b/demo/tayside.py
@@ -243,6 +243,8 @@
         _report_ended(fleet, report)
         if keep:
             await _wait_for_interrupt(layout)
+    if not report.went_well:
+        print(f'logs are in {folder}, kept with --folder')  # noqa: WPS421
     return report.went_well
 
 
--- a/standins/client.py
+++ b/standins/client.py
@@ -54,9 +54,17 @@
         Of tokens, message ids and timeouts.
     timing : Timing, optional
         When to repeat.
+    deadline : float, optional
+        Seconds to wait for a request that has no deadline of its own.
     """
 
-    def __init__(self, seed: int, timing: Timing | None = None) -> None:
+    def __init__(
+        self,
+        seed: int,
+        timing: Timing | None = None,
+        deadline: float | None = None,
+    ) -> None:
+        self._deadline = deadline
         self.counters = OutcomeCounters()
         self.last_frame = b''
         self._random = random.Random(seed)
@@ -96,10 +104,10 @@
             request is cancelled (RST) when it has passed.
         """
         packet.token = packet.token or self._new_token()
-        if deadline is not None:
-            coap.set_deadline(packet, deadline)
-        target = service.as_pair()
-        response = await self._exchange(target, packet, deadline)
+        wait = self._deadline if deadline is None else deadline
+        if wait is not None:
+            coap.set_deadline(packet, wait)
+        response = await self._exchange(service.as_pair(), packet, wait)
         outcome = NoAnswer() if response is None else outcome_of(response)
         self.counters.count(outcome)
         self.counters.repeated = self._sender.repeated
