--- /dev/null
+++ b/redwingstream/balancer/tests/test_forwarder.py
@@ -0,0 +1,101 @@
+"""Where a caller's packet goes, and why one is refused."""
+
+import pytest
+
+from redwingstream.balancer.forwarder import Forward, Forwarder, Refuse
+from redwingstream.endpoints import Endpoint, parse_endpoint
+from redwingstream.errors import ResultCode
+from redwingstream.membership.peers import SILENT_AFTER
+from redwingstream.placement.rendezvous import bucket_of, pair_of
+from redwingstream.tables.rows import Pool, PoolView, Route, ViewMember
+from redwingstream.tables.snapshot import Tables
+from redwingstream.wire.fabric import Way
+
+KEY = b'k' * 32
+SERVICE = '127.0.0.1:5683'
+POOL = 'sward-live'
+WAY = Way(Endpoint('10.0.0.1', 4000), parse_endpoint(SERVICE))
+MEMBERS = tuple(
+    ViewMember(f'host-{number}', 1, f'127.0.1.{number}:7000', zone)
+    for number, zone in enumerate(('carse', 'carse', 'strathmore'))
+)
+
+
+def tables_of(
+    *,
+    has_route: bool = True,
+    has_pool: bool = True,
+    members: tuple[ViewMember, ...] = MEMBERS,
+) -> Tables:
+    """Return tables with one service."""
+    route = Route(SERVICE, POOL)
+    return Tables(
+        revision=3,
+        route_by_key={route.key: route} if has_route else {},
+        pool_by_name={POOL: Pool(POOL, ('*',))} if has_pool else {},
+        view_by_pool={POOL: PoolView(POOL, 3, members)},
+    )
+
+
+def forwarder_with(tables: Tables) -> Forwarder:
+    """Return a forwarder that goes by some tables."""
+    forwarder = Forwarder(Endpoint('127.0.2.1', 7000), KEY)
+    forwarder.adopt(tables)
+    return forwarder
+
+
+class TestForwarder:
+    """Route, pool, bucket, home."""
+
+    def test_sends_to_the_home(self) -> None:
+        decision = forwarder_with(tables_of()).decide(WAY, b'packet', 0)
+        assert isinstance(decision, Forward)
+        bucket = bucket_of(str(WAY.caller), SERVICE, 64, KEY)
+        home = pair_of(MEMBERS, POOL, bucket).home
+        assert home is not None
+        assert str(decision.agent) == home.endpoint
+        assert decision.packet.payload == b'packet'
+        assert decision.packet.revision == 3
+
+    @pytest.mark.parametrize(
+        ('tables', 'reason'),
+        [
+            (tables_of(has_route=False), ResultCode.NO_ROUTE),
+            (tables_of(has_pool=False), ResultCode.NO_POOL),
+            (tables_of(members=()), ResultCode.NO_SERVER),
+            (Tables(), ResultCode.NO_ROUTE),
+        ],
+    )
+    def test_explains_a_refusal(
+        self, tables: Tables, reason: ResultCode
+    ) -> None:
+        decision = forwarder_with(tables).decide(WAY, b'packet', 0)
+        assert decision == Refuse(reason)
+
+    def test_two_balancers_choose_the_same_home(self) -> None:
+        first = forwarder_with(tables_of()).decide(WAY, b'', 0)
+        second = forwarder_with(tables_of()).decide(WAY, b'', 5)
+        assert isinstance(first, Forward)
+        assert isinstance(second, Forward)
+        assert first.agent == second.agent
+
+    def test_sends_to_the_heir_of_a_silent_home(self) -> None:
+        """A dead home swallows an adviser's request for the whole lease.
+
+        The home is killed.  Balancers know only the committed view, in which
+        it stays until control has missed its heartbeats for three seconds.
+        """
+        forwarder = forwarder_with(tables_of())
+        first = forwarder.decide(WAY, b'', 0)
+        later = forwarder.decide(WAY, b'', SILENT_AFTER + 1)
+        assert isinstance(first, Forward)
+        assert isinstance(later, Forward)
+        assert later.agent != first.agent
+        forwarder.links.heard(first.agent)
+        assert forwarder.decide(WAY, b'', SILENT_AFTER + 2) == first
+
+    def test_forgets_a_pool_that_was_removed(self) -> None:
+        forwarder = forwarder_with(tables_of())
+        forwarder.adopt(Tables(revision=4))
+        decision = forwarder.decide(WAY, b'', 0)
+        assert decision == Refuse(ResultCode.NO_ROUTE)
--- /dev/null
+++ b/redwingstream/membership/tests/test_peers.py
@@ -0,0 +1,54 @@
+"""Links that go silent are probed, then avoided."""
+
+import pytest
+
+from redwingstream.endpoints import Endpoint
+from redwingstream.membership.peers import (
+    FORGOTTEN_AFTER,
+    PROBE_AFTER,
+    SILENT_AFTER,
+    PeerLinks,
+)
+
+PEER = Endpoint('127.0.0.1', 7000)
+LATER = 0.01
+
+
+@pytest.fixture
+def links() -> PeerLinks:
+    """Return links on which something was sent at time 0."""
+    links = PeerLinks()
+    links.sent(PEER, 0)
+    return links
+
+
+class TestPeerLinks:
+    """One peer that answers or does not."""
+
+    def test_probes_a_peer_that_has_not_reacted(self, links: PeerLinks) -> None:
+        assert not links.due_probes(PROBE_AFTER - LATER)
+        assert links.due_probes(PROBE_AFTER + LATER) == [PEER]
+
+    def test_does_not_probe_at_every_look(self, links: PeerLinks) -> None:
+        links.due_probes(PROBE_AFTER + LATER)
+        assert not links.due_probes(PROBE_AFTER + 2 * LATER)
+
+    def test_a_silent_peer_is_avoided_until_it_is_heard(
+        self, links: PeerLinks
+    ) -> None:
+        """A dead home swallows a caller's packets until its lease ends.
+
+        The home is killed; control removes it three seconds later.  Until then
+        every balancer would go on sending to it.
+        """
+        assert not links.is_silent(PEER, SILENT_AFTER - LATER)
+        assert links.is_silent(PEER, SILENT_AFTER + LATER)
+        links.heard(PEER)
+        assert not links.is_silent(PEER, SILENT_AFTER + LATER)
+
+    def test_an_idle_peer_is_not_silent(self) -> None:
+        assert not PeerLinks().is_silent(PEER, 100)
+
+    def test_forgets_a_peer_that_is_not_used(self, links: PeerLinks) -> None:
+        assert not links.due_probes(FORGOTTEN_AFTER + 1)
+        assert not links.is_silent(PEER, FORGOTTEN_AFTER + 2)
--- a/redwingstream/wire/fabric.py
+++ b/redwingstream/wire/fabric.py
@@ -15,7 +15,7 @@
 import socket
 
 import attrs
-from proxyprotocol import ProxyProtocolSyntaxError, ProxyProtocolWantRead
+from proxyprotocol import ProxyProtocolIncompleteError
 from proxyprotocol.result import ProxyResultIPv4, ProxyResultIPv6
 from proxyprotocol.v2 import ProxyProtocolV2
 
@@ -81,7 +81,7 @@
 def _read_header(header: bytes) -> Way:
     try:
         parsed = _codec.unpack(header)
-    except (ProxyProtocolSyntaxError, ProxyProtocolWantRead) as error:
+    except (ValueError, ProxyProtocolIncompleteError) as error:
         raise WireError('PROXY protocol v2 header is malformed') from error
     if not isinstance(parsed, ProxyResultIPv4 | ProxyResultIPv6):
         raise WireError('PROXY protocol v2 header names no IP addresses')
--- a/redwingstream/wire/messages.py
+++ b/redwingstream/wire/messages.py
@@ -9,7 +9,7 @@
 """
 
 from collections.abc import Callable
-from typing import Any, TypeVar
+from typing import Any, TypeVar, dataclass_transform
 
 import attrs
 import msgspec
@@ -26,6 +26,7 @@
 _decoder_by_kind: dict[int, msgspec.msgpack.Decoder[Any]] = {}
 
 
+@dataclass_transform(frozen_default=True, field_specifiers=(attrs.field,))
 def message(kind: int) -> Callable[[MessageT], MessageT]:
     """Make a class a frozen ``attrs`` message with a kind number.
 
