--- a/asv_bench/tables.py
+++ b/asv_bench/tables.py
@@ -4,7 +4,7 @@
 def markdown_table(rows: list[dict]) -> str:
     """Return rows of equal keys as a Markdown table."""
     columns = list(rows[0])
-    lines = [columns, ['---'] * len(columns)]
+    lines = [columns, ['---' for _ in columns]]
     lines.extend(list(row.values()) for row in rows)
     return '\n'.join(_line(cells) for cells in lines)
 
