Keep ended flows and the carrier's queries in modules of their own

FlowTable.find returns the record of exactly one feed, where carrier_of falls back to the flow's placement.

--- a/redwingstream/flows/feeds.py
+++ b/redwingstream/flows/feeds.py
@@ -1,13 +1,9 @@
 """Feeds that an agent carries: between its server and the callers."""
 
-import random
-
 import attrs
 from aiocoap.message import Message
 
 from redwingstream.errors import ResultCode
-from redwingstream.flows.caller_ids import CallerIds
-from redwingstream.flows.carried import CarriedFeeds
 from redwingstream.flows.effects import (
     CloseFeed,
     FeedClosed,
@@ -17,20 +13,17 @@
     OpenFeed,
     SendToCaller,
 )
-from redwingstream.flows.feed_state import FeedCounters, FeedLimits
-from redwingstream.flows.notifications import Notifications
+from redwingstream.flows.feed_queries import FeedQueries
 from redwingstream.flows.observe import is_newer
-from redwingstream.flows.paths import ReturnPaths
 from redwingstream.flows.records import FlowKey, FlowRecord
-from redwingstream.flows.registrations import Registrations
-from redwingstream.forwarding.messages import FeedMove, FeedMoved
+from redwingstream.forwarding.messages import FeedMoved
 from redwingstream.wire import coap
 
 FINAL_COPIES = 2
 """Balancers through which the final answer of a feed given up goes."""
 
 
-class FeedCarrier:
+class FeedCarrier(FeedQueries):
     """Feeds of callers that this agent's server carries.
 
     Parameters
@@ -51,38 +44,6 @@
     the caller sees.
     """
 
-    def __init__(
-        self,
-        host: str,
-        pool: str,
-        paths: ReturnPaths,
-        rng: random.Random,
-        limits: FeedLimits | None = None,
-    ) -> None:
-        self._pool = pool
-        self._limits = limits or FeedLimits()
-        self.counters = FeedCounters()
-        self._ids = CallerIds(host, rng)
-        self._notifications = Notifications(
-            self._ids, paths, self._limits, self.counters
-        )
-        self._registrations = Registrations(rng, self._limits)
-        self._feeds = CarriedFeeds(
-            self._notifications, self._registrations, rng, self._limits
-        )
-
-    def __len__(self) -> int:
-        """Return how many feeds are carried."""
-        return len(self._feeds)
-
-    def keys(self) -> tuple[FlowKey, ...]:
-        """Return the feeds carried, but for those being closed."""
-        return self._feeds.keys()
-
-    def records(self) -> tuple[FlowRecord, ...]:
-        """Return the records of the feeds carried, as far as known here."""
-        return tuple(self._feeds.records())
-
     def register(
         self, record: FlowRecord, request: Message, balancer: str, now: float
     ) -> list[FeedEffect]:
@@ -141,19 +102,6 @@
             return [GenerationWanted(feed.record)]
         return self._notifications.send_held(feed, now)
 
-    def handover(self, key: FlowKey) -> FeedMove | None:
-        """Return the request to place a feed elsewhere.
-
-        Notes
-        -----
-        The feed is served here until :meth:`moved` says that its new carrier
-        has it: no gap, and the new carrier's numbers are newer.
-        """
-        feed = self._feeds.find_open(key)
-        if feed is None:
-            return None
-        return FeedMove(self._pool, feed.record, feed.observe)
-
     def moved(self, message: FeedMoved) -> list[FeedEffect]:
         """Let go of a feed that its home has placed elsewhere."""
         feed = self._feeds.find(message.key)
@@ -242,14 +190,6 @@
         """
         return self._registrations.take_due(now, room)
 
-    def without_server(self, now: float, longer_than: float) -> list[FlowKey]:
-        """Return the feeds not registered at the server for some time."""
-        return [
-            feed.key
-            for feed in self._registrations.waiting()
-            if now - feed.waiting_since > longer_than
-        ]
-
     def give_up(
         self, key: FlowKey, why: ResultCode, now: float
     ) -> list[FeedEffect]:
@@ -278,10 +218,6 @@
         self._ids.forget_idle(now)
         return effects
 
-    def next_due(self) -> float | None:
-        """Return when :meth:`poll` is due, or None."""
-        return self._notifications.timers.next_due()
-
 
 def _refuse(
     record: FlowRecord, request: Message, balancer: str, come_back: int
--- a/redwingstream/flows/table.py
+++ b/redwingstream/flows/table.py
@@ -5,11 +5,8 @@
 
 import attrs
 
-from redwingstream.flows.message_ids import EXCHANGE_LIFETIME
 from redwingstream.flows.records import FlowKey, FlowRecord
-
-TOMBSTONE_LIFETIME = EXCHANGE_LIFETIME
-"""Seconds in which a late record cannot revive a flow that has ended."""
+from redwingstream.flows.tombstones import Tombstones
 
 
 @attrs.define
@@ -52,8 +49,7 @@
         self._entry_by_key: dict[FlowKey, _Entry] = {}
         # Plain placements, least recently used first.
         self._plain_by_key: dict[FlowKey, None] = {}
-        # Ended flows, the earliest first.
-        self._tombstone_by_key: dict[FlowKey, _Entry] = {}
+        self._tombstones = Tombstones(capacity)
         self._keys_by_bucket: dict[int, set[FlowKey]] = {}
         self._feeds_by_ends: dict[tuple[str, str], tuple[FlowKey, ...]] = {}
         self.counters = FlowCounters()
@@ -71,18 +67,19 @@
             False when a newer one is known, or when the table is full of
             feeds: a feed that was not recorded must not be opened.
         """
-        if not self._replaces(record):
+        known = self.find(record.key) or self._tombstones.find(record.key)
+        if not _replaces(record, known):
             self.counters.stale += 1
             return False
         if record.closed:
             self._forget(record.key)
-            self._bury(_Entry(record, bucket, now))
+            self._tombstones.add(bucket, record, now)
             return True
         if record.key not in self._entry_by_key and not self._make_room():
             self.counters.refused += 1
             return False
         self._forget(record.key)
-        self._tombstone_by_key.pop(record.key, None)
+        self._tombstones.remove(record.key)
         self._remember(_Entry(record, bucket, now))
         return True
 
@@ -113,19 +110,19 @@
 
     def next_generation(self, key: FlowKey) -> int:
         """Return the generation of the next record of a flow or feed."""
-        entry = self._entry_by_key.get(key) or self._tombstone_by_key.get(key)
-        return 0 if entry is None else entry.record.generation + 1
+        known = self.find(key) or self._tombstones.find(key)
+        return 0 if known is None else known.generation + 1
+
+    def find(self, key: FlowKey) -> FlowRecord | None:
+        """Return the open record of exactly this flow or feed."""
+        entry = self._entry_by_key.get(key)
+        return None if entry is None else entry.record
 
     def export(self, bucket: int) -> tuple[FlowRecord, ...]:
         """Return the records of a bucket, those of ended flows too."""
         keys = self._keys_by_bucket.get(bucket, ())
         alive = [self._entry_by_key[key].record for key in keys]
-        ended = [
-            entry.record
-            for entry in self._tombstone_by_key.values()
-            if entry.bucket == bucket
-        ]
-        return tuple(alive + ended)
+        return (*alive, *self._tombstones.of_bucket(bucket))
 
     def merge(
         self, bucket: int, records: Iterable[FlowRecord], now: float
@@ -137,13 +134,7 @@
         """Forget a bucket that now has another home and heir."""
         for key in tuple(self._keys_by_bucket.get(bucket, ())):
             self._forget(key)
-        ended = [
-            entry.record.key
-            for entry in self._tombstone_by_key.values()
-            if entry.bucket == bucket
-        ]
-        for late in ended:
-            self._tombstone_by_key.pop(late)
+        self._tombstones.drop(bucket)
 
     def carried_by(self, host: str) -> tuple[FlowRecord, ...]:
         """Return the open flows that a host carries."""
@@ -170,25 +161,7 @@
         for idle in placements:
             self._forget(idle)
             self.counters.expired += 1
-        ended = _older(
-            self._tombstone_by_key.values(), now - TOMBSTONE_LIFETIME
-        )
-        for late in ended:
-            self._tombstone_by_key.pop(late)
-
-    def _replaces(self, record: FlowRecord) -> bool:
-        known = self._entry_by_key.get(record.key)
-        if known is None:
-            known = self._tombstone_by_key.get(record.key)
-        if known is None:
-            return True
-        if known.record.registration and not record.registration:
-            # A feed may have the empty token, whose key is also that of the
-            # flow's plain placement.  Without this guard a placement would
-            # replace the feed, and its notifications would stop.
-            if not record.closed and not known.record.closed:
-                return False
-        return _rank(record) >= _rank(known.record)
+        self._tombstones.expire(now)
 
     def _make_room(self) -> bool:
         if len(self._entry_by_key) < self._capacity:
@@ -229,15 +202,6 @@
         if left:
             self._feeds_by_ends[ends] = left
 
-    def _bury(self, entry: _Entry) -> None:
-        key = entry.record.key
-        self._tombstone_by_key.pop(key, None)
-        self._tombstone_by_key[key] = attrs.evolve(
-            entry, record=attrs.evolve(entry.record, registration=b'')
-        )
-        if len(self._tombstone_by_key) > self._capacity:
-            self._tombstone_by_key.pop(next(iter(self._tombstone_by_key)))
-
 
 def _older(entries: Iterable[_Entry], limit: float) -> list[FlowKey]:
     """Return the keys of the leading entries last used before a time."""
@@ -245,5 +209,16 @@
     return [entry.record.key for entry in older]
 
 
+def _replaces(record: FlowRecord, known: FlowRecord | None) -> bool:
+    if known is None:
+        return True
+    if known.registration and not record.registration and not record.closed:
+        # A feed may have the empty token, whose key is also that of the
+        # flow's plain placement.  Without this guard a placement would
+        # replace the feed, and its notifications would stop.
+        return False
+    return _rank(record) >= _rank(known)
+
+
 def _rank(record: FlowRecord) -> tuple[int, bool, str]:
     return (record.generation, record.closed, record.carrier)
--- a/redwingstream/flows/tests/test_feeds.py
+++ b/redwingstream/flows/tests/test_feeds.py
@@ -96,7 +96,14 @@
         The notification goes through a balancer that has just died; the same
         packet must come through the others.
         """
-        carrier = make_carrier()
+        paths = ReturnPaths()
+        for balancer in BALANCERS:
+            paths.heard(balancer, 0)
+            for _ in range(9):
+                # Losses of other callers' notifications.
+                paths.unanswered(balancer)
+        paths.answered('b3')
+        carrier = FeedCarrier('a', 'sward-live', paths, random.Random(2))
         source = make_feed(carrier)
         sent = carrier.update(source, update(17), 0)
         for _ in BALANCERS[1:]:
--- a/redwingstream/flows/tests/test_table.py
+++ b/redwingstream/flows/tests/test_table.py
@@ -3,7 +3,7 @@
 import itertools
 
 from redwingstream.flows.records import FlowKey, FlowRecord
-from redwingstream.flows.table import TOMBSTONE_LIFETIME, FlowTable
+from redwingstream.flows.table import FlowTable
 from redwingstream.flows.tests.fakes import (
     CALLER,
     KEY,
@@ -12,6 +12,7 @@
     TOKEN,
     record,
 )
+from redwingstream.flows.tombstones import TOMBSTONE_LIFETIME
 
 PLAIN = FlowKey(CALLER, SERVICE)
 BUCKET = 3
@@ -38,6 +39,7 @@
         assert table.carrier_of(CALLER, SERVICE, TOKEN, 1).carrier == 'a'
         assert table.carrier_of(CALLER, SERVICE, b'other', 1).carrier == 'b'
         assert table.carrier_of('x', SERVICE, TOKEN, 1) is None
+        assert table.find(FlowKey(CALLER, SERVICE, b'other')) is None
         assert table.carriers(CALLER, SERVICE) == {'a'}
         assert table.carried_by('b') == (FlowRecord(PLAIN, 'b'),)
 
--- a/redwingstream/flows/tests/test_upstream.py
+++ b/redwingstream/flows/tests/test_upstream.py
@@ -274,6 +274,27 @@
         assert not self.answer(upstream, checks[0], 12, 3)
         assert upstream.counters.restarts == 0
 
+    def test_registers_silent_feeds_again(self) -> None:
+        """A feed that the server has lost would stay silent.
+
+        Whatever the reason, each feed without a notification for its Max-Age
+        is registered again under its token.
+        """
+        limits = UpstreamLimits(check_interval=1000)
+        upstream = Upstream(random.Random(3), limits)
+        tokens = {
+            coap.decode(self.open(upstream, owner).packet).token
+            for owner in ('one', 'two', 'three')
+        }
+        again = poll_until(upstream, limits.refresh_after * 3 / 2)
+        sent = [
+            coap.decode(one.packet)
+            for one in of_type(again, effects.SendToServer)
+            if one.source != effects.FRESH_SOURCE
+        ]
+        assert {one.token for one in sent} == tokens
+        assert all(one.opt.observe == 0 for one in sent)
+
     def test_closed_feed_is_rejected_at_its_next_state(
         self, upstream: Upstream
     ) -> None:
--- /dev/null
+++ b/redwingstream/flows/tombstones.py
@@ -0,0 +1,67 @@
+"""Flows that have ended, remembered for a while."""
+
+from collections.abc import Iterator
+
+import attrs
+
+from redwingstream.flows.message_ids import EXCHANGE_LIFETIME
+from redwingstream.flows.records import FlowKey, FlowRecord
+
+TOMBSTONE_LIFETIME = EXCHANGE_LIFETIME
+"""Seconds in which a late record cannot revive a flow that has ended."""
+
+
+@attrs.frozen
+class _Tombstone:
+    record: FlowRecord
+    bucket: int
+    since: float
+
+
+class Tombstones:
+    """Closed records by key, the earliest first.
+
+    Parameters
+    ----------
+    capacity : int
+        How many are kept; the earliest goes first.
+    """
+
+    def __init__(self, capacity: int) -> None:
+        self._capacity = capacity
+        self._tombstone_by_key: dict[FlowKey, _Tombstone] = {}
+
+    def add(self, bucket: int, record: FlowRecord, now: float) -> None:
+        """Remember a closed record, without its registration."""
+        bare = attrs.evolve(record, registration=b'')
+        self._tombstone_by_key.pop(record.key, None)
+        self._tombstone_by_key[record.key] = _Tombstone(bare, bucket, now)
+        if len(self._tombstone_by_key) > self._capacity:
+            self._tombstone_by_key.pop(next(iter(self._tombstone_by_key)))
+
+    def find(self, key: FlowKey) -> FlowRecord | None:
+        """Return the closed record of a flow."""
+        found = self._tombstone_by_key.get(key)
+        return None if found is None else found.record
+
+    def remove(self, key: FlowKey) -> None:
+        """Forget one: the flow has been opened anew."""
+        self._tombstone_by_key.pop(key, None)
+
+    def of_bucket(self, bucket: int) -> Iterator[FlowRecord]:
+        """Iterate over the closed records of a bucket."""
+        for tombstone in self._tombstone_by_key.values():
+            if tombstone.bucket == bucket:
+                yield tombstone.record
+
+    def drop(self, bucket: int) -> None:
+        """Forget a bucket."""
+        for record in tuple(self.of_bucket(bucket)):
+            self._tombstone_by_key.pop(record.key)
+
+    def expire(self, now: float) -> None:
+        """Forget those that are old enough."""
+        for key, tombstone in tuple(self._tombstone_by_key.items()):
+            if now - tombstone.since < TOMBSTONE_LIFETIME:
+                return
+            self._tombstone_by_key.pop(key)
