--- a/redwingstream/operators/commands/base.py
+++ b/redwingstream/operators/commands/base.py
@@ -25,6 +25,14 @@
 from redwingstream.wire.frames import FrameCodec
 
 
+HELP = (
+    'Each setting is a flag or an environment variable; the flag goes first. '
+    'The tool finds the leader among the control instances by itself. It '
+    'exits with 0, or with a number of docs/result-codes.md whose name stands '
+    'at the end of the error.'
+)
+
+
 def setting_options() -> list[Any]:
     """Return the options that every command has."""
     options = [
@@ -49,6 +57,7 @@
     """
 
     options = setting_options()
+    help = HELP
     settings: OperatorSettings
     key: bytes
 
--- a/redwingstream/operators/commands/tables.py
+++ b/redwingstream/operators/commands/tables.py
@@ -215,7 +215,8 @@
         'The file has lists "pools" (name, admits, buckets), "routes" '
         '(service, pool, callers) and "zones" (zone, out). A table that the '
         'file names is replaced whole; one that it leaves out stays. The '
-        'differences are shown before anything is changed.'
+        'differences are shown before anything is changed. Settings and exit '
+        'codes are those of every command.'
     )
     arguments = [argument('file', 'The file; .json is read as JSON.')]
     options = [
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -1,7 +1,7 @@
 """Stand-in for callers as a process: feeds, submissions and reports.
 
-It prints one JSON object for each event and the counters of all outcomes at
-the end.  It exits with 1 when a feed broke or a request was not answered.
+It prints one JSON object for each event and the counters of each caller at its
+end.  It exits with 1 when a feed broke or a request was not answered.
 """
 
 import argparse
@@ -24,6 +24,7 @@
 NUMBERS = types.MappingProxyType(
     {
         '--count': 1,
+        '--parallel': 64,
         '--attempts': 5,
         '--seconds': 5.0,
         '--silence': 5.0,
@@ -46,18 +47,27 @@
 
 
 async def run(flags: argparse.Namespace) -> bool:
-    """Do what the command line says; return whether all of it went well."""
-    client = Client(flags.seed)
-    with client.open(flags.bind):
-        kinds = {'feed': _feed, 'submit': _submit, 'fetch': _fetch}
-        went_well = True
-        for number in range(flags.count):
-            # One after the other, as one caller does.
-            done = await kinds[flags.what](  # noqa: WPS476
-                client, flags, number
-            )
-            went_well = went_well and done
-    _show('counters', **attrs.asdict(client.counters))
+    """Do what the command line says; return whether all of it went well.
+
+    Each of ``--count`` callers has a socket, so a flow, of its own; at most
+    ``--parallel`` of them are at work at once.
+    """
+    places = asyncio.Semaphore(flags.parallel)
+    callers = [
+        _run_caller(flags, number, places) for number in range(flags.count)
+    ]
+    return all(await asyncio.gather(*callers))
+
+
+async def _run_caller(
+    flags: argparse.Namespace, number: int, places: asyncio.Semaphore
+) -> bool:
+    kinds = {'feed': _feed, 'submit': _submit, 'fetch': _fetch}
+    client = Client(flags.seed + number)
+    async with places:
+        with client.open(flags.bind):
+            went_well = await kinds[flags.what](client, flags, number)
+    _show('counters', caller=number, **attrs.asdict(client.counters))
     return went_well
 
 
--- a/standins/feeds.py
+++ b/standins/feeds.py
@@ -101,6 +101,15 @@
         for feed in list(self._feed_by_name.values()):
             self._notify_one(feed)
 
+    def end_all(self) -> None:
+        """Tell every observer that its feed ends here (RFC 7641, 3.2)."""
+        for feed in list(self._feed_by_name.values()):
+            ending = Message(code=coap.SERVICE_UNAVAILABLE)
+            ending.opt.max_age = 1
+            ending.token = feed.token
+            self.remove(feed.target, feed.token)
+            self._sender.send(ending, feed.target)
+
     def _notify_one(self, feed: _Feed) -> None:
         if feed.unacknowledged >= MAX_UNACKNOWLEDGED:
             self.given_up += 1
--- a/standins/reliable.py
+++ b/standins/reliable.py
@@ -11,7 +11,7 @@
 from redwingstream.wire import coap
 
 MAX_PENDING = 8192
-MAX_REMEMBERED = 4096
+MAX_REMEMBERED = 65536
 EXCHANGE_LIFETIME = 247.0
 
 Target = tuple[str, int]
--- a/standins/server.py
+++ b/standins/server.py
@@ -90,13 +90,17 @@
                 self.jobs.stop()
 
     async def drain(self, feed_seconds: float) -> None:
-        """Take no new work; wait for what runs, and a while for feeds."""
+        """Take no new work; wait for what runs, and a while for feeds.
+
+        Feeds that are left then are ended by a last notification.
+        """
         self.jobs.work.draining = True
         end = self._loop.time() + feed_seconds
         while self.jobs.count:
             await asyncio.sleep(TICK_PERIOD)
         while self.feeds.count and self._loop.time() < end:
             await asyncio.sleep(TICK_PERIOD)
+        self.feeds.end_all()
 
     def take(self, payload: bytes, source: Target) -> None:
         """Take one datagram."""
--- a/standins/tests/test_whole_way.py
+++ b/standins/tests/test_whole_way.py
@@ -107,6 +107,14 @@
         outcome = await path.client.request(path.service, packet)
         assert outcome == NotRun('draining', 1)
 
+    async def test_feeds_end_with_the_drain(self, path):
+        feed = await path.client.observe(path.service, 'feed')
+        await path.backend.drain(feed_seconds=0)
+        while not feed.ended:
+            await feed.next_state(10)
+        assert 'Unavailable' in feed.ended
+        assert path.client.counters.broken_feeds == 1
+
     async def test_late_request_is_not_run(self, path):
         # Both slots are taken for longer than the caller will wait.  The
         # request must leave the queue as not run, and not run unseen later.
