--- a/redwingstream/wire/fabric.py
+++ b/redwingstream/wire/fabric.py
@@ -13,6 +13,7 @@
 import functools
 import ipaddress
 import socket
+import struct
 
 import attrs
 from proxyprotocol import ProxyProtocolIncompleteError
@@ -27,6 +28,8 @@
 _LENGTH_OFFSET = 14
 _MAX_HEADER = 536
 
+_HEADER_ERRORS = (ValueError, struct.error, ProxyProtocolIncompleteError)
+
 _codec = ProxyProtocolV2()
 
 
@@ -81,7 +84,7 @@
 def _read_header(header: bytes) -> Way:
     try:
         parsed = _codec.unpack(header)
-    except (ValueError, ProxyProtocolIncompleteError) as error:
+    except _HEADER_ERRORS as error:
         raise WireError('PROXY protocol v2 header is malformed') from error
     if not isinstance(parsed, ProxyResultIPv4 | ProxyResultIPv6):
         raise WireError('PROXY protocol v2 header names no IP addresses')
