Let a member start without control, and a balancer leave quietly

Cause: a balancer that restarts while all control instances are away has no tables and refuses every packet; one that got SIGTERM closed its sockets under packets that the fabric still sent. Heartbeats are spread by 10 %. Ruled out: a copy of the tables on disk, since entry instances have none. Not measured yet.

--- a/redwingstream/agent/role.py
+++ b/redwingstream/agent/role.py
@@ -57,7 +57,7 @@
             weight=settings.weight,
         )
         self._node = MemberNode(settings, key, announcement, self.metrics)
-        self._node.on_tables = self._adopt
+        self._node.follower.on_tables = self._adopt
         self._node.vitals = self._vitals
         self._node.state = self._state
         for message_class in AGENT_MESSAGES:
@@ -111,7 +111,7 @@
 
     def hear_revision(self, revision: int, endpoint: str) -> None:
         """Fetch newer tables."""
-        self._node.hear_revision(revision, parse_endpoint(endpoint))
+        self._node.follower.hear(revision, parse_endpoint(endpoint))
 
     def _has_left(self, core: AgentCore) -> bool:
         """Whether nothing is left here that a stop would cut.
@@ -119,7 +119,9 @@
         The buckets must have gone too: until the newest view is settled, a new
         home may still ask this agent for its records.
         """
-        view = self._node.history.tables.view_by_pool.get(self._settings.pool)
+        view = self._node.follower.history.tables.view_by_pool.get(
+            self._settings.pool
+        )
         if view is None:
             return core.is_idle()
         is_in_view = any(map(core.parts.is_me, view.members))
@@ -128,11 +130,11 @@
     def _adopt(self) -> None:
         core = self._core or self._make_core()
         if core is not None:
-            core.follow(self._node.history.tables, self._node.now)
+            core.follow(self._node.follower.history.tables, self._node.now)
 
     def _make_core(self) -> AgentCore | None:
         """Begin to work once this run is admitted and its pool is known."""
-        tables = self._node.history.tables
+        tables = self._node.follower.history.tables
         settings = self._settings
         pool = tables.pool_by_name.get(settings.pool)
         member = tables.member_by_host.get(settings.host)
@@ -156,7 +158,7 @@
 
     def _vitals(self) -> Vitals:
         if self._core is None:
-            return Vitals(revision=self._node.history.tables.revision)
+            return Vitals(revision=self._node.follower.history.tables.revision)
         return self._core.vitals()
 
     def _on_frame(self, message: AgentMessage, source: Endpoint) -> None:
@@ -168,7 +170,7 @@
     def _on_probe_ack(self, ack: ProbeAck, source: Endpoint) -> None:
         if self._core is not None:
             self._core.parts.links.heard(source)
-        self._node.hear_revision(ack.revision, source)
+        self._node.follower.hear(ack.revision, source)
 
     def _on_server(self, packet: bytes, source: int) -> None:
         if self._core is not None:
--- a/redwingstream/balancer/role.py
+++ b/redwingstream/balancer/role.py
@@ -18,6 +18,9 @@
 from redwingstream.wire import coap, fabric
 from redwingstream.wire.datagrams import DatagramSocket, open_datagrams
 
+QUIET_SECONDS = 1.0
+"""A fabric that hands in nothing for so long has stopped to."""
+
 _PROBE_TICK = 0.1
 _COME_BACK = 2
 
@@ -47,12 +50,13 @@
             weight=1,
         )
         self._node = MemberNode(settings, key, announcement, self.metrics)
-        self._node.on_tables = self._adopt
+        self._node.follower.on_tables = self._adopt
         self._node.handle(Answer, self._on_answer)
         self._node.handle(ProbeAck, self._on_probe_ack)
         self._forwarder = Forwarder(settings.endpoint, key)
         self._fabric_socket: DatagramSocket | None = None
         self._fabric_source = settings.fabric
+        self._fabric_at = float()
 
     @contextlib.asynccontextmanager
     async def opened(self) -> AsyncIterator[None]:
@@ -69,8 +73,18 @@
                 finally:
                     probing.cancel()
 
+    async def drain(self) -> None:
+        """Go on forwarding until the fabric has stopped handing in packets."""
+        logging.info('balancer: %s drains.', self._settings.host)
+        self._node.announcer.leaving = True
+        deadline = self._node.now + self._settings.drain_seconds
+        self._fabric_at = self._node.now
+        while self._node.now < min(deadline, self._fabric_at + QUIET_SECONDS):
+            await asyncio.sleep(_PROBE_TICK)
+        logging.info('balancer: %s has drained.', self._settings.host)
+
     def _adopt(self) -> None:
-        self._forwarder.adopt(self._node.history.tables)
+        self._forwarder.adopt(self._node.follower.history.tables)
 
     def _on_fabric(self, datagram: bytes, source: tuple[str, int]) -> None:
         try:
@@ -79,6 +93,7 @@
             self.metrics.count('fabric_malformed')
             return
         self._fabric_source = Endpoint(*source)
+        self._fabric_at = self._node.now
         match self._forwarder.decide(way, payload, self._node.now):
             case Forward(agent, packet):
                 self.metrics.count('forwarded')
@@ -101,7 +116,7 @@
 
     def _on_answer(self, answer: Answer, source: Endpoint) -> None:
         self._forwarder.links.heard(source)
-        self._node.hear_revision(answer.revision, source)
+        self._node.follower.hear(answer.revision, source)
         way = fabric.Way(
             parse_endpoint(answer.caller), parse_endpoint(answer.service)
         )
@@ -118,11 +133,11 @@
 
     def _on_probe_ack(self, ack: ProbeAck, source: Endpoint) -> None:
         self._forwarder.links.heard(source)
-        self._node.hear_revision(ack.revision, source)
+        self._node.follower.hear(ack.revision, source)
 
     async def _probe(self) -> None:
         while True:
             await asyncio.sleep(_PROBE_TICK)
-            revision = self._node.history.tables.revision
+            revision = self._node.follower.revision
             for peer in self._forwarder.links.due_probes(self._node.now):
                 self._node.send(peer, Probe(revision))
--- a/redwingstream/daemon.py
+++ b/redwingstream/daemon.py
@@ -41,8 +41,10 @@
 ) -> None:
     from redwingstream.balancer.role import BalancerRole  # noqa: WPS433
 
-    async with BalancerRole(settings, key).opened():
+    balancer = BalancerRole(settings, key)
+    async with balancer.opened():
         await stopping.wait()
+        await balancer.drain()
 
 
 async def _run_agent(
--- a/redwingstream/membership/announcer.py
+++ b/redwingstream/membership/announcer.py
@@ -59,6 +59,7 @@
         self._target = 0
         self._leader: Endpoint | None = None
         self._heard_at: float | None = None
+        self._answered_at: float | None = None
         self.incarnation = 0
         self.leaving = False
         self.refusal = ''
@@ -73,10 +74,16 @@
         """Whether control has admitted this run of the process."""
         return self.incarnation > 0
 
+    def is_cut_off(self, now: float) -> bool:
+        """Whether no control instance has answered for a while."""
+        if self._answered_at is None:
+            return False
+        return now - self._answered_at > SILENCE_LIMIT
+
     def tick(self, now: float, vitals: Vitals) -> list[SendToControl]:
         """Return what to send now; called every ``HEARTBEAT_INTERVAL``."""
         if self._heard_at is None:
-            self._heard_at = now
+            self._heard(now)
         elif now - self._heard_at > SILENCE_LIMIT:
             self._try_next(now)
         if self.incarnation:
@@ -87,7 +94,7 @@
         self, challenge: Challenge, now: float
     ) -> list[SendToControl]:
         """Repeat the announcement with the leader's challenge."""
-        self._heard_at = now
+        self._heard(now)
         answer = attrs.evolve(self._announcement, challenge=challenge.challenge)
         return [SendToControl(self.target, answer)]
 
@@ -99,7 +106,7 @@
         Only the leader's word on the incarnation counts: a replica that is
         behind may not have heard of this run yet.
         """
-        self._heard_at = now
+        self._heard(now)
         self._leader = parse_endpoint(ack.leader) if ack.leader else None
         if self._leader == source:
             self.refusal = ack.reason
@@ -109,6 +116,10 @@
             return []
         return [SendToControl(self._leader, self._announcement)]
 
+    def _heard(self, now: float) -> None:
+        self._heard_at = now
+        self._answered_at = now
+
     def _try_next(self, now: float) -> None:
         self._heard_at = now
         self._leader = None
--- a/redwingstream/node/member.py
+++ b/redwingstream/node/member.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import random
 from collections.abc import AsyncIterator, Callable
 from typing import Any
 
@@ -30,10 +31,10 @@
     Probe,
     ProbeAck,
 )
+from redwingstream.node.following import TablesFollower
 from redwingstream.node.metrics import Metrics
 from redwingstream.settings.roles import MemberSettings
-from redwingstream.tables.history import TablesHistory
-from redwingstream.tables.messages import FetchTables, TablesUpdate
+from redwingstream.tables.messages import FetchTables
 from redwingstream.wire.calls import (
     MAX_CALL_SIZE,
     CallClient,
@@ -44,7 +45,8 @@
 
 FrameHandler = Callable[[Any, Endpoint], None]
 
-_FETCH_PAUSE = 0.1
+_BEAT_SPREAD = (0.9, 1.1)
+"""Heartbeats are spread, so that members started together do not stay so."""
 
 
 class MemberNode:
@@ -60,6 +62,17 @@
         What it says of itself to control.
     metrics : Metrics
         Counts what passes.
+
+    Attributes
+    ----------
+    follower : TablesFollower
+        The tables; the role sets its ``on_tables``.
+    announcer : Announcer
+        The membership.
+    vitals : callable
+        What the heartbeat says; a role that has more to say replaces it.
+    state : callable
+        What the role adds to a dump.
     """
 
     def __init__(
@@ -71,18 +84,17 @@
     ) -> None:
         self.settings = settings
         self.metrics = metrics
-        self.history = TablesHistory()
+        self._codec = FrameCodec(key)
+        self._call_codec = FrameCodec(key, MAX_CALL_SIZE)
+        self._calls = CallClient(self._call_codec)
+        self.follower = TablesFollower(self._calls, metrics)
         self.announcer = Announcer(announcement, settings.control)
-        self.on_tables: Callable[[], None] = _do_nothing
         self.vitals: Callable[[], Vitals] = lambda: Vitals(
-            revision=self.history.tables.revision,
+            revision=self.follower.revision
         )
         self.state: Callable[[], dict[str, Any]] = dict
-        self._codec = FrameCodec(key)
-        self._call_codec = FrameCodec(key, MAX_CALL_SIZE)
-        self._calls = CallClient(self._call_codec)
         self._socket: DatagramSocket | None = None
-        self._fetching: asyncio.Task[None] | None = None
+        self._random = random.Random()
         self._handler_by_class: dict[type, FrameHandler] = {
             Challenge: self._on_challenge,
             HeartbeatAck: self._on_ack,
@@ -104,38 +116,43 @@
         if self._socket is not None:
             self._socket.send(self._codec.seal(payload), target.as_pair())
 
-    def hear_revision(self, revision: int, source: Endpoint) -> None:
-        """Fetch the tables when another process knows newer ones.
-
-        This is how a change reaches a process that control cannot reach: every
-        frame of its peers names their revision.
-        """
-        is_newer = revision > self.history.tables.revision
-        if is_newer and self._fetching is None:
-            self._fetching = asyncio.create_task(self._fetch(source))
-
     @contextlib.asynccontextmanager
     async def opened(self) -> AsyncIterator[None]:
         """Hold the sockets open and the membership up for a block."""
         endpoint = self.settings.endpoint
-        beating = asyncio.create_task(self._beat())
-        try:
-            with open_datagrams(endpoint, self._on_datagram) as sock:
-                self._socket = sock
-                async with serve_calls(
-                    endpoint, self._call_codec, self._on_call
-                ):
+        with (
+            self._calls.opened(),
+            open_datagrams(endpoint, self._on_datagram) as sock,
+        ):
+            self._socket = sock
+            async with serve_calls(endpoint, self._call_codec, self._on_call):
+                beating = asyncio.create_task(self._beat())
+                try:
                     yield
-        finally:
-            self._socket = None
-            beating.cancel()
-        self._calls.close()
+                finally:
+                    beating.cancel()
+                    self.follower.close()
+        self._socket = None
 
     async def _beat(self) -> None:
         while True:
             self._say(self.announcer.tick(self.now, self.vitals()))
+            self._ask_a_peer()
             self.metrics.flush()
-            await asyncio.sleep(HEARTBEAT_INTERVAL)
+            spread = self._random.uniform(*_BEAT_SPREAD)
+            await asyncio.sleep(HEARTBEAT_INTERVAL * spread)
+
+    def _ask_a_peer(self) -> None:
+        """Ask for newer tables while control does not answer.
+
+        A process that starts while all control instances are away has no
+        tables, and nobody sends it anything from which to learn of them: a
+        restarted balancer would refuse every packet until control is back.
+        """
+        peers = self.settings.peers
+        if peers and self.announcer.is_cut_off(self.now):
+            probe = Probe(self.follower.revision)
+            self.send(self._random.choice(peers), probe)
 
     def _say(self, sends: list[SendToControl]) -> None:
         for send in sends:
@@ -165,19 +182,19 @@
                 self.settings.host,
                 self.announcer.incarnation,
             )
-        self.hear_revision(ack.revision, source)
+        self.follower.hear(ack.revision, source)
 
     def _on_probe(self, probe: Probe, source: Endpoint) -> None:
-        self.send(source, ProbeAck(self.history.tables.revision))
-        self.hear_revision(probe.revision, source)
+        self.send(source, ProbeAck(self.follower.revision))
+        self.follower.hear(probe.revision, source)
 
     def _on_probe_ack(self, ack: ProbeAck, source: Endpoint) -> None:
-        self.hear_revision(ack.revision, source)
+        self.follower.hear(ack.revision, source)
 
     async def _on_call(self, request: object) -> object:
         match request:
             case FetchTables(since=since):
-                return self.history.since(since)
+                return self.follower.history.since(since)
             case DumpRequest():
                 return DumpAnswer(self._dump())
             case _:
@@ -187,24 +204,8 @@
                     ResultCode.MALFORMED,
                 )
 
-    async def _fetch(self, source: Endpoint) -> None:
-        since = self.history.tables.revision
-        try:
-            update = await self._calls.call(
-                source, FetchTables(since), TablesUpdate
-            )
-        except CallFailedError as error:
-            logging.warning('node: Tables not fetched: %s.', error)
-            await asyncio.sleep(_FETCH_PAUSE)
-            return
-        finally:
-            self._fetching = None
-        if self.history.take(update):
-            self.metrics.gauge('revision', update.revision)
-            self.on_tables()
-
     def _dump(self) -> str:
-        tables = self.history.tables
+        tables = self.follower.history.tables
         described = {
             'host': self.settings.host,
             'zone': self.settings.zone,
@@ -218,7 +219,3 @@
             **self.state(),
         }
         return msgspec.json.encode(described).decode()
-
-
-def _do_nothing() -> None:
-    """Stand in for a role that has nothing to do."""
--- a/redwingstream/operators/commands/base.py
+++ b/redwingstream/operators/commands/base.py
@@ -129,11 +129,8 @@
 def _open_client(
     settings: OperatorSettings, key: bytes
 ) -> Iterator[ControlClient]:
-    calls = CallClient(FrameCodec(key, MAX_CALL_SIZE))
-    try:
+    with CallClient(FrameCodec(key, MAX_CALL_SIZE)).opened() as calls:
         yield ControlClient(calls, settings.control, settings.timeout)
-    finally:
-        calls.close()
 
 
 def _plain(text: str) -> str:
--- a/redwingstream/settings/parsers.py
+++ b/redwingstream/settings/parsers.py
@@ -9,6 +9,7 @@
 MAX_NAME = 64
 MAX_COUNT = 1000000
 ENDPOINT_ALLOWED = 'IP:PORT, for instance 127.0.0.1:7000'
+SECONDS_ALLOWED = 'a positive number'
 COUNT_ALLOWED = f'1 to {MAX_COUNT}'
 NAME_ALLOWED = f'letters, digits, - and _, {MAX_NAME} at most'
 
--- a/redwingstream/settings/roles.py
+++ b/redwingstream/settings/roles.py
@@ -11,6 +11,7 @@
     ENDPOINT_ALLOWED,
     MAX_WEIGHT,
     NAME_ALLOWED,
+    SECONDS_ALLOWED,
     parse_count,
     parse_endpoints,
     parse_name,
@@ -63,6 +64,13 @@
         'comma-separated IP:PORT',
         'The control instances.',
     )
+    peers: tuple[Endpoint, ...] = setting(
+        parse_endpoints,
+        'comma-separated IP:PORT',
+        'Other members that are asked for the tables while no control '
+        'instance answers; none when absent.',
+        default=(),
+    )
 
 
 @attrs.frozen(kw_only=True)
@@ -74,6 +82,13 @@
         ENDPOINT_ALLOWED,
         "Where the fabric hands in callers' datagrams (UDP).",
     )
+    drain_seconds: float = setting(
+        parse_seconds,
+        SECONDS_ALLOWED,
+        'How long after SIGTERM it goes on forwarding while the fabric still '
+        'hands in datagrams.',
+        default=DEFAULT_DRAIN_SECONDS,
+    )
     fabric: Endpoint | None = setting(
         parse_endpoint,
         ENDPOINT_ALLOWED,
@@ -115,7 +130,7 @@
     )
     drain_seconds: float = setting(
         parse_seconds,
-        'a positive number',
+        SECONDS_ALLOWED,
         'How long running requests may take to finish after SIGTERM.',
         default=DEFAULT_DRAIN_SECONDS,
     )
--- a/redwingstream/wire/calls.py
+++ b/redwingstream/wire/calls.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from typing import TypeVar
 
 import pynng
@@ -104,10 +104,13 @@
             ) from error
         return self._read(endpoint, reply, answer_class)
 
-    def close(self) -> None:
-        """Close every connection."""
-        for endpoint in list(self._socket_by_endpoint):
-            self._forget(endpoint)
+    @contextlib.contextmanager
+    def opened(self) -> Iterator['CallClient']:
+        """Close every connection at the end of the block."""
+        try:
+            yield self
+        finally:
+            self._forget_all()
 
     async def _exchange(self, endpoint: Endpoint, frame: bytes) -> bytes:
         sock = self._socket_by_endpoint.get(endpoint)
@@ -138,6 +141,10 @@
             )
         return answer
 
+    def _forget_all(self) -> None:
+        for endpoint in list(self._socket_by_endpoint):
+            self._forget(endpoint)
+
     def _forget(self, endpoint: Endpoint) -> None:
         sock = self._socket_by_endpoint.pop(endpoint, None)
         if sock is not None:
