End calls whose cancellation pynng swallows

Cause: pynng turns a cancellation into a cancel of its operation and returns normally when that completes at the same moment; the task then waits in its next operation for ever. Seen: a test process that did not end for ten minutes, all quiet in its event loop, and asyncio.timeout round a call that never fired. Ruled out: lost datagrams (no timer was pending at all), nng's own threads (all idle). Conclusion: cancellations are repeated until the task has ended.

--- a/redwingstream/balancer/role.py
+++ b/redwingstream/balancer/role.py
@@ -15,6 +15,7 @@
 from redwingstream.node.metrics import Metrics
 from redwingstream.settings.roles import BalancerSettings
 from redwingstream.tables.rows import Role
+from redwingstream.tables.snapshot import Tables
 from redwingstream.wire import coap, fabric
 from redwingstream.wire.datagrams import DatagramSocket, open_datagrams
 
@@ -37,7 +38,7 @@
     """
 
     def __init__(self, settings: BalancerSettings, key: bytes) -> None:
-        self._settings = settings
+        self.settings = settings
         self.metrics = Metrics(
             f'redwingstream.balancer.{settings.host}', settings.statsd
         )
@@ -50,7 +51,7 @@
             weight=1,
         )
         self._node = MemberNode(settings, key, announcement, self.metrics)
-        self._node.follower.on_tables = self._adopt
+        self._node.follower.on_tables = self._on_tables
         self._node.handle(Answer, self._on_answer)
         self._node.handle(ProbeAck, self._on_probe_ack)
         self._forwarder = Forwarder(settings.endpoint, key)
@@ -63,11 +64,11 @@
         """Serve for as long as the block lasts."""
         async with self._node.opened():
             with open_datagrams(
-                self._settings.fabric_endpoint, self._on_fabric
+                self.settings.fabric_endpoint, self._on_fabric
             ) as sock:
                 self._fabric_socket = sock
                 probing = asyncio.create_task(self._probe())
-                logging.info('balancer: %s is up.', self._settings.host)
+                logging.info('balancer: %s is up.', self.settings.host)
                 try:
                     yield
                 finally:
@@ -75,16 +76,20 @@
 
     async def drain(self) -> None:
         """Go on forwarding until the fabric has stopped handing in packets."""
-        logging.info('balancer: %s drains.', self._settings.host)
+        logging.info('balancer: %s drains.', self.settings.host)
         self._node.announcer.leaving = True
-        deadline = self._node.now + self._settings.drain_seconds
+        deadline = self._node.now + self.settings.drain_seconds
         self._fabric_at = self._node.now
         while self._node.now < min(deadline, self._fabric_at + QUIET_SECONDS):
             await asyncio.sleep(_PROBE_TICK)
-        logging.info('balancer: %s has drained.', self._settings.host)
+        logging.info('balancer: %s has drained.', self.settings.host)
 
-    def _adopt(self) -> None:
-        self._forwarder.adopt(self._node.follower.history.tables)
+    def adopt(self, tables: Tables) -> None:
+        """Go by newer tables from now on."""
+        self._forwarder.adopt(tables)
+
+    def _on_tables(self) -> None:
+        self.adopt(self._node.follower.history.tables)
 
     def _on_fabric(self, datagram: bytes, source: tuple[str, int]) -> None:
         try:
--- /dev/null
+++ b/redwingstream/node/tests/test_member.py
@@ -0,0 +1,144 @@
+"""Members over real sockets: tables from peers, calls, bad frames."""
+
+import asyncio
+import json
+import pathlib
+import random
+import socket
+from collections.abc import Callable
+
+import pytest
+
+from redwingstream.endpoints import Endpoint
+from redwingstream.errors import CallFailedError, ResultCode
+from redwingstream.membership.messages import (
+    Announce,
+    DumpAnswer,
+    DumpRequest,
+    Heartbeat,
+)
+from redwingstream.node.member import MemberNode
+from redwingstream.node.metrics import Metrics
+from redwingstream.settings.roles import MemberSettings
+from redwingstream.tables.messages import (
+    FetchTables,
+    ReadTables,
+    TablesRead,
+    TablesUpdate,
+)
+from redwingstream.tables.rows import Role, ZoneMark
+from redwingstream.wire.calls import MAX_CALL_SIZE, CallClient
+from redwingstream.wire.frames import FrameCodec
+
+KEY = b'k' * 32
+NOBODY = Endpoint('127.0.0.1', 9)
+UPDATE = TablesUpdate(since=0, revision=5, zones=(ZoneMark('carse', out=True),))
+PATIENCE = 20
+
+
+def free_endpoint() -> Endpoint:
+    """Return an endpoint that is free for UDP and TCP."""
+    host = f'127.{random.randint(64, 127)}.0.1'
+    with socket.socket() as sock:
+        sock.bind((host, 0))
+        return Endpoint(*sock.getsockname())
+
+
+def member_at(endpoint: Endpoint, *peers: Endpoint) -> MemberNode:
+    """Return a member whose control instances are all away."""
+    settings = MemberSettings(
+        host='b1',
+        endpoint=endpoint,
+        zone='carse',
+        key_file=pathlib.Path('unused'),
+        control=(NOBODY,),
+        peers=peers,
+    )
+    announcement = Announce('b1', Role.BALANCER, str(endpoint), 'carse', '', 1)
+    return MemberNode(settings, KEY, announcement, Metrics('test', None))
+
+
+async def until(is_met: Callable[[], bool]) -> None:
+    """Wait for a condition."""
+    async with asyncio.timeout(PATIENCE):
+        while not is_met():
+            await asyncio.sleep(0.01)
+
+
+class TestMemberNode:
+    """One or two members, and somebody who calls them."""
+
+    async def test_learns_the_tables_from_a_peer_without_control(self) -> None:
+        """Every caller is refused after a restart while control is away.
+
+        All control instances are down.  A balancer is restarted; it has no
+        tables and no disk, and refuses whatever the fabric hands in.
+        """
+        informed = member_at(free_endpoint())
+        informed.follower.history.take(UPDATE)
+        started = member_at(free_endpoint(), informed.settings.endpoint)
+        started.announcer.is_cut_off = lambda now: True
+        async with informed.opened(), started.opened():
+            await until(lambda: started.follower.revision == UPDATE.revision)
+        assert started.follower.history.tables.is_zone_out('carse')
+
+    async def test_hears_of_a_change_from_any_frame_of_a_peer(self) -> None:
+        informed = member_at(free_endpoint())
+        informed.follower.history.take(UPDATE)
+        other = member_at(free_endpoint())
+        async with informed.opened(), other.opened():
+            other.follower.hear(UPDATE.revision, informed.settings.endpoint)
+            await until(lambda: other.follower.revision == UPDATE.revision)
+
+    async def test_answers_calls(self) -> None:
+        member = member_at(free_endpoint())
+        member.follower.history.take(UPDATE)
+        endpoint = member.settings.endpoint
+        codec = FrameCodec(KEY, MAX_CALL_SIZE)
+        async with member.opened():
+            with CallClient(codec).opened() as calls:
+                fetched = await calls.call(
+                    endpoint, FetchTables(0), TablesUpdate
+                )
+                dumped = await calls.call(endpoint, DumpRequest(), DumpAnswer)
+                with pytest.raises(CallFailedError) as caught:
+                    await calls.call(endpoint, ReadTables(), TablesRead)
+        assert fetched == UPDATE
+        assert json.loads(dumped.text)['revision'] == UPDATE.revision
+        assert caught.value.code is ResultCode.MALFORMED
+
+    async def test_a_call_under_another_key_gets_no_answer(self) -> None:
+        member = member_at(free_endpoint())
+        codec = FrameCodec(b'x' * 32, MAX_CALL_SIZE)
+        async with member.opened():
+            with CallClient(codec).opened() as calls:
+                with pytest.raises(CallFailedError) as caught:
+                    await calls.call(
+                        member.settings.endpoint,
+                        DumpRequest(),
+                        DumpAnswer,
+                        timeout=0.2,
+                    )
+        assert caught.value.code is ResultCode.TIMED_OUT
+
+    async def test_counts_and_drops_frames_that_it_cannot_take(self) -> None:
+        member = member_at(free_endpoint())
+        codec = FrameCodec(KEY)
+        frame = codec.seal(Heartbeat('b2', 1, 1))
+        frames = (
+            b'',
+            b'x' * 99,
+            frame,
+            frame,
+            FrameCodec(b'y' * 32).seal(Heartbeat('b2', 1, 1)),
+        )
+        async with member.opened():
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+                for each in frames:
+                    sock.sendto(each, member.settings.endpoint.as_pair())
+            counted = member.metrics.total_by_name
+            await until(lambda: sum(counted.values()) >= len(frames))
+        assert counted['frame_malformed'] == 1
+        assert counted['frame_unauthentic'] == 2
+        assert counted['frame_unexpected'] == 1
+        assert counted['frame_replayed'] == 1
--- a/redwingstream/wire/calls.py
+++ b/redwingstream/wire/calls.py
@@ -10,9 +10,10 @@
 import asyncio
 import contextlib
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
-from typing import TypeVar
+from typing import Any, TypeVar
 
 import pynng
+from absl import logging
 
 from redwingstream.endpoints import Endpoint
 from redwingstream.errors import (
@@ -28,6 +29,8 @@
 SERVING_CONTEXTS = 16
 DEFAULT_TIMEOUT = 2.0
 
+_CANCEL_AGAIN = 0.05
+
 Handler = Callable[[object], Awaitable[object]]
 AnswerT = TypeVar('AnswerT')
 
@@ -93,16 +96,16 @@
             nothing came, ``MALFORMED`` when something else came.
         """
         frame = self._codec.seal(request)
-        try:
-            async with asyncio.timeout(timeout):
-                reply = await self._exchange(endpoint, frame)
-        except (TimeoutError, pynng.NNGException) as error:
+        exchange = asyncio.create_task(self._exchange(endpoint, frame))
+        async with _ended(exchange):
+            await asyncio.wait((exchange,), timeout=timeout)
+        if exchange.cancelled() or exchange.exception():
             self._forget(endpoint)
             raise CallFailedError(
                 f'no answer from {endpoint} within {timeout} s',
                 ResultCode.TIMED_OUT,
-            ) from error
-        return self._read(endpoint, reply, answer_class)
+            )
+        return self._read(endpoint, exchange.result(), answer_class)
 
     @contextlib.contextmanager
     def opened(self) -> Iterator['CallClient']:
@@ -179,16 +182,34 @@
             asyncio.create_task(_serve_context(sock, codec, handler))
             for _ in range(SERVING_CONTEXTS)
         ]
-        try:
+        async with _ended(*tasks):
             yield
-        finally:
-            await _cancel_all(tasks)
 
 
-async def _cancel_all(tasks: list[asyncio.Task[None]]) -> None:
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
+@contextlib.asynccontextmanager
+async def _ended(*tasks: asyncio.Task[Any]) -> AsyncIterator[None]:
+    """End tasks when the block ends, also when it is cancelled itself."""
+    try:
+        yield
+    finally:
+        await _end(*tasks)
+
+
+async def _end(*tasks: asyncio.Task[Any]) -> None:
+    """Cancel tasks that wait for pynng, until they have ended.
+
+    Notes
+    -----
+    pynng swallows a cancellation when the operation completes at the same
+    moment, and the task then waits in its next operation for ever: a call
+    outlives its timeout, a process does not stop.  So the cancellation is
+    repeated; it cannot be swallowed at every operation.
+    """
+    waiting = {task for task in tasks if not task.done()}
+    while waiting:
+        for task in waiting:
+            task.cancel()
+        _, waiting = await asyncio.wait(waiting, timeout=_CANCEL_AGAIN)
 
 
 async def _serve_context(
@@ -196,11 +217,22 @@
 ) -> None:
     with sock.new_context() as context:
         while True:
-            frame = await context.arecv()
-            answer = await _answer(codec, handler, frame)
-            if answer is not None:
-                with contextlib.suppress(pynng.NNGException):
-                    await context.asend(answer)
+            try:
+                await _serve_one(context, codec, handler)
+            except pynng.Closed:
+                return
+            except pynng.NNGException as error:
+                # Such as a peer that has gone before it got its answer.
+                logging.warning('calls: A call was not answered: %s.', error)
+
+
+async def _serve_one(
+    context: pynng.Context, codec: FrameCodec, handler: Handler
+) -> None:
+    frame = await context.arecv()
+    answer = await _answer(codec, handler, frame)
+    if answer is not None:
+        await context.asend(answer)
 
 
 async def _answer(
