--- a/redwingstream/consensus/core.py
+++ b/redwingstream/consensus/core.py
@@ -43,8 +43,6 @@
 )
 from redwingstream.errors import CallFailedError, ResultCode
 
-KEPT_ENTRIES = 500
-
 
 class Consensus:
     """Decides for one replica; does no I/O and reads no clock.
@@ -275,7 +273,7 @@
         term = log.term_at(taken.index) or 0
         group = log.group_at(taken.index)
         snapshot = Snapshot(taken.index, term, group, taken.state)
-        log.compact(snapshot, KEPT_ENTRIES)
+        log.compact(snapshot, taken.kept)
         self._state.effects.snapshot = snapshot
 
     def _hand_over(self) -> None:
--- a/redwingstream/consensus/events.py
+++ b/redwingstream/consensus/events.py
@@ -55,10 +55,22 @@
 
 @attrs.frozen
 class SnapshotTaken:
-    """The state machine's state after an entry, to replace older entries."""
+    """The state machine's state after an entry, to replace older entries.
+
+    Parameters
+    ----------
+    index : int
+        The last entry that it contains; it must have been applied.
+    state : bytes
+        The state.
+    kept : int
+        Entries below the index that stay in memory, so that a replica a
+        little behind needs no snapshot.
+    """
 
     index: int
     state: bytes
+    kept: int
 
 
 @attrs.frozen
--- a/redwingstream/control/replica.py
+++ b/redwingstream/control/replica.py
@@ -28,6 +28,7 @@
 from redwingstream.wire import messages
 
 SNAPSHOT_EVERY = 1000
+KEPT_ENTRIES = 500
 
 Done = Callable[[Outcome | RedwingstreamError], None]
 
@@ -55,6 +56,14 @@
     failed: Callable[[StorageError], None]
 
 
+@attrs.frozen
+class SnapshotRule:
+    """When entries give way to a snapshot, and how many stay in memory."""
+
+    every: int = SNAPSHOT_EVERY
+    kept: int = KEPT_ENTRIES
+
+
 @attrs.frozen
 class _Waiter:
     term: int
@@ -74,6 +83,8 @@
         What was stored.
     surroundings : Surroundings
         Network, clock and loop.
+    snapshot_rule : SnapshotRule
+        When entries give way to a snapshot.
 
     Notes
     -----
@@ -88,11 +99,13 @@
         store: Store,
         loaded: Loaded,
         surroundings: Surroundings,
+        snapshot_rule: SnapshotRule = SnapshotRule(),
     ) -> None:
         self.consensus = consensus
         self.machine = Machine()
         self._store = store
         self._around = surroundings
+        self._snapshot_rule = snapshot_rule
         self._pending = Effects()
         self._scheduled = False
         self._stopped = False
@@ -223,9 +236,10 @@
     def _maybe_take_snapshot(self, committed: list[Entry]) -> None:
         if not committed:
             return
+        rule = self._snapshot_rule
         index = committed[-1].index
-        if index - self.consensus.log.snapshot_index >= SNAPSHOT_EVERY:
-            self.step(SnapshotTaken(index, self.machine.pack()))
+        if index - self.consensus.log.snapshot_index >= rule.every:
+            self.step(SnapshotTaken(index, self.machine.pack(), rule.kept))
 
     def _give_up_waiters(self) -> None:
         waiting = [waiter.done for waiter in self._waiter_by_index.values()]
