--- a/redwingstream/membership/leases.py
+++ b/redwingstream/membership/leases.py
@@ -159,8 +159,6 @@
         self._looked_at = now
         if paused:
             self._since = now
-        if now - self._since <= self._lease:
-            return []
         silent: list[RemoveMember] = []
         alive = 0
         for member in members:
@@ -192,8 +190,8 @@
     def _is_silent(self, member: Member, now: float) -> bool:
         report = self._report_by_host.get(member.host)
         if report is None or report.incarnation != member.incarnation:
-            # Admitted, and not heard since: its lease began at the latest
-            # when this was first seen.
+            # Admitted, and not heard since: its lease begins when this is
+            # first seen.
             self._hear_first(member, now)
             return False
         return now - max(report.heard_at, self._since) > self._lease
--- /dev/null
+++ b/redwingstream/membership/tests/test_leases.py
@@ -0,0 +1,193 @@
+"""Announcements, leases and returns."""
+
+import random
+
+import attrs
+import pytest
+
+from redwingstream.membership.leases import (
+    Admitted,
+    Admitting,
+    Challenged,
+    HeldBack,
+    Leases,
+)
+from redwingstream.membership.messages import Announce, Heartbeat
+from redwingstream.membership.returns import QUIET_TIME, Returns
+from redwingstream.tables.machine.messages import RemoveMember, SettleView
+from redwingstream.tables.rows import (
+    EarlierView,
+    Member,
+    PoolView,
+    Role,
+    ViewMember,
+)
+
+LEASE = 3.0
+ANNOUNCE = Announce('h1', Role.AGENT, '127.0.0.1:1', 'carse', 'p', 100)
+
+
+def make_member(host: str, incarnation: int = 5, boot: int = 1) -> Member:
+    """Return a member."""
+    return Member(host, Role.AGENT, incarnation, boot, '127.0.0.1:1', 'carse')
+
+
+ONE = make_member('h1')
+TWO = make_member('h2')
+
+
+@pytest.fixture
+def leases() -> Leases:
+    """Leases of a replica that leads since 100 s."""
+    return Leases(LEASE, random.Random(0), now=100)
+
+
+def announce(leases: Leases, boot: int, now: float) -> object:
+    """Announce a run in two steps."""
+    outcome = leases.on_announce(ANNOUNCE, boot, None, now)
+    repeated = attrs.evolve(ANNOUNCE, challenge=outcome.number)
+    return leases.on_announce(repeated, boot, None, now)
+
+
+def run_until(leases: Leases, end: float, alive: tuple[Member, ...]) -> list:
+    """Look every 0.1 s from 100 s on while some members send heartbeats."""
+    removals = []
+    for step in range(int((end - 100) * 10) + 1):
+        now = 100 + step / 10
+        for member in alive:
+            beat = Heartbeat(member.host, member.incarnation, 0)
+            assert leases.on_heartbeat(beat, member.boot, member, now)
+        removals += leases.expired((ONE, TWO), now)
+    return removals
+
+
+class TestAnnouncing:
+    """Only a run that is alive now becomes a member."""
+
+    def test_takes_two_steps(self, leases: Leases) -> None:
+        outcome = announce(leases, boot=7, now=101)
+        assert isinstance(outcome, Admitting)
+        assert outcome.command.boot == 7
+
+    def test_a_lost_challenge_is_repeated(self, leases: Leases) -> None:
+        first = leases.on_announce(ANNOUNCE, 7, None, 101)
+        assert leases.on_announce(ANNOUNCE, 7, None, 101.5) == first
+
+    def test_a_late_announcement_does_not_replace_the_next_run(
+        self, leases: Leases
+    ) -> None:
+        """Packets would go to a run that has ended.
+
+        The network holds back the second step of a run; its server restarts
+        and the next run asks for its challenge.  Then the old one arrives.
+        """
+        old = leases.on_announce(ANNOUNCE, 7, None, 101)
+        leases.on_announce(ANNOUNCE, 8, None, 101.5)
+        late = attrs.evolve(ANNOUNCE, challenge=old.number)
+        outcome = leases.on_announce(late, 7, None, 102)
+        assert isinstance(outcome, Challenged)
+
+    def test_a_challenge_is_good_for_a_lease(self, leases: Leases) -> None:
+        old = leases.on_announce(ANNOUNCE, 7, None, 101)
+        late = attrs.evolve(ANNOUNCE, challenge=old.number)
+        outcome = leases.on_announce(late, 7, None, 101 + LEASE)
+        assert isinstance(outcome, Challenged)
+
+    def test_a_member_is_told_so(self, leases: Leases) -> None:
+        assert leases.on_announce(ANNOUNCE, 1, ONE, 101) == Admitted(ONE)
+
+    def test_a_flapping_host_waits_longer_each_time(self) -> None:
+        """Healthy servers would get and lose load every few seconds.
+
+        A process starts and dies again and again; each return moves buckets
+        of its pool there and back.
+        """
+        leases = Leases(LEASE, random.Random(0), now=0)
+        now = 0.0
+        admitted_at = []
+        for boot in range(4000):
+            if isinstance(announce(leases, boot, now), Admitting):
+                admitted_at.append(now)
+            now += 0.25
+        gaps = [late - early for early, late in zip(admitted_at, admitted_at[1:])]
+        assert gaps[:6] == [0.25, 0.25, 2, 4, 8, 16]
+        assert max(gaps) == 120
+
+    def test_a_quiet_time_forgets_the_past(self) -> None:
+        returns = Returns()
+        for now in range(10):
+            returns.note('h1', now)
+        assert returns.wait_of('h1', 10) > 0
+        assert returns.wait_of('h1', 10 + QUIET_TIME) == 0
+
+    def test_a_held_back_host_is_told_for_how_long(
+        self, leases: Leases
+    ) -> None:
+        for boot in range(3):
+            announce(leases, boot, 101)
+        assert announce(leases, 9, 101) == HeldBack(2)
+
+
+class TestExpiry:
+    """Silence is told apart from this replica's own trouble."""
+
+    def test_removes_a_silent_member(self, leases: Leases) -> None:
+        assert set(run_until(leases, 104, alive=(TWO,))) == {
+            RemoveMember('h1', 5),
+        }
+
+    def test_keeps_members_until_it_has_led_for_a_lease(
+        self, leases: Leases
+    ) -> None:
+        """All feeds would break after each change of leader.
+
+        A new leader has heard nobody yet; it must not take that for silence.
+        """
+        assert run_until(leases, 103, alive=(TWO,)) == []
+
+    def test_keeps_members_after_it_was_stopped_itself(
+        self, leases: Leases
+    ) -> None:
+        """A single control instance would drop all servers after a pause.
+
+        It is stopped for a minute; its clock shows a minute of silence of
+        everybody, although all kept sending.
+        """
+        run_until(leases, 110, alive=(ONE, TWO))
+        assert leases.expired((ONE, TWO), 170) == []
+        beat = Heartbeat('h2', TWO.incarnation, 0)
+        leases.on_heartbeat(beat, TWO.boot, TWO, 170.1)
+        assert leases.expired((ONE, TWO), 170.2) == []
+
+    def test_keeps_members_when_nobody_is_heard(self, leases: Leases) -> None:
+        """Traffic that works would stop because control is cut off.
+
+        The leader hears no member at all: its own link is cut.
+        """
+        assert run_until(leases, 130, alive=()) == []
+
+    def test_a_former_run_does_not_renew_the_lease(
+        self, leases: Leases
+    ) -> None:
+        old_run = Heartbeat('h1', 4, 0)
+        assert not leases.on_heartbeat(old_run, 1, ONE, 101)
+        other_boot = Heartbeat('h1', 5, 0)
+        assert not leases.on_heartbeat(other_boot, 2, ONE, 101)
+
+
+class TestSettling:
+    """A view is settled when each of its members says so."""
+
+    def test_waits_for_every_member(self, leases: Leases) -> None:
+        members = tuple(
+            ViewMember(host, 5, '127.0.0.1:1', 'carse') for host in ('h1', 'h2')
+        )
+        earlier = EarlierView(3, members[:1])
+        view = PoolView('p', 9, members, (earlier,))
+        for member, settled in ((ONE, 9), (TWO, 8)):
+            beat = Heartbeat(member.host, 5, 0, settled_view=settled)
+            leases.on_heartbeat(beat, 1, member, 101)
+        assert list(leases.settled([view])) == []
+        beat = Heartbeat('h2', 5, 0, settled_view=9)
+        leases.on_heartbeat(beat, 1, TWO, 102)
+        assert list(leases.settled([view])) == [SettleView('p', 9)]
