--- a/redwingstream/membership/tests/test_leases.py
+++ b/redwingstream/membership/tests/test_leases.py
@@ -109,7 +109,9 @@
             if isinstance(announce(leases, boot, now), Admitting):
                 admitted_at.append(now)
             now += 0.25
-        gaps = [late - early for early, late in zip(admitted_at, admitted_at[1:])]
+        gaps = [
+            late - early for early, late in zip(admitted_at, admitted_at[1:])
+        ]
         assert gaps[:6] == [0.25, 0.25, 2, 4, 8, 16]
         assert max(gaps) == 120
 
--- a/redwingstream/tables/tests/test_machine.py
+++ b/redwingstream/tables/tests/test_machine.py
@@ -318,9 +318,7 @@
         assert update.since == 0
         assert copy.updated(update) == bench.machine.tables
 
-    def test_a_change_without_effect_has_a_revision(
-        self, bench: Bench
-    ) -> None:
+    def test_a_change_without_effect_has_a_revision(self, bench: Bench) -> None:
         """An operator's tool would wait for ever for a change in force.
 
         The change sets what is already set; its answer names a revision, and
