--- a/redwingstream/consensus/__init__.py
+++ b/redwingstream/consensus/__init__.py
@@ -10,7 +10,7 @@
     The entries in memory, above a snapshot.
 state
     Everything a replica knows, and its role.
-election, leading, following, joining
+election, leading, sending, following, joining
     The decisions, by duty.
 core
     The dispatch from events to decisions.
--- a/redwingstream/consensus/core.py
+++ b/redwingstream/consensus/core.py
@@ -185,17 +185,18 @@
 
     def step(self, event: Event, now: float) -> Effects:
         """Take one event and return what has to be done."""
+        state = self._state
         match event:
             case Ticked():
                 self._tick(now)
             case Received(message=message):
-                self._receive(message, now)
+                _receive(state, message, now)
             case Synced(index=index):
-                self._synced(index)
+                _synced(state, index)
             case SnapshotTaken():
-                self._take_snapshot(event)
+                _take_snapshot(state, event)
             case HandOverAsked():
-                self._hand_over()
+                _hand_over(state)
         return self._take_effects()
 
     def _leader_role(self) -> Leader:
@@ -233,49 +234,54 @@
             case Candidate(deadline=deadline) if now >= deadline:
                 election.campaign(state, now, pre=True)
 
-    def _receive(self, message: ReplicaMessage, now: float) -> None:
-        state = self._state
-        if message.sender.name not in state.others:
-            return
-        match message:
-            case AppendEntries():
-                following.on_entries(state, message, now)
-            case SnapshotPart():
-                following.on_part(state, message, now)
-            case AppendAnswer():
-                self._append_answered(message, now)
-            case VoteRequest():
-                election.on_request(state, message, now)
-            case VoteAnswer():
-                election.on_answer(state, message, now)
-            case TakeOver():
-                election.on_take_over(state, message, now)
-            case Hello():
-                joining.on_hello(state, message)
-
-    def _append_answered(self, answer: AppendAnswer, now: float) -> None:
-        state = self._state
-        if answer.term > state.term:
-            state.remember(answer.term, '')
-            state.follow(now)
-            return
-        if isinstance(state.role, Leader):
-            leading.on_answer(state, state.role, answer, now)
 
-    def _synced(self, index: int) -> None:
-        if isinstance(self._state.role, Leader):
-            leading.on_synced(self._state, self._state.role, index)
+def _receive(state: ReplicaState, message: ReplicaMessage, now: float) -> None:
+    if message.sender.name not in state.others:
+        return
+    match message:
+        case AppendEntries():
+            following.on_entries(state, message, now)
+        case SnapshotPart():
+            following.on_part(state, message, now)
+        case AppendAnswer():
+            _append_answered(state, message, now)
+        case VoteRequest():
+            election.on_request(state, message, now)
+        case VoteAnswer():
+            election.on_answer(state, message, now)
+        case TakeOver():
+            election.on_take_over(state, message, now)
+        case Hello():
+            joining.on_hello(state, message)
 
-    def _take_snapshot(self, taken: SnapshotTaken) -> None:
-        log = self._state.log
-        if taken.index <= log.snapshot_index:
-            return
-        term = log.term_at(taken.index) or 0
-        group = log.group_at(taken.index)
-        snapshot = Snapshot(taken.index, term, group, taken.state)
-        log.compact(snapshot, taken.kept)
-        self._state.effects.snapshot = snapshot
-
-    def _hand_over(self) -> None:
-        if isinstance(self._state.role, Leader):
-            leading.hand_over(self._state, self._state.role)
+
+def _append_answered(
+    state: ReplicaState, answer: AppendAnswer, now: float
+) -> None:
+    if answer.term > state.term:
+        state.remember(answer.term, '')
+        state.follow(now)
+        return
+    if isinstance(state.role, Leader):
+        leading.on_answer(state, state.role, answer, now)
+
+
+def _synced(state: ReplicaState, index: int) -> None:
+    if isinstance(state.role, Leader):
+        leading.on_synced(state, state.role, index)
+
+
+def _take_snapshot(state: ReplicaState, taken: SnapshotTaken) -> None:
+    log = state.log
+    if taken.index <= log.snapshot_index:
+        return
+    term = log.term_at(taken.index) or 0
+    group = log.group_at(taken.index)
+    snapshot = Snapshot(taken.index, term, group, taken.state)
+    log.compact(snapshot, taken.kept)
+    state.effects.snapshot = snapshot
+
+
+def _hand_over(state: ReplicaState) -> None:
+    if isinstance(state.role, Leader):
+        leading.hand_over(state, state.role)
--- a/redwingstream/consensus/following.py
+++ b/redwingstream/consensus/following.py
@@ -13,7 +13,7 @@
     ReplicaState,
 )
 
-MAX_SNAPSHOT = 1 << 26
+MAX_SNAPSHOT = 67108864
 
 
 def on_entries(state: ReplicaState, sent: AppendEntries, now: float) -> None:
--- a/redwingstream/consensus/leading.py
+++ b/redwingstream/consensus/leading.py
@@ -11,14 +11,12 @@
 from redwingstream.consensus.messages import (
     VACANT,
     AppendAnswer,
-    AppendEntries,
     Entry,
     ReadmitReplica,
-    Snapshot,
-    SnapshotPart,
     TakeOver,
     Voter,
 )
+from redwingstream.consensus.sending import send_next, send_to_idle
 from redwingstream.consensus.state import (
     Leader,
     PendingRead,
@@ -27,9 +25,6 @@
 )
 from redwingstream.wire import messages
 
-MAX_BATCH_BYTES = 16 * 1024
-MAX_BATCH_ENTRIES = 128
-SNAPSHOT_PART_BYTES = 16 * 1024
 MAX_PENDING_READS = 1024
 MAX_UNACCEPTED = 4096
 
@@ -51,7 +46,7 @@
         # count as silence.
         progress.heard_at = now
     _append(state, state.role, NO_OPERATION_KIND, NO_OPERATION_BODY)
-    _send_to_idle(state, state.role, now)
+    send_to_idle(state, state.role, now)
 
 
 def on_tick(state: ReplicaState, leader: Leader, now: float) -> None:
@@ -63,7 +58,7 @@
         return
     for name, progress in leader.progress_by_name.items():
         if now - progress.sent_at >= state.timing.heartbeat:
-            _send(state, leader, name, now)
+            send_next(state, leader, name, now)
 
 
 def on_proposed(
@@ -74,7 +69,7 @@
     if leader.handing_over or waiting >= MAX_UNACCEPTED:
         return None
     index = _append(state, leader, proposed.kind, proposed.body)
-    _send_to_idle(state, leader, now)
+    send_to_idle(state, leader, now)
     return index
 
 
@@ -92,7 +87,7 @@
         return False
     leader.round += 1
     leader.reads.append(PendingRead(ticket, leader.round))
-    _send_to_idle(state, leader, now)
+    send_to_idle(state, leader, now)
     _confirm_reads(state, leader)
     return True
 
@@ -120,7 +115,7 @@
     if progress.following <= state.log.last_index or _owes_round(
         leader, progress
     ):
-        _send(state, leader, answer.sender.name, now)
+        send_next(state, leader, answer.sender.name, now)
 
 
 def hand_over(state: ReplicaState, leader: Leader) -> None:
@@ -220,62 +215,3 @@
     vacant = Voter(voter.name, VACANT)
     admitted = voter if vacant in state.log.group else vacant
     _append(state, leader, *messages.encode(ReadmitReplica(admitted)))
-
-
-def _send_to_idle(state: ReplicaState, leader: Leader, now: float) -> None:
-    # One message to each replica is under way at a time; a slow one costs
-    # no memory, and gets all that has gathered with the next.
-    for name, progress in leader.progress_by_name.items():
-        if not progress.waiting:
-            _send(state, leader, name, now)
-
-
-def _send(state: ReplicaState, leader: Leader, name: str, now: float) -> None:
-    progress = leader.progress_by_name[name]
-    progress.sent_at = now
-    progress.waiting = True
-    if progress.snapshot_offset is None:
-        state.send(name, _next_entries(state, leader, progress))
-    else:
-        state.send(name, _next_part(state, leader, progress))
-
-
-def _next_entries(
-    state: ReplicaState, leader: Leader, progress: Progress
-) -> AppendEntries:
-    log = state.log
-    previous = max(progress.following - 1, log.base_index)
-    return AppendEntries(
-        state.term,
-        state.myself,
-        previous,
-        log.term_at(previous) or 0,
-        _batch(log.from_index(previous + 1)),
-        state.commit,
-        leader.round,
-    )
-
-
-def _batch(entries: list[Entry]) -> tuple[Entry, ...]:
-    batch: list[Entry] = []
-    size = 0
-    for entry in entries[:MAX_BATCH_ENTRIES]:
-        size += len(entry.body)
-        if batch and size > MAX_BATCH_BYTES:
-            break
-        batch.append(entry)
-    return tuple(batch)
-
-
-def _next_part(
-    state: ReplicaState, leader: Leader, progress: Progress
-) -> SnapshotPart:
-    whole = state.log.snapshot
-    offset = progress.snapshot_offset
-    if offset > len(whole.state):
-        offset = 0
-    piece = whole.state[offset : offset + SNAPSHOT_PART_BYTES]
-    part = Snapshot(whole.index, whole.term, whole.group, piece)
-    return SnapshotPart(
-        state.term, state.myself, part, offset, len(whole.state), leader.round
-    )
--- a/redwingstream/consensus/log.py
+++ b/redwingstream/consensus/log.py
@@ -116,7 +116,7 @@
         """Take a snapshot of own state, and keep some entries below it."""
         base_index = max(self.base_index, snapshot.index - kept)
         base_term = self.term_at(base_index) or 0
-        del self.entries[: base_index - self.base_index]
+        self.entries = self.entries[base_index - self.base_index :]
         self.base_index = base_index
         self.base_term = base_term
         self.snapshot = snapshot
@@ -137,7 +137,7 @@
             self._note_group(entry)
 
     def _cut(self, index: int) -> None:
-        del self.entries[index - self.base_index - 1 :]
+        self.entries = self.entries[: index - self.base_index - 1]
         while self._changes and self._changes[-1].index >= index:
             self._changes.pop()
 
--- a/redwingstream/control/__init__.py
+++ b/redwingstream/control/__init__.py
@@ -10,6 +10,8 @@
     Announcements and heartbeats.
 service
     Calls of operators and other processes.
+instance
+    A replica with its socket, ticking.
 role
-    Sockets, files and the loop.
+    Files, sockets and their end.
 """
--- a/redwingstream/control/members.py
+++ b/redwingstream/control/members.py
@@ -114,7 +114,8 @@
         return self._leases
 
     def _member(self, host: str) -> Member | None:
-        return self._replica.machine.state.member_by_host.get(host)
+        state = self._replica.machine.state
+        return state.member_by_host.get(host)
 
     def _propose(self, command: object, reply: Reply | None = None) -> None:
         # A command that is under way is not proposed again at each tick:
--- a/redwingstream/control/replica.py
+++ b/redwingstream/control/replica.py
@@ -64,6 +64,9 @@
     kept: int = KEPT_ENTRIES
 
 
+DEFAULT_SNAPSHOT_RULE = SnapshotRule()
+
+
 @attrs.frozen
 class _Waiter:
     term: int
@@ -99,7 +102,7 @@
         store: Store,
         loaded: Loaded,
         surroundings: Surroundings,
-        snapshot_rule: SnapshotRule = SnapshotRule(),
+        snapshot_rule: SnapshotRule = DEFAULT_SNAPSHOT_RULE,
     ) -> None:
         self.consensus = consensus
         self.machine = Machine()
@@ -185,7 +188,10 @@
             self._persist(effects)
         except StorageError as error:
             self._stop(error)
-            return
+        else:
+            self._carry_on(effects)
+
+    def _carry_on(self, effects: Effects) -> None:
         for outgoing in effects.outgoing:
             self._around.send(outgoing)
         self._apply(effects)
--- a/redwingstream/control/role.py
+++ b/redwingstream/control/role.py
@@ -1,44 +1,19 @@
-"""Sockets, files and the loop of a control instance."""
+"""The role of a control instance: files, sockets and their end."""
 
-import asyncio
 import contextlib
-import functools
-import random
-import secrets
 from collections.abc import Iterator
 
 from absl import logging
 
-from redwingstream.consensus.core import Consensus
-from redwingstream.consensus.events import (
-    HandOverAsked,
-    Outgoing,
-    Received,
-    Ticked,
-)
-from redwingstream.consensus.messages import ReplicaMessage, Voter
-from redwingstream.control.members import MemberDesk
-from redwingstream.control.replica import Replica, Surroundings
-from redwingstream.control.service import ControlService
+from redwingstream.control.instance import ControlInstance
 from redwingstream.control.settings import ControlSettings
-from redwingstream.endpoints import parse_endpoint
-from redwingstream.errors import SettingError, StorageError, WireError
-from redwingstream.membership.messages import (
-    Announce,
-    Heartbeat,
-    Probe,
-    ProbeAck,
-)
+from redwingstream.errors import SettingError
 from redwingstream.storage.disk import open_folder
 from redwingstream.storage.folder import Folder
-from redwingstream.storage.store import Store
 from redwingstream.wire.calls import MAX_CALL_SIZE, serve_calls
-from redwingstream.wire.datagrams import DatagramSocket, open_datagrams
+from redwingstream.wire.datagrams import open_datagrams
 from redwingstream.wire.frames import FrameCodec
 
-_IDENTITY_BITS = 63
-_TICKS_PER_HEARTBEAT = 2
-
 
 async def run_control(settings: ControlSettings) -> None:
     """Run a control instance until it is cancelled.
@@ -77,99 +52,6 @@
             await instance.run()
 
 
-class ControlInstance:
-    """A replica with its socket.
-
-    Parameters
-    ----------
-    settings : ControlSettings
-        What it is told at its start.
-    folder : Folder
-        Its durable state.
-    """
-
-    def __init__(self, settings: ControlSettings, folder: Folder) -> None:
-        loop = asyncio.get_running_loop()
-        self._timing = settings.timing
-        self._clock = loop.time
-        self._codec = FrameCodec(settings.key)
-        self._failure: asyncio.Future[None] = loop.create_future()
-        self._datagrams: DatagramSocket | None = None
-        surroundings = Surroundings(
-            self._send, loop.time, loop.call_soon, self._fail
-        )
-        self._replica = _make_replica(settings, folder, surroundings)
-        self._desk = MemberDesk(
-            self._replica, settings.lease, random.SystemRandom(), loop.time
-        )
-        self.service = ControlService(
-            self._replica,
-            settings.host,
-            settings.zone,
-            settings.change_timeout,
-        )
-
-    def attach(self, datagrams: DatagramSocket) -> None:
-        """Send through this socket from now on."""
-        self._datagrams = datagrams
-
-    def receive(self, datagram: bytes, source: tuple[str, int]) -> None:
-        """Take one datagram; what is not authentic is dropped."""
-        try:
-            opened = self._codec.open(datagram)
-        except WireError:
-            return
-        reply = functools.partial(self._reply, source)
-        match opened.payload:
-            case Announce() as announce:
-                self._desk.on_announce(announce, opened.boot, reply)
-            case Heartbeat() as beat:
-                self._desk.on_heartbeat(beat, opened.boot, reply)
-            case Probe():
-                reply(ProbeAck(self._replica.machine.state.revision))
-            case message if isinstance(message, ReplicaMessage):
-                self._replica.step(Received(message))
-
-    async def run(self) -> None:
-        """Tick until cancelled, then hand over; raise when storage fails."""
-        pause = self._timing.heartbeat / _TICKS_PER_HEARTBEAT
-        try:
-            while not self._failure.done():
-                self._tick()
-                await asyncio.wait((self._failure,), timeout=pause)
-        except asyncio.CancelledError:
-            await self._hand_over()
-            return
-        self._failure.result()
-
-    def _tick(self) -> None:
-        self._replica.step(Ticked())
-        self._desk.on_tick()
-
-    async def _hand_over(self) -> None:
-        if not self._replica.consensus.is_leader:
-            return
-        logging.info('control: handing over leadership.')
-        deadline = self._clock() + self._timing.election_max
-        pause = self._timing.heartbeat / _TICKS_PER_HEARTBEAT
-        self._replica.step(HandOverAsked())
-        while self._replica.consensus.is_leader and self._clock() < deadline:
-            await asyncio.sleep(pause)
-            self._replica.step(Ticked())
-
-    def _send(self, outgoing: Outgoing) -> None:
-        target = parse_endpoint(outgoing.target).as_pair()
-        self._reply(target, outgoing.message)
-
-    def _reply(self, target: tuple[str, int], message: object) -> None:
-        if self._datagrams is not None:
-            self._datagrams.send(self._codec.seal(message), target)
-
-    def _fail(self, error: StorageError) -> None:
-        if not self._failure.done():
-            self._failure.set_exception(error)
-
-
 @contextlib.contextmanager
 def _open_instance(
     settings: ControlSettings, folder: Folder
@@ -181,18 +63,3 @@
             'control: %s serves at %s.', settings.host, settings.endpoint
         )
         yield instance
-
-
-def _make_replica(
-    settings: ControlSettings, folder: Folder, surroundings: Surroundings
-) -> Replica:
-    store = Store(folder)
-    loaded = store.load(functools.partial(secrets.randbits, _IDENTITY_BITS))
-    consensus = Consensus(
-        Voter(str(settings.endpoint), loaded.identity),
-        tuple(map(str, settings.replicas)),
-        settings.timing,
-        random.SystemRandom(),
-        surroundings.clock(),
-    )
-    return Replica(consensus, store, loaded, surroundings)
--- a/redwingstream/control/service.py
+++ b/redwingstream/control/service.py
@@ -24,7 +24,7 @@
 )
 from redwingstream.wire import messages
 
-MAX_CHANGE_BYTES = 32 * 1024
+MAX_CHANGE_BYTES = 32768
 MAX_REQUEST_ID = 128
 
 
--- a/redwingstream/storage/disk.py
+++ b/redwingstream/storage/disk.py
@@ -10,6 +10,7 @@
 from redwingstream.errors import ResultCode, StorageError
 
 _LOCK_NAME = 'lock'
+_OWNER_ONLY = 0o600
 _FULL_ERRORS = frozenset((errno.ENOSPC, errno.EDQUOT))
 
 
@@ -69,12 +70,11 @@
 
     def sync_names(self) -> None:
         """Make new, renamed and removed names durable."""
-        with _reported('sync the data folder'):
-            descriptor = os.open(self._path, os.O_RDONLY | os.O_DIRECTORY)
-            try:
-                os.fsync(descriptor)
-            finally:
-                os.close(descriptor)
+        with (
+            _reported('sync the data folder'),
+            _open_directory(self._path) as descriptor,
+        ):
+            os.fsync(descriptor)
 
     def close(self) -> None:
         """Close the file that is open, if any."""
@@ -87,7 +87,7 @@
         if name != self._open_name:
             self.close()
             flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT | os.O_CLOEXEC
-            self._open_file = os.open(self._path / name, flags, 0o600)
+            self._open_file = os.open(self._path / name, flags, _OWNER_ONLY)
             self._open_name = name
         return self._open_file
 
@@ -118,7 +118,7 @@
     """
     with _reported(f'open {path.name}'):
         path.mkdir(parents=True, exist_ok=True)
-        lock = os.open(path / _LOCK_NAME, os.O_RDWR | os.O_CREAT, 0o600)
+        lock = os.open(path / _LOCK_NAME, os.O_RDWR | os.O_CREAT, _OWNER_ONLY)
     folder = DiskFolder(path)
     try:
         _take_lock(lock, path)
@@ -128,6 +128,15 @@
         os.close(lock)
 
 
+@contextlib.contextmanager
+def _open_directory(path: Path) -> Iterator[int]:
+    descriptor = os.open(path, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        yield descriptor
+    finally:
+        os.close(descriptor)
+
+
 def _take_lock(lock: int, path: Path) -> None:
     try:
         fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
--- a/redwingstream/storage/records.py
+++ b/redwingstream/storage/records.py
@@ -14,7 +14,7 @@
 from redwingstream.errors import ResultCode, StorageError
 
 FORMAT_VERSION = 1
-MAX_BODY = 1 << 26
+MAX_BODY = 67108864
 
 _MAGIC = b'RWSTRM'
 _FILE_HEADER = struct.Struct('>6sH')
@@ -91,9 +91,11 @@
     _check_header(name, contents)
     records = []
     offset = _FILE_HEADER.size
-    while (record := _record_at(contents, offset)) is not None:
+    record = _record_at(contents, offset)
+    while record is not None:
         records.append(record)
         offset += _RECORD_HEADER.size + len(record.body)
+        record = _record_at(contents, offset)
     return Scan(tuple(records), offset, _has_record_after(contents, offset))
 
 
--- a/redwingstream/storage/store.py
+++ b/redwingstream/storage/store.py
@@ -223,8 +223,7 @@
         raise damaged(
             JOURNAL_FILE, f'entries before index {entry.index} are missing'
         )
-    del loaded.entries[kept:]
-    loaded.entries.append(entry)
+    loaded.entries = [*loaded.entries[:kept], entry]
 
 
 def _missing(name: str, present: str) -> StorageError:
--- a/redwingstream/tables/machine/changes.py
+++ b/redwingstream/tables/machine/changes.py
@@ -121,25 +121,21 @@
 
 def _copy_of(state: MachineState) -> MachineState:
     trial = copy.copy(state)
-    for table in Table:
-        rows = dict(state.rows_of(table))
-        setattr(trial, _FIELD_BY_TABLE[table], rows)
+    trial.route_by_key = dict(state.route_by_key)
+    trial.pool_by_name = dict(state.pool_by_name)
+    trial.zone_by_name = dict(state.zone_by_name)
+    trial.member_by_host = dict(state.member_by_host)
+    trial.view_by_pool = dict(state.view_by_pool)
     trial.touched = list(state.touched)
     return trial
 
 
-_FIELD_BY_TABLE = {
-    Table.ROUTE: 'route_by_key',
-    Table.POOL: 'pool_by_name',
-    Table.ZONE: 'zone_by_name',
-    Table.MEMBER: 'member_by_host',
-    Table.VIEW: 'view_by_pool',
-}
-
-
 def _take_over(state: MachineState, trial: MachineState, index: int) -> None:
-    for field in _FIELD_BY_TABLE.values():
-        setattr(state, field, getattr(trial, field))
+    state.route_by_key = trial.route_by_key
+    state.pool_by_name = trial.pool_by_name
+    state.zone_by_name = trial.zone_by_name
+    state.member_by_host = trial.member_by_host
+    state.view_by_pool = trial.view_by_pool
     state.touched = trial.touched
     state.config_revision = index
 
--- a/redwingstream/tables/machine/checks.py
+++ b/redwingstream/tables/machine/checks.py
@@ -14,6 +14,7 @@
     DrainMember,
     Edit,
     RemoveRow,
+    RowName,
     SetPool,
     SetRoute,
     SetZone,
@@ -43,30 +44,12 @@
         case SetZone(row=row):
             _check_name('availability zone', row.zone)
         case RemoveRow(row=name):
-            if name.table not in _REMOVABLE:
-                raise _bad_row(
-                    f"table {name.table.value!r} is not the operators'; "
-                    'routes, pools and zone marks can be removed',
-                )
-            if name.key not in state.rows_of(name.table):
-                raise _unknown(name.table.value, name.key)
+            _check_removal(state, name)
         case DrainMember(host=host):
             if host not in state.member_by_host:
                 raise _unknown(Table.MEMBER.value, host)
 
 
-def harms(before: MachineState, after: MachineState) -> Iterator[str]:
-    """Yield what a change breaks that worked before it.
-
-    Parameters
-    ----------
-    before, after : MachineState
-        The state without and with the change, views included.
-    """
-    yield from missing_pools(before, after)
-    yield from emptied_pools(before, after)
-
-
 def missing_pools(before: MachineState, after: MachineState) -> Iterator[str]:
     """Yield the routes that name a missing pool only after a change."""
     for key, route in after.route_by_key.items():
@@ -126,6 +109,16 @@
         )
 
 
+def _check_removal(state: MachineState, name: RowName) -> None:
+    if name.table not in _REMOVABLE:
+        raise _bad_row(
+            f'rows of table {name.table.value!r} are not set by operators; '
+            'routes, pools and zone marks can be removed',
+        )
+    if name.key not in state.rows_of(name.table):
+        raise _unknown(name.table.value, name.key)
+
+
 def _check_name(what: str, name: str) -> None:
     if not 0 < len(name) <= MAX_NAME or not name.isprintable():
         raise _bad_row(
