--- a/redwingstream/control/tests/test_replica.py
+++ b/redwingstream/control/tests/test_replica.py
@@ -2,8 +2,9 @@
 
 import pytest
 
-from redwingstream.consensus.events import HandOverAsked
-from redwingstream.control.tests.fakes import Fleet, Node
+from redwingstream.consensus.events import HandOverAsked, Received
+from redwingstream.consensus.messages import AppendAnswer
+from redwingstream.control.tests.fakes import Fleet, Node, Sent
 from redwingstream.errors import CallFailedError, ResultCode, StorageError
 from redwingstream.storage.tests.fakes import FakeFolder
 from redwingstream.tables.messages import (
@@ -50,6 +51,24 @@
     return [node for node in fleet.nodes if node is not fleet.leader()]
 
 
+def collect_answers(fleet: Fleet) -> list[Sent]:
+    """Return an answer of each follower to a sign of life of the leader."""
+    answer_by_source: dict[str, Sent] = {}
+    while len(answer_by_source) < len(followers(fleet)):
+        fleet.pass_ticks(1)
+        for sent in fleet.flying:
+            if isinstance(sent.outgoing.message, AppendAnswer):
+                answer_by_source[sent.source] = sent
+    return list(answer_by_source.values())
+
+
+def deliver_late(node: Node, late: list[Sent]) -> None:
+    """Let messages arrive that the network held back."""
+    for sent in late:
+        event = Received(sent.outgoing.message)
+        node.run(lambda replica, event=event: replica.step(event))
+
+
 class TestWrite:
     """The leader is killed at each step of a write."""
 
@@ -109,6 +128,30 @@
         fleet.pass_ticks(3 * SECOND)
         assert zone_is_out(fleet.leader())
 
+    @pytest.mark.parametrize('operations', range(3))
+    def test_a_follower_killed_within_its_write(
+        self, fleet: Fleet, operations: int
+    ) -> None:
+        """An accepted change is gone after the leader's machine is lost.
+
+        Both followers lose their power while they write the entry.  Had they
+        answered before their sync, the leader would have said yes on copies
+        that were never made.
+        """
+        first = fleet.leader()
+        for node in followers(fleet):
+            node.folder.operations_left = operations
+        answers = propose(first)
+        fleet.pass_ticks(3)
+        accepted = any(isinstance(got, ChangeAnswer) for got in answers)
+        first.crash()
+        others = [node for node in fleet.nodes if node is not first]
+        for node in others:
+            node.crash()
+            node.start()
+        fleet.pass_ticks(5 * SECOND)
+        assert zone_is_out(fleet.leader()) or not accepted
+
     @pytest.mark.parametrize(
         'code', [ResultCode.DISK_FULL, ResultCode.DISK_FAILED]
     )
@@ -304,6 +347,43 @@
         fleet.calm_down()
         assert all(zone_is_out(node) for node in fleet.nodes)
 
+    def test_does_not_complete_a_majority_beside_a_newer_leader(
+        self, fleet: Fleet
+    ) -> None:
+        """An accepted change is replaced, with only one disk lost.
+
+        A leader is cut off, but answers from before the cut keep arriving
+        late, so that it goes on leading its term.  The others elect the next
+        leader and accept a change.  The one that voted loses its disk and
+        now reaches the old leader only.  Did it count there at once, the two
+        of them could accept entries in place of the change.
+        """
+        old = fleet.leader()
+        late = collect_answers(fleet)
+        fleet.isolate(old.name)
+        for _ in range(3 * SECOND):
+            deliver_late(old, late)
+            fleet.pass_ticks(1)
+        new = fleet.leader()
+        assert new is not old
+        assert old.replica.consensus.is_leader
+        answers = propose(new)
+        for _ in range(3):
+            deliver_late(old, late)
+            fleet.pass_ticks(1)
+        assert answers[0].code == ResultCode.OK
+        lost = next(node for node in followers(fleet) if node is not old)
+        lose_disk(fleet, lost)
+        fleet.cut.clear()
+        fleet.isolate(new.name)
+        for _ in range(10 * SECOND):
+            deliver_late(
+                old, [sent for sent in late if sent.source == new.name]
+            )
+            fleet.pass_ticks(1)
+        fleet.calm_down()
+        assert all(zone_is_out(node) for node in fleet.nodes)
+
     def test_a_majority_of_lost_disks_invents_nothing(
         self, fleet: Fleet
     ) -> None:
