--- a/redwingstream/consensus/leading.py
+++ b/redwingstream/consensus/leading.py
@@ -118,6 +118,13 @@
         send_next(state, leader, answer.sender.name, now)
 
 
+def _is_taken(state: ReplicaState, name: str) -> bool:
+    return any(
+        voter.name == name and voter.identity != VACANT
+        for voter in state.log.group
+    )
+
+
 def hand_over(state: ReplicaState, leader: Leader) -> None:
     """Take no more commands; tell a replica with the whole log to take over."""
     leader.handing_over = True
@@ -212,6 +219,7 @@
     # filled by a second entry, one change at a time.
     if state.log.group_change_after(state.commit):
         return
-    vacant = Voter(voter.name, VACANT)
-    admitted = voter if vacant in state.log.group else vacant
+    admitted = voter
+    if _is_taken(state, voter.name):
+        admitted = Voter(voter.name, VACANT)
     _append(state, leader, *messages.encode(ReadmitReplica(admitted)))
--- a/redwingstream/consensus/log.py
+++ b/redwingstream/consensus/log.py
@@ -145,8 +145,12 @@
         if entry.kind != READMIT_KIND or entry.index <= self.snapshot_index:
             return
         readmitted = messages.decode(entry.kind, entry.body).voter
-        group = tuple(
-            readmitted if voter.name == readmitted.name else voter
-            for voter in self.group
+        others = (
+            voter for voter in self.group if voter.name != readmitted.name
         )
+        group = tuple(sorted((*others, readmitted), key=_name_of))
         self._changes.append(_GroupChange(entry.index, group))
+
+
+def _name_of(voter: Voter) -> str:
+    return voter.name
--- a/redwingstream/control/__init__.py
+++ b/redwingstream/control/__init__.py
@@ -12,6 +12,8 @@
     Calls of operators and other processes.
 instance
     A replica with its socket, ticking.
+recovery
+    The operators' way out when a majority of the disks is lost.
 role
     Files, sockets and their end.
 """
--- a/redwingstream/control/tests/test_replica.py
+++ b/redwingstream/control/tests/test_replica.py
@@ -1,9 +1,12 @@
 """Replicas with their disks, in memory: what is accepted stays."""
 
+import random
+
 import pytest
 
 from redwingstream.consensus.events import HandOverAsked, Received
-from redwingstream.consensus.messages import AppendAnswer
+from redwingstream.consensus.messages import AppendAnswer, Voter
+from redwingstream.control.recovery import recover_folder
 from redwingstream.control.tests.fakes import Fleet, Node, Sent
 from redwingstream.errors import CallFailedError, ResultCode, StorageError
 from redwingstream.storage.tests.fakes import FakeFolder
@@ -402,6 +405,37 @@
         assert 'fresh' in roles
 
 
+class TestRecovery:
+    """Operators go on with the only replica that is left."""
+
+    def test_goes_on_with_what_one_replica_has(self, fleet: Fleet) -> None:
+        """After two disks were lost at once no change is accepted any more.
+
+        Operators recover the third replica; the two others start empty, are
+        admitted one after the other, and count from then on.
+        """
+        propose(fleet.leader())
+        fleet.pass_ticks(SECOND)
+        left, *lost = fleet.nodes
+        left.crash()
+        recover_folder(left.folder, left.name)
+        left.start()
+        for node in lost:
+            lose_disk(fleet, node)
+        fleet.calm_down()
+        assert all(zone_is_out(node) for node in fleet.nodes)
+        group = left.replica.consensus.log.group
+        assert group == tuple(Voter(n.name, n.identity) for n in fleet.nodes)
+        left.crash()
+        fleet.pass_ticks(3 * SECOND)
+        assert fleet.leader() is not None
+
+    def test_refuses_an_empty_folder(self) -> None:
+        with pytest.raises(StorageError) as caught:
+            recover_folder(FakeFolder(random.Random(0)), 'a')
+        assert caught.value.code is ResultCode.DATA_MISSING
+
+
 class TestFirstStart:
     """A group is formed once."""
 
