Keep cancellations that pynng drops

A test of the control role over sockets hung for 300 s, once in seven runs. Ruled out: ports taken twice (refused with an error) and the hand-over at the end (bounded by its own deadline).

Cause: pynng 0.9 shields its future and, when a cancellation arrives while the operation completes, returns as if there had been none. A serving task then waits for its next call and serve_calls never ends; a call of a client waits past its timeout.

--- a/redwingstream/wire/calls.py
+++ b/redwingstream/wire/calls.py
@@ -30,6 +30,7 @@
 
 Handler = Callable[[object], Awaitable[object]]
 AnswerT = TypeVar('AnswerT')
+OutcomeT = TypeVar('OutcomeT')
 
 
 @message(kind=1)
@@ -119,8 +120,8 @@
             self._socket_by_endpoint[endpoint] = sock
             sock.dial(f'tcp://{endpoint}', block=False)
         with sock.new_context() as context:
-            await context.asend(frame)
-            return await context.arecv()
+            await keep_cancellation(context.asend(frame))
+            return await keep_cancellation(context.arecv())
 
     def _read(
         self, endpoint: Endpoint, reply: bytes, answer_class: type[AnswerT]
@@ -151,6 +152,25 @@
             sock.close()
 
 
+async def keep_cancellation(operation: Awaitable[OutcomeT]) -> OutcomeT:
+    """Await an operation of pynng without losing a cancellation.
+
+    Notes
+    -----
+    pynng drops a cancellation that arrives while its operation completes, and
+    returns as if there had been none.  It shows as a process that never stops
+    and as a call that waits past its timeout, since the task goes on with the
+    next operation.  asyncio counts the requests for cancellation of a task,
+    so a dropped one is seen here and raised again.
+    """
+    task = asyncio.current_task()
+    before = task.cancelling()
+    outcome = await operation
+    if task.cancelling() > before:
+        raise asyncio.CancelledError
+    return outcome
+
+
 @contextlib.asynccontextmanager
 async def serve_calls(
     endpoint: Endpoint, codec: FrameCodec, handler: Handler
@@ -196,11 +216,11 @@
 ) -> None:
     with sock.new_context() as context:
         while True:
-            frame = await context.arecv()
+            frame = await keep_cancellation(context.arecv())
             answer = await _answer(codec, handler, frame)
             if answer is not None:
                 with contextlib.suppress(pynng.NNGException):
-                    await context.asend(answer)
+                    await keep_cancellation(context.asend(answer))
 
 
 async def _answer(
