--- a/redwingstream/wire/calls.py
+++ b/redwingstream/wire/calls.py
@@ -29,10 +29,9 @@
 SERVING_CONTEXTS = 16
 DEFAULT_TIMEOUT = 2.0
 
-_CANCEL_AGAIN = 0.05
-
 Handler = Callable[[object], Awaitable[object]]
 AnswerT = TypeVar('AnswerT')
+OutcomeT = TypeVar('OutcomeT')
 
 
 @message(kind=1)
@@ -96,16 +95,16 @@
             nothing came, ``MALFORMED`` when something else came.
         """
         frame = self._codec.seal(request)
-        exchange = asyncio.create_task(self._exchange(endpoint, frame))
-        async with _ended(exchange):
-            await asyncio.wait((exchange,), timeout=timeout)
-        if exchange.cancelled() or exchange.exception():
+        try:
+            async with asyncio.timeout(timeout):
+                reply = await self._exchange(endpoint, frame)
+        except (TimeoutError, pynng.NNGException) as error:
             self._forget(endpoint)
             raise CallFailedError(
                 f'no answer from {endpoint} within {timeout} s',
                 ResultCode.TIMED_OUT,
-            )
-        return self._read(endpoint, exchange.result(), answer_class)
+            ) from error
+        return self._read(endpoint, reply, answer_class)
 
     @contextlib.contextmanager
     def opened(self) -> Iterator['CallClient']:
@@ -122,8 +121,8 @@
             self._socket_by_endpoint[endpoint] = sock
             sock.dial(f'tcp://{endpoint}', block=False)
         with sock.new_context() as context:
-            await context.asend(frame)
-            return await context.arecv()
+            await keep_cancellation(context.asend(frame))
+            return await keep_cancellation(context.arecv())
 
     def _read(
         self, endpoint: Endpoint, reply: bytes, answer_class: type[AnswerT]
@@ -154,6 +153,27 @@
             sock.close()
 
 
+async def keep_cancellation(operation: Awaitable[OutcomeT]) -> OutcomeT:
+    """Await an operation of pynng without losing a cancellation.
+
+    Notes
+    -----
+    pynng drops a cancellation that arrives while its operation completes, and
+    returns as if there had been none.  It shows as a process that never stops
+    and as a call that waits past its timeout, since the task goes on with the
+    next operation.  asyncio counts the requests for cancellation of a task,
+    so a dropped one is seen here and raised again.
+    """
+    before = _cancellations()
+    try:
+        outcome = await operation
+    except pynng.NNGException:
+        _raise_if_cancelled(before)
+        raise
+    _raise_if_cancelled(before)
+    return outcome
+
+
 @contextlib.asynccontextmanager
 async def serve_calls(
     endpoint: Endpoint, codec: FrameCodec, handler: Handler
@@ -192,24 +212,19 @@
     try:
         yield
     finally:
-        await _end(*tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
 
-async def _end(*tasks: asyncio.Task[Any]) -> None:
-    """Cancel tasks that wait for pynng, until they have ended.
+def _raise_if_cancelled(before: int) -> None:
+    if _cancellations() > before:
+        raise asyncio.CancelledError
 
-    Notes
-    -----
-    pynng swallows a cancellation when the operation completes at the same
-    moment, and the task then waits in its next operation for ever: a call
-    outlives its timeout, a process does not stop.  So the cancellation is
-    repeated; it cannot be swallowed at every operation.
-    """
-    waiting = {task for task in tasks if not task.done()}
-    while waiting:
-        for task in waiting:
-            task.cancel()
-        _, waiting = await asyncio.wait(waiting, timeout=_CANCEL_AGAIN)
+
+def _cancellations() -> int:
+    task = asyncio.current_task()
+    return 0 if task is None else task.cancelling()
 
 
 async def _serve_context(
@@ -229,10 +244,10 @@
 async def _serve_one(
     context: pynng.Context, codec: FrameCodec, handler: Handler
 ) -> None:
-    frame = await context.arecv()
+    frame = await keep_cancellation(context.arecv())
     answer = await _answer(codec, handler, frame)
     if answer is not None:
-        await context.asend(answer)
+        await keep_cancellation(context.asend(answer))
 
 
 async def _answer(
