--- a/redwingstream/placement/tests/test_recording.py
+++ b/redwingstream/placement/tests/test_recording.py
@@ -196,9 +196,11 @@
     def test_heir_gets_what_this_home_took_over(self) -> None:
         net = network()
         second = placed(2, HOST_C, after=FIRST)
+        net.cut = {'a'}
         net.adopt(second, 'c')
         net.run(1)
         net.record('c', started(7))
+        net.cut = set()
         net.adopt(placed(3, HOST_A, HOST_B, after=second))
         net.run(1)
         assert net.holds('b') == started(7)
