--- /dev/null
+++ b/asv_bench/placement_ways.py
@@ -0,0 +1,242 @@
+"""Flows broken and requests run twice, for four ways to place flows.
+
+Two changes of a pool overlap: one host drains, and before everyone has heard
+of it another one drains, too; both still carry their flows.  Every packet reaches any of
+the balancers, each of which is at one of the three views.  A flow is broken
+when one of its packets ends at a host that neither carries it nor knows who
+does.  Placement is the same in all ways, ``pair_of``; what differs is what is
+remembered and by whom.
+
+Run ``python asv_bench/placement_ways.py`` from the root of the project.
+"""
+
+import random
+
+import attrs
+
+from redwingstream.placement.effects import (
+    InEffect,
+    NotHome,
+    Recorded,
+)
+from redwingstream.placement.messages import Record
+from redwingstream.placement.rendezvous import bucket_of, pair_of
+from redwingstream.placement.tests.fakes import (
+    POOL,
+    Network,
+    flow,
+    member,
+    placed,
+    started,
+    view,
+)
+from redwingstream.tables.rows import PoolView
+
+BUCKETS = 64
+FLOWS = 2000
+PACKETS = 10
+BALANCERS = 5
+TRIALS = 1000
+LEASE = 3
+MEAN_PAUSE = 1.0
+# Control carries 4 kB/s, an entry takes 32 bytes, 2000 flows start a second.
+SHARED_FRACTION = 4000 / 32 / 2000
+KEY = b'k' * 32
+SERVICE = '10.9.0.1:5683'
+ZONES = ('carse', 'strathmore', 'angus-glens', 'fife-north')
+HOSTS = tuple(member(f'h{i}', i + 1, ZONES[i % 4]) for i in range(7))
+FIRST = view(10, *HOSTS)
+SECOND = view(11, *HOSTS[1:], after=FIRST)
+THIRD = view(12, *HOSTS[2:], after=SECOND)
+VIEWS = (FIRST, SECOND, THIRD)
+
+
+@attrs.frozen
+class Flow:
+    """An established flow.
+
+    Parameters
+    ----------
+    port : int
+        The caller's port.
+    bucket : int
+        Its bucket.
+    carrier : str
+        The host whose server carries it.
+    """
+
+    port: int
+    bucket: int
+    carrier: str
+
+
+def home(committed: PoolView, bucket: int) -> str:
+    """Return the host that is home under a view."""
+    return pair_of(committed.members, POOL, bucket).home.host
+
+
+def established() -> list[Flow]:
+    """Return flows, each carried by the home of the first view."""
+    flows = []
+    for port in range(1, FLOWS + 1):
+        caller = f'10.0.0.1:{port}'
+        bucket = bucket_of(caller, SERVICE, BUCKETS, KEY)
+        flows.append(Flow(port, bucket, home(FIRST, bucket)))
+    return flows
+
+
+def broken(flows: list[Flow], finds) -> int:
+    """Count the flows of which some packet does not find its carrier."""
+    drawn = random.Random(4)
+    count = 0
+    for each in flows:
+        packets = [drawn.randrange(BALANCERS) for _ in range(PACKETS)]
+        count += not all(finds(each, balancer) for balancer in packets)
+    return count
+
+
+def view_at(balancer: int) -> PoolView:
+    """Return the view that a balancer has reached."""
+    return VIEWS[balancer % len(VIEWS)]
+
+
+def by_previous_owner(each: Flow, balancer: int) -> bool:
+    """Stateless: the newest owner, which hands unknown flows one view back."""
+    number = VIEWS.index(view_at(balancer))
+    tried = {home(VIEWS[number], each.bucket)}
+    tried.add(home(VIEWS[max(number - 1, 0)], each.bucket))
+    return each.carrier in tried
+
+
+def by_shared_tables(flows: list[Flow]):
+    """Every balancer knows its own flows and those that reached it in time."""
+    drawn = random.Random(5)
+    known = {
+        (each.port, balancer)
+        for each in flows
+        for balancer in range(BALANCERS)
+        if drawn.random() < SHARED_FRACTION
+    }
+    known |= {(each.port, drawn.randrange(BALANCERS)) for each in flows}
+
+    def finds(each: Flow, balancer: int) -> bool:
+        if (each.port, balancer) in known:
+            return True
+        return home(view_at(balancer), each.bucket) == each.carrier
+
+    return finds
+
+
+def by_lease_or_fence(net: Network):
+    """The home of the newest view has the flows of its bucket."""
+
+    def finds(each: Flow, balancer: int) -> bool:
+        host = home(view_at(balancer), each.bucket)
+        for _ in range(2):
+            keeper = net.agent_by_host[host].keeper
+            status = keeper.status(each.bucket)
+            if isinstance(status, NotHome) and status.home is not None:
+                host = status.home.host
+        agent = net.agent_by_host[host]
+        if agent.keeper.status(each.bucket) != InEffect():
+            return False
+        record = flow(each.port, each.carrier).flows[0]
+        return record in agent.store.export(each.bucket).flows
+
+    return finds
+
+
+def hand_over(flows: list[Flow]) -> Network:
+    """Let real keepers go through both changes, the second during the first.
+
+    Every third host skips the view in between.
+    """
+    net = Network()
+    for each in HOSTS:
+        net.join(each, BUCKETS)
+    net.adopt(FIRST)
+    net.run(1)
+    for each in flows:
+        agent = net.agent_by_host[each.carrier]
+        contents = flow(each.port, each.carrier)
+        _, effects = agent.keeper.record(each.bucket, contents, net.now, 1e9)
+        net.carry_out(agent, effects)
+        net.deliver()
+    skipping = {each.host for each in HOSTS[::3]}
+    net.adopt(
+        SECOND, *(each.host for each in HOSTS if each.host not in skipping)
+    )
+    del net.held[::2]
+    net.adopt(THIRD)
+    net.run(3)
+    return net
+
+
+def twice_with_leases() -> int:
+    """Count requests that a paused home and the next home both run.
+
+    The home looks at its lease, pauses, and acts; a replay reaches the next
+    home, which waits for the end of the lease and acts at once.
+    """
+    drawn = random.Random(6)
+    twice = 0
+    for _ in range(TRIALS):
+        left = LEASE * drawn.random()
+        twice += drawn.expovariate(1 / MEAN_PAUSE) > left
+    return twice
+
+
+def twice_with_fences() -> int:
+    """Count the same with keepers: c takes over while a is paused."""
+    drawn = random.Random(7)
+    twice = 0
+    first, second, third = (member(h, i + 1) for i, h in enumerate('abc'))
+    for _ in range(TRIALS):
+        net = Network()
+        for each in (first, second, third):
+            net.join(each)
+        before = placed(1, first, second)
+        net.adopt(before)
+        net.deliver()
+        net.record('a', started(7))
+        late = net.take_held(Record)
+        if drawn.random() < 0.5:
+            net.held = late
+            net.hand_over_first()
+            late = []
+        paused = net.held
+        net.held = []
+        net.cut = {'a'}
+        net.adopt(placed(2, third, second, after=before), 'b', 'c')
+        net.run(0.2)
+        if net.holds('c') != started(7):
+            net.record('c', started(7))
+            net.deliver()
+        net.cut = set()
+        net.held = [*late, *paused]
+        net.run(0.2)
+        results = net.results('a') + net.results('c')
+        twice += sum(isinstance(each, Recorded) for each in results) > 1
+    return twice
+
+
+def main() -> None:
+    """Print the figures."""
+    flows = established()
+    net = hand_over(flows)
+    moved = sum(
+        len({home(each, flow_.bucket) for each in VIEWS}) > 1 for flow_ in flows
+    )
+    print(f'{FLOWS} flows, {moved} of them in buckets that change hands')
+    print('flows broken')
+    print(f'  one previous owner: {broken(flows, by_previous_owner)}')
+    print(f'  shared flow tables: {broken(flows, by_shared_tables(flows))}')
+    found = broken(flows, by_lease_or_fence(net))
+    print(f'  buckets with home and heir: {found}')
+    print(f'requests run twice, of {TRIALS} with a paused home')
+    print(f'  timed leases: {twice_with_leases()}')
+    print(f'  home and heir, fenced: {twice_with_fences()}')
+
+
+if __name__ == '__main__':
+    main()
