Keep the pairs of views that are known already

Adopting a view computed the pairs of its predecessor again: one table for each unsettled view. Ruled out: two maxima in place of a sort in pair_of, 9.9 us against 7.4 us for 7 members.

--- a/redwingstream/placement/keeper.py
+++ b/redwingstream/placement/keeper.py
@@ -100,9 +100,9 @@
         if view.pool != self._pool or view.number < adopted.number:
             return []
         if view.number > adopted.number:
-            return self._follow(ViewPairs(view), now)
+            return self._follow(ViewPairs(view, self._pairs), now)
         if adopted.unsettled and not view.unsettled:
-            self._pairs = ViewPairs(view)
+            self._pairs = ViewPairs(view, self._pairs)
             for fenced in self._fenced_by_bucket.values():
                 fenced.settle(self._pairs)
         return []
--- a/redwingstream/placement/views.py
+++ b/redwingstream/placement/views.py
@@ -39,13 +39,19 @@
     ----------
     view : PoolView
         The committed view.
+    former : ViewPairs, optional
+        Those of the view before; tables that it has are not computed again.
     """
 
-    def __init__(self, view: PoolView) -> None:
+    def __init__(
+        self, view: PoolView, former: 'ViewPairs | None' = None
+    ) -> None:
         self.view = view
-        self._newest = PairTable.of_view(view)
+        known = {} if former is None else former.table_by_number()
+        self._newest = known.get(view.number) or PairTable.of_view(view)
         self._earlier_by_number = {
-            earlier.number: PairTable(earlier.members, view.pool)
+            earlier.number: known.get(earlier.number)
+            or PairTable(earlier.members, view.pool)
             for earlier in view.unsettled
         }
         self._empty_numbers = frozenset(
@@ -55,6 +61,10 @@
             member.host: member.incarnation for member in view.members
         }
 
+    def table_by_number(self) -> dict[int, PairTable]:
+        """Return the tables of all views that are known here."""
+        return {**self._earlier_by_number, self.view.number: self._newest}
+
     def newest(self, bucket: int) -> Pair:
         """Return home and heir of a bucket in the view itself."""
         return self._newest.pair(bucket)
