--- a/properties/test_placement.py
+++ b/properties/test_placement.py
@@ -111,6 +111,26 @@
         for host in ZONE_BY_HOST:
             self.cluster.request(host, key)
 
+    @rule(key=KEYS, arrives=st.booleans(), back=st.booleans())
+    def contest(self, key: int, *, arrives: bool, back: bool) -> None:
+        """A home that is cut off and the next one get the same request."""
+        home = self.cluster.control.newest_pair(0).home
+        if home is None:
+            return
+        self.cluster.request(home.host, key)
+        if arrives:
+            self.cluster.deliver(-1)
+        self.part({home.host})
+        self.move_home(back=False)
+        following = self.cluster.control.newest_pair(0).home
+        if following is not None:
+            self.cluster.request(following.host, key)
+        calm(self.cluster, 1)
+        if back:
+            self.move_home(back=True)
+        self.part(set())
+        drain(self.cluster)
+
     @rule(host=HOSTS, port=PORTS)
     def open_flow(self, host: str, port: int) -> None:
         """A flow is established at a host."""
--- a/redwingstream/placement/tests/model.py
+++ b/redwingstream/placement/tests/model.py
@@ -71,6 +71,7 @@
         self.views: list[PoolView] = []
         self.admitted_by_host: dict[str, int] = {}
         self.members_by_number: dict[int, tuple[ViewMember, ...]] = {}
+        self.replaced_at_by_number: dict[int, float] = {}
 
     def admit(self, host: str) -> ViewMember:
         """Admit a new run of a host."""
@@ -78,13 +79,14 @@
         self.admitted_by_host[host] = self.number
         return self._member(host)
 
-    def commit(self, hosts: set[str]) -> None:
+    def commit(self, hosts: set[str], now: float) -> None:
         """Commit a view of these hosts as they were last admitted."""
         self.number += 1
         members = tuple(map(self._member, sorted(hosts)))
         unsettled: tuple[EarlierView, ...] = ()
         if self.views:
             last = self.views[-1]
+            self.replaced_at_by_number[last.number] = now
             former = EarlierView(last.number, last.members)
             unsettled = (former, *last.unsettled)
         self.members_by_number[self.number] = members
@@ -130,7 +132,7 @@
             self.flows.add(int(record.key.caller.partition(':')[2]))
 
     def give_up(
-        self, bucket: int, lost: tuple[int, ...], frozen_by_run: dict
+        self, bucket: int, number: int, silent_by_run: dict, now: float
     ) -> None:
         """Excuse what both of a lost pair knew.
 
@@ -138,16 +140,13 @@
         ended, requests of before may run again; if it is frozen or cut off,
         it may itself go on later, which no protocol can prevent.
         """
-        for number in lost:
-            members = self._control.pair(number, bucket).members()
-            running = [each for each in members if each in frozen_by_run]
-            for each in running:
-                assert frozen_by_run[each], f'{each.host} runs, but was lost'
-                self._cut_off.add(bucket)
-        if lost:
-            self._excused.update(
-                key for key in self.ran if key % BUCKETS == bucket
-            )
+        assert now - self._control.replaced_at_by_number[number] >= HORIZON
+        members = self._control.pair(number, bucket).members()
+        for each in members:
+            assert silent_by_run.get(each, True), f'{each.host} answers'
+        if not silent_by_run.keys().isdisjoint(members):
+            self._cut_off.add(bucket)
+        self._excused.update(key for key in self.ran if key % BUCKETS == bucket)
 
     def note_losses(self, runs: set[ViewMember]) -> None:
         """Excuse the flows of pairs of which both runs have ended."""
@@ -188,7 +187,7 @@
         self.account = Account(self.control)
         for host in ZONE_BY_HOST:
             self.start(host)
-        self.control.commit({'a', 'b', 'c'})
+        self.control.commit({'a', 'b', 'c'}, self.now)
         catch_up(self)
 
     def start(self, host: str) -> None:
@@ -204,7 +203,7 @@
 
     def commit(self, hosts: set[str]) -> None:
         """Commit a view."""
-        self.control.commit(hosts)
+        self.control.commit(hosts, self.now)
         self.note_losses()
 
     def settle(self) -> None:
@@ -307,13 +306,16 @@
                 case RecordRefused(ticket):
                     run.contents_by_ticket.pop(ticket)
                 case BucketInEffect(bucket, lost):
-                    self.account.give_up(bucket, lost, self._silent())
+                    self._give_up(run, bucket, lost)
 
-    def _silent(self) -> dict[ViewMember, bool]:
-        return {
-            run.agent.me: run.frozen or bool(self.apart)
-            for run in self.run_by_host.values()
+    def _give_up(self, asking: Run, bucket: int, lost: tuple[int, ...]) -> None:
+        side = asking.agent.me.host in self.apart
+        silent_by_run = {
+            run.agent.me: run.frozen or (host in self.apart) != side
+            for host, run in self.run_by_host.items()
         }
+        for number in lost:
+            self.account.give_up(bucket, number, silent_by_run, self.now)
 
 
 def calm(cluster: Cluster, seconds: float) -> None:
--- a/redwingstream/placement/tests/test_takeover.py
+++ b/redwingstream/placement/tests/test_takeover.py
@@ -230,6 +230,16 @@
         net.run(1)
         assert net.status('d') == InEffect()
 
+    def test_next_home_does_not_count_what_nobody_has_heard(self) -> None:
+        net = network()
+        second = placed(2, HOST_C, HOST_B, after=FIRST)
+        net.cut = {'a', 'b'}
+        net.adopt(second, 'c')
+        net.adopt(placed(3, HOST_D, HOST_C, after=second), 'd')
+        net.run(3)
+        assert given_by(net, 'c')
+        assert isinstance(net.status('d'), Recovering)
+
     def test_stale_asker_is_told_to_fetch(self) -> None:
         net = network()
         second = placed(2, HOST_C, HOST_B, after=FIRST)
