--- a/redwingstream/placement/duty.py
+++ b/redwingstream/placement/duty.py
@@ -21,7 +21,8 @@
     BucketGiven,
     RecordAck,
 )
-from redwingstream.placement.outbox import HeirLink, Outbox, PendingRecord
+from redwingstream.placement.outbox import HeirLink, Outbox
+from redwingstream.placement.pending import PendingRecord
 from redwingstream.placement.rendezvous import Pair
 from redwingstream.placement.takeover import Takeover
 
@@ -115,7 +116,7 @@
 
     def advance(self, now: float) -> list[Effect]:
         """Do what is due: give up, ask, send, come into effect."""
-        effects = self.outbox.expire(now)
+        effects = self.outbox.pending.expire(now)
         if not self._is_ruling():
             return effects
         if not self._in_effect:
@@ -142,7 +143,7 @@
         home passes here before the bucket comes into effect again.
         """
         met = conflicts_with(contents)
-        return self.outbox.refuse(
+        return self.outbox.pending.refuse(
             ResultCode.OUTCOME_UNKNOWN,
             lambda pending: met(pending.contents),
         )
@@ -158,7 +159,7 @@
         """
         if ack.fence > self.term.view:
             return [FetchNeeded(sender)]
-        effects = self.outbox.expire(now)
+        effects = self.outbox.pending.expire(now)
         if not self._is_ruling() or ack.view != self.term.view:
             return effects
         effects.extend(self._record(self.outbox.acknowledge(ack)))
@@ -166,12 +167,12 @@
 
     def resign(self) -> list[Effect]:
         """Refuse all that waits: another agent is home now."""
-        return self.outbox.refuse(ResultCode.STALE, _everything)
+        return self.outbox.pending.refuse(ResultCode.STALE, _everything)
 
     def next_due(self) -> float:
         """Return when to advance again, in seconds; infinity when idle."""
         if not self._is_ruling():
-            return self.outbox.next_give_up()
+            return self.outbox.pending.next_give_up
         asked = _NEVER if self._in_effect else self.takeover.next_due()
         return min(asked, self.outbox.next_due())
 
@@ -185,7 +186,9 @@
         effects = self.takeover.due_requests(now)
         if not self._recovering and self.takeover.recovering():
             self._recovering = True
-            refused = self.outbox.refuse(ResultCode.RECOVERING, _has_entries)
+            refused = self.outbox.pending.refuse(
+                ResultCode.RECOVERING, _has_entries
+            )
             effects.extend(refused)
         return effects
 
@@ -204,7 +207,7 @@
             return self._record(self.outbox.accept_all())
         return self.outbox.due_sends(link, now)
 
-    def _record(self, accepted: tuple[PendingRecord, ...]) -> list[Effect]:
+    def _record(self, accepted: list[PendingRecord]) -> list[Effect]:
         effects: list[Effect] = []
         for pending in accepted:
             self._store.merge(self.term.bucket, pending.contents)
--- a/redwingstream/placement/keeper.py
+++ b/redwingstream/placement/keeper.py
@@ -26,12 +26,9 @@
     RecordAck,
     TakeBucket,
 )
-from redwingstream.placement.outbox import (
-    Outbox,
-    PendingRecord,
-    pending_record,
-)
+from redwingstream.placement.outbox import Outbox
 from redwingstream.placement.parts import RECORD_BYTES
+from redwingstream.placement.pending import PendingRecord, pending_record
 from redwingstream.placement.rendezvous import Pair
 from redwingstream.placement.retries import RetryTiming
 from redwingstream.placement.takeover import EarlierPair, Takeover
@@ -182,7 +179,7 @@
         reason = _admission(duty, pending, now)
         if duty is None or reason is not ResultCode.OK:
             return pending.ticket, [RecordRefused(pending.ticket, reason)]
-        duty.outbox.add(pending)
+        duty.outbox.pending.add(pending)
         effects = duty.advance(now)
         self._mark(bucket)
         return pending.ticket, effects
@@ -324,7 +321,7 @@
         ResultCode.MALFORMED: pending.size > RECORD_BYTES,
         ResultCode.TIMED_OUT: now >= pending.give_up_at,
         ResultCode.RECOVERING: recovering and bool(pending.contents.entries),
-        ResultCode.OVERLOADED: not duty.outbox.has_room(pending.size),
+        ResultCode.OVERLOADED: not duty.outbox.pending.has_room(pending.size),
     }
     return next(
         (reason for reason, met in met_by_reason.items() if met),
--- a/redwingstream/placement/outbox.py
+++ b/redwingstream/placement/outbox.py
@@ -2,13 +2,12 @@
 
 import itertools
 from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 
 import attrs
 
-from redwingstream.errors import ResultCode
 from redwingstream.flows.records import FlowKey, FlowRecord
-from redwingstream.placement.effects import Effect, RecordRefused, Send
+from redwingstream.placement.effects import Effect, Send
 from redwingstream.placement.messages import BucketContents, Record, RecordAck
 from redwingstream.placement.parts import (
     PART_BYTES,
@@ -16,42 +15,15 @@
     Item,
     contents_of,
     items_of,
-    size_of,
     take_part,
 )
+from redwingstream.placement.pending import PendingRecord, PendingRecords
 from redwingstream.placement.retries import Backoff, RetryTiming
 from redwingstream.tables.rows import ViewMember
 
-# What waits for the heir of one bucket at most: eight records' worth, which is
-# eight round trips (16 ms between zones).  A longer queue would only turn an
-# immediate refusal into a late one.
-MAX_PENDING_BYTES = 8 * RECORD_BYTES
-
 _NEVER = float('inf')
 
 
-@attrs.frozen
-class PendingRecord:
-    """Something that waits to be held by home and heir.
-
-    Parameters
-    ----------
-    ticket : int
-        Number by which its owner knows it.
-    contents : BucketContents
-        What to hold.
-    give_up_at : float
-        Time in seconds from which it must not take effect any more.
-    size : int
-        Bytes of the contents in a frame.
-    """
-
-    ticket: int
-    contents: BucketContents
-    give_up_at: float
-    size: int
-
-
 @attrs.frozen
 class HeirLink:
     """To whom, and under which view, a home sends its records.
@@ -93,6 +65,13 @@
     timing : RetryTiming
         Pauses between repeats.
 
+    Attributes
+    ----------
+    synced : bool
+        Whether the heir has acknowledged all contents of the bucket.
+    pending : PendingRecords
+        What waits to be sent or acknowledged.
+
     Notes
     -----
     One message in flight keeps the heir's copy in order and bounds what is
@@ -102,21 +81,12 @@
 
     def __init__(self, timing: RetryTiming) -> None:
         self.synced = False
+        self.pending = PendingRecords()
         self._timing = timing
         self._tickets: Iterator[int] = itertools.count(1)
-        self._pending_by_ticket: dict[int, PendingRecord] = {}
         self._unsynced: deque[Item] | None = None
         self._flight: _Flight | None = None
 
-    def has_room(self, size: int) -> bool:
-        """Whether a record of this many bytes may wait here."""
-        waiting = sum(each.size for each in self._pending_by_ticket.values())
-        return waiting + size <= MAX_PENDING_BYTES
-
-    def add(self, pending: PendingRecord) -> None:
-        """Let a record wait for the next message."""
-        self._pending_by_ticket[pending.ticket] = pending
-
     def restart(self) -> None:
         """Forget the message in flight: the view or the heir has changed.
 
@@ -131,36 +101,10 @@
         """Let the heir have these contents, beside what is recorded."""
         self._unsynced = items_of(contents)
 
-    def accept_all(self) -> tuple[PendingRecord, ...]:
+    def accept_all(self) -> list[PendingRecord]:
         """Remove and return all that waits: there is no heir to ask."""
-        accepted = tuple(self._pending_by_ticket.values())
-        self._pending_by_ticket.clear()
         self.synced = True
-        return accepted
-
-    def refuse(
-        self, reason: ResultCode, chosen: Callable[[PendingRecord], bool]
-    ) -> list[Effect]:
-        """Remove what is chosen and return the refusals."""
-        refused: list[Effect] = []
-        for pending in tuple(self._pending_by_ticket.values()):
-            if chosen(pending):
-                self._pending_by_ticket.pop(pending.ticket)
-                refused.append(RecordRefused(pending.ticket, reason))
-        return refused
-
-    def expire(self, now: float) -> list[Effect]:
-        """Refuse what has reached its give-up time.
-
-        Guards against a home that was frozen and finds the answer to an old
-        record when it runs again: the heir that accepted it may have been lost
-        since, so that the new home knows nothing of the record.  The give-up
-        time comes before the longest replay time, after which such a home is
-        in effect; from then on the record takes no effect here.
-        """
-        return self.refuse(
-            ResultCode.TIMED_OUT, lambda pending: now >= pending.give_up_at
-        )
+        return self.pending.pop_all()
 
     def due_sends(self, link: HeirLink, now: float) -> list[Effect]:
         """Return the message to send, or send again, at this time."""
@@ -171,41 +115,33 @@
             return []
         return [flight.send]
 
-    def acknowledge(self, ack: RecordAck) -> tuple[PendingRecord, ...]:
+    def acknowledge(self, ack: RecordAck) -> list[PendingRecord]:
         """Take the heir's answer and return the records that it accepted.
 
         Those that were given up in the meantime are not among them.
         """
         flight = self._flight
         if flight is None or ack.ticket != flight.ticket or not ack.accepted:
-            return ()
+            return []
         self._flight = None
         self._forget_closed(flight.closed)
         if self._unsynced is not None and not self._unsynced:
             self.synced = True
-        found = (
-            self._pending_by_ticket.pop(ticket, None)
-            for ticket in flight.pending
-        )
-        return tuple(each for each in found if each is not None)
+        found = map(self.pending.pop, flight.pending)
+        return [record for record in found if record is not None]
 
     def next_due(self) -> float:
         """Return when to look again, in seconds; infinity when idle."""
         flight = self._flight
         repeat = _NEVER if flight is None else flight.backoff.due
-        return min(repeat, self.next_give_up())
-
-    def next_give_up(self) -> float:
-        """Return the first give-up time, in seconds; infinity when none."""
-        pending = self._pending_by_ticket.values()
-        return min((each.give_up_at for each in pending), default=_NEVER)
+        return min(repeat, self.pending.next_give_up)
 
     def idle(self) -> bool:
         """Whether nothing waits and the heir has everything."""
-        return self.synced and not self._pending_by_ticket
+        return self.synced and not self.pending
 
     def _compose(self, link: HeirLink) -> _Flight | None:
-        pending = self._take_pending()
+        pending = self.pending.first(RECORD_BYTES)
         syncing = self._unsynced is not None and not self.synced
         if not pending and not syncing:
             return None
@@ -231,16 +167,6 @@
             backoff=Backoff(self._timing),
         )
 
-    def _take_pending(self) -> list[PendingRecord]:
-        chosen = []
-        room = RECORD_BYTES
-        for each in self._pending_by_ticket.values():
-            room -= each.size
-            if room < 0:
-                break
-            chosen.append(each)
-        return chosen
-
     def _forget_closed(self, closed: frozenset[FlowKey]) -> None:
         # The contents to hand over were read before the flow was closed; sent
         # after the closing they would open it again at the heir.
@@ -252,12 +178,5 @@
             )
 
 
-def pending_record(
-    ticket: int, contents: BucketContents, give_up_at: float
-) -> PendingRecord:
-    """Return a record that waits, with its size."""
-    return PendingRecord(ticket, contents, give_up_at, size_of(contents))
-
-
 def _closed_keys(contents: BucketContents) -> frozenset[FlowKey]:
     return frozenset(flow.key for flow in contents.flows if flow.closed)
--- a/redwingstream/placement/tests/test_recording.py
+++ b/redwingstream/placement/tests/test_recording.py
@@ -11,7 +11,7 @@
     Record,
     RecordAck,
 )
-from redwingstream.placement.outbox import MAX_PENDING_BYTES
+from redwingstream.placement.pending import MAX_PENDING_BYTES
 from redwingstream.placement.tests.fakes import (
     Network,
     flow,
