Count no refused asking as silence under the next view either

Cause: the time that an overtaken takeover had asked was carried into the next view, so that a home gave the earlier pair up at once when it adopted that view late.

--- a/redwingstream/placement/keeper.py
+++ b/redwingstream/placement/keeper.py
@@ -251,7 +251,7 @@
             EarlierPair(
                 number=number,
                 members=self._pairs.living(pair),
-                waited=0 if former is None else former.takeover.waited(number),
+                waited=0 if former is None else former.takeover.silence(number),
             )
             for number, pair in self._pairs.earlier(bucket).items()
         )
--- a/redwingstream/placement/takeover.py
+++ b/redwingstream/placement/takeover.py
@@ -93,6 +93,13 @@
         earlier = self._earlier_by_number.get(number)
         return 0 if earlier is None else earlier.waited + self._asking_for
 
+    def silence(self, number: int) -> float:
+        """Return the seconds that a takeover under the next view goes on from.
+
+        Time in which this one was refused was no silence: 0 then.
+        """
+        return 0 if self.overtaken else self.waited(number)
+
     def recovering(self) -> bool:
         """Whether a pair has been silent for long, or has surely ended."""
         return any(
--- a/redwingstream/placement/tests/test_takeover.py
+++ b/redwingstream/placement/tests/test_takeover.py
@@ -243,18 +243,27 @@
     def test_stale_asker_is_told_to_fetch(self) -> None:
         """A reservation would be made twice.
 
-        Home c asks under a view that is out of date and never hears of the
-        next one.  The earlier pair is well and refuses; if c took that for
-        silence, it would be in effect without their records in the end.
+        Home c asks under a view that is out of date and hears of the next one
+        very late.  The earlier pair is well and refuses; if c took that for
+        silence, it would be in effect without their records, either at last
+        under the old view or at once under the new one.
         """
         net = network()
         second = placed(2, HOST_C, HOST_B, after=FIRST)
-        net.adopt(placed(3, HOST_D, HOST_B, after=second), 'a', 'b')
+        third = placed(3, HOST_C, HOST_D, after=second)
+        net.adopt(third, 'a', 'b')
         net.adopt(second, 'c')
         net.run(1)
         assert FetchNeeded('a') in net.agent_by_host['c'].done
         net.run(2 * HORIZON)
         assert isinstance(net.status('c'), Recovering)
+        net.cut = {'a', 'b'}
+        net.adopt(third, 'c')
+        net.run(3)
+        assert isinstance(net.status('c'), Recovering)
+        net.cut = set()
+        net.run(1)
+        assert net.status('c') == InEffect()
 
 
 class TestLossOfBoth:
