Admit what a pool can bear under noisy service times

What a warm server takes now travels in LoadReport.latency. Come-back delays have a width of 8 s at the least. The test of a server that is slower for good now waits for 64 + 64 runs, since evidence without a reference rose from 16 to 64: a server that is equally slow until it is warm was raised while cold.

--- a/asv_bench/admission_overload.py
+++ b/asv_bench/admission_overload.py
@@ -3,7 +3,7 @@
 Seven hosts with two slots each, as sward-live has.  Callers give up after two
 seconds and send again up to twice: at once when nothing came, after the time
 that they were told when they were refused.  One of the servers turns cold in
-the middle without a word.
+the middle without a word, and later a crowd comes at once.
 
 Run ``python -m asv_bench.admission_overload`` for the tables.
 """
@@ -34,8 +34,12 @@
 DURATION = 90
 COUNTED_FROM = 30
 COLD_AT = 50
+CROWD_AT = 70
+CROWD = 2000
 REPORT_INTERVAL = 0.25
 FIXED_DELAY = 5
+# Other agents that a home asks before it refuses.
+CHOICES = 2
 LOADS = (0.1, 0.3, 0.5, 0.8, 1, 2, 5)
 PERCENT = 100
 
@@ -91,7 +95,10 @@
     def report(self) -> LoadReport:
         """Return its load as it stands."""
         limit = self.limit
-        return LoadReport(self.host, 1, limit.in_flight, limit.limit, 0)
+        latency = 0 if limit.is_cold else limit.expected_latency or 0
+        return LoadReport(
+            self.host, 1, limit.in_flight, limit.limit, 0, latency
+        )
 
     def try_run(self, run: Run) -> bool:
         """Run a request if the limit allows it."""
@@ -127,6 +134,25 @@
     arrivals_by_second: Counter = attrs.field(factory=Counter)
 
 
+@attrs.define
+class Attempt:
+    """A packet that a caller waits for an answer to.
+
+    Parameters
+    ----------
+    sent_at : float
+        Seconds.
+    attempts : int
+        How many there are with this one.
+    is_over : bool
+        Whether it was answered or given up.
+    """
+
+    sent_at: float
+    attempts: int
+    is_over: bool = False
+
+
 class Simulation:
     """Callers and a pool.
 
@@ -154,6 +180,7 @@
         self._offer()
         self._report()
         self.clock.after(COLD_AT, self.agents[0].server.turn_cold)
+        self.clock.after(CROWD_AT, self._crowd)
         self.clock.run(DURATION)
         return self._row()
 
@@ -166,29 +193,34 @@
         self._send(ATTEMPTS)
         self.clock.after(self._drawn.expovariate(self._rate), self._offer)
 
+    def _crowd(self) -> None:
+        for _ in range(CROWD):
+            self._send(ATTEMPTS)
+
     def _send(self, attempts: int) -> None:
         now = self.clock.now
         if self._is_counted:
             self.tally.arrivals_by_second[int(now)] += 1
-        is_over = []
-
-        def done(is_answered: bool) -> None:
-            is_in_time = self.clock.now - now <= PATIENCE
-            if is_answered and is_in_time and not is_over:
-                is_over.append(True)
-                self.tally.useful += self._is_counted
-
-        def give_up() -> None:
-            if not is_over and attempts > 1:
-                self._send(attempts - 1)
-            is_over.append(True)
-
-        if self._place(Run(now, done)):
+        attempt = Attempt(now, attempts)
+        run = Run(now, lambda is_answered: self._done(attempt, is_answered))
+        if self._place(run):
             self._gauge.served(now)
-            self.clock.after(PATIENCE, give_up)
+            self.clock.after(PATIENCE, lambda: self._give_up(attempt))
         else:
             self._refuse(attempts)
 
+    def _done(self, attempt: Attempt, is_answered: bool) -> None:
+        if is_answered and not attempt.is_over:
+            attempt.is_over = True
+            self.tally.useful += self._is_counted
+
+    def _give_up(self, attempt: Attempt) -> None:
+        if attempt.is_over:
+            return
+        attempt.is_over = True
+        if attempt.attempts > 1:
+            self._send(attempt.attempts - 1)
+
     def _refuse(self, attempts: int) -> None:
         self._gauge.refused(self.clock.now)
         self.tally.refused += self._is_counted
@@ -206,13 +238,26 @@
             return True
         if home.try_run(run):
             return True
-        chosen = home.peers.choose(frozenset((home.host,)), self.clock.now)
-        return chosen is not None and self._by_host[chosen].try_run(run)
+        excluded = {home.host}
+        for _ in range(CHOICES):
+            run_time = home.limit.expected_latency or SERVICE
+            chosen = home.peers.choose(
+                frozenset(excluded), self.clock.now, run_time
+            )
+            if chosen is None:
+                return False
+            if self._by_host[chosen].try_run(run):
+                return True
+            excluded.add(chosen)
+        return False
 
     def _report(self) -> None:
+        for agent, other in itertools.permutations(self.agents, 2):
+            other.peers.reported(agent.report(), self.clock.now)
         for agent in self.agents:
-            for other in self.agents:
-                other.peers.reported(agent.report(), self.clock.now)
+            expected = agent.peers.expected_latency(self.clock.now)
+            if expected is not None:
+                agent.limit.expect(expected)
         self.clock.after(REPORT_INTERVAL, self._report)
 
     def _row(self) -> dict:
@@ -228,7 +273,9 @@
                 PERCENT * self.tally.refused / arrivals.total(), 1
             ),
             'packets/s': round(mean),
-            'peak second over mean': round(max(arrivals.values()) / mean, 2),
+            'most packets/s after the crowd': max(
+                arrivals[second] for second in range(CROWD_AT + 1, DURATION)
+            ),
             'servers fallen over': sum(
                 agent.server.falls for agent in self.agents
             ),
--- a/asv_bench/admission_servers.py
+++ b/asv_bench/admission_servers.py
@@ -14,8 +14,11 @@
 WARM_UP = 40
 # Runs in the server, waiting ones included, above which it falls over.
 BEARS_WARM = 40
-BEARS_COLD = 2
+BEARS_COLD = 1
 DOWN_TIME = 3
+# Seconds after it has turned cold without a word for which it bears what it
+# had: nobody outside can know at once.
+GRACE = 0.5
 
 Schedule = Callable[[float, Callable[[], None]], None]
 
@@ -55,6 +58,7 @@
         self._line: deque[Run] = deque()
         self._served: list[Run] = []
         self._is_down = False
+        self._is_in_grace = False
 
     def start(self, run: Run) -> None:
         """Take a run; a server that is down loses it."""
@@ -70,6 +74,11 @@
     def turn_cold(self) -> None:
         """Lose all warmth without a word."""
         self._completed = 0
+        self._is_in_grace = True
+        self._schedule(GRACE, self._end_grace)
+
+    def _end_grace(self) -> None:
+        self._is_in_grace = False
 
     @property
     def _is_cold(self) -> bool:
@@ -77,16 +86,19 @@
 
     @property
     def _bears(self) -> int:
-        return BEARS_COLD if self._is_cold else BEARS_WARM
+        is_weak = self._is_cold and not self._is_in_grace
+        return BEARS_COLD if is_weak else BEARS_WARM
 
     def _serve(self) -> None:
         while self._line and len(self._served) < SLOTS:
-            run = self._line.popleft()
-            self._served.append(run)
-            service = self._drawn.expovariate(1 / SERVICE)
-            if self._is_cold:
-                service *= COLD_FACTOR
-            self._schedule(service, lambda ended=run: self._end(ended))
+            self._begin(self._line.popleft())
+
+    def _begin(self, run: Run) -> None:
+        self._served.append(run)
+        service = self._drawn.expovariate(1 / SERVICE)
+        if self._is_cold:
+            service *= COLD_FACTOR
+        self._schedule(service, lambda: self._end(run))
 
     def _end(self, run: Run) -> None:
         if run not in self._served:
@@ -108,4 +120,4 @@
 
     def _rise(self) -> None:
         self._is_down = False
-        self.turn_cold()
+        self._completed = 0
--- a/properties/test_admission.py
+++ b/properties/test_admission.py
@@ -124,9 +124,9 @@
 
 TestConcurrency = ConcurrencyMachine.TestCase
 TestConcurrency.settings = settings(
-    max_examples=60, stateful_step_count=40, deadline=None
+    max_examples=300, stateful_step_count=40, deadline=None
 )
 TestFeeds = FeedMachine.TestCase
 TestFeeds.settings = settings(
-    max_examples=60, stateful_step_count=40, deadline=None
+    max_examples=300, stateful_step_count=40, deadline=None
 )
--- a/redwingstream/admission/choice.py
+++ b/redwingstream/admission/choice.py
@@ -1,6 +1,7 @@
 """Which other agent is to take work that this one cannot."""
 
 import random
+import statistics
 from collections import deque
 
 import attrs
@@ -33,15 +34,23 @@
         """Fraction of its limit that is in use."""
         return 1 - self.room / self.report.limit
 
+    def forget_sent(self, before: float) -> None:
+        """Forget what was sent before a time: it has ended."""
+        while self.sent_at and self.sent_at[0] < before:
+            self.sent_at.popleft()
+
     def may_take(self, now: float) -> bool:
         """Whether it is neither stale nor draining nor cold, and has room.
 
         A cold server gets the little that it can bear from its own home
         buckets.  A draining one reports a limit of 0.
         """
-        is_stale = now - self.reported_at > REPORT_EXPIRY
-        is_cold = self.report.limit <= COLD_LIMIT
-        return not is_stale and not is_cold and self.room > 0
+        return self.is_warm(now) and self.room > 0
+
+    def is_warm(self, now: float) -> bool:
+        """Whether its report is fresh and gives more than the cold limit."""
+        is_fresh = now - self.reported_at <= REPORT_EXPIRY
+        return is_fresh and self.report.limit > COLD_LIMIT
 
 
 class PeerLoads:
@@ -81,7 +90,12 @@
         """Remove a host that has left."""
         self._by_host.pop(host, None)
 
-    def choose(self, exclude: frozenset[str], now: float) -> str | None:
+    def choose(
+        self,
+        exclude: frozenset[str],
+        now: float,
+        run_time: float = REPORT_EXPIRY,
+    ) -> str | None:
         """Return the less loaded of two random hosts with room.
 
         What is sent is counted until the next report: with the report alone
@@ -93,12 +107,16 @@
             Hosts that are no choice.
         now : float
             Seconds.
+        run_time : float, optional
+            Seconds that a run takes; what was sent longer ago counts no more.
 
         Returns
         -------
         str or None
             None when nobody has said that it has room.
         """
+        for peer in self._by_host.values():
+            peer.forget_sent(now - run_time)
         # Sorted, so that a seed gives one outcome in whatever order reports
         # arrived.
         candidates = sorted(
@@ -113,6 +131,19 @@
         self._by_host[chosen].sent_at.append(now)
         return chosen
 
+    def expected_latency(self, now: float) -> float | None:
+        """Return the median latency of warm servers, or None.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        """
+        warm = filter(lambda peer: peer.is_warm(now), self._by_host.values())
+        latencies = [known.report.latency for known in warm]
+        measured = [latency for latency in latencies if latency > 0]
+        return statistics.median(measured) if measured else None
+
     def _load_of(self, host: str) -> tuple[float, int]:
         peer = self._by_host[host]
         return (peer.load, peer.report.flows)
--- a/redwingstream/admission/come_back.py
+++ b/redwingstream/admission/come_back.py
@@ -21,8 +21,10 @@
 _RECOVERING = (2, 6)
 _LEDGER_FULL = (5, 30)
 _BY_DEFAULT = (1, 10)
-# Width in seconds at an overload of 1, that is as many refused as served.
-_WIDTH_AT_DOUBLE_LOAD = 4
+# Width in seconds without overload, and what it grows by for each request that
+# is refused for each one served.
+_LEAST_WIDTH = 8
+_WIDTH_PER_OVERLOAD = 4
 
 
 class ComeBack:
@@ -67,12 +69,14 @@
             earliest, latest = _LEDGER_FULL
         case _:
             earliest, latest = _BY_DEFAULT
-    return (earliest, max(latest, _latest_for(overload)))
+    if overload:
+        latest = max(latest, _latest_for(overload))
+    return (earliest, latest)
 
 
 def _latest_for(overload: float) -> int:
-    width = math.ceil(_WIDTH_AT_DOUBLE_LOAD * max(0, overload))
-    return min(LONGEST, SHORTEST + 1 + width)
+    width = _LEAST_WIDTH + _WIDTH_PER_OVERLOAD * max(0, overload)
+    return min(LONGEST, SHORTEST + math.ceil(width))
 
 
 class OverloadGauge:
--- a/redwingstream/admission/latency.py
+++ b/redwingstream/admission/latency.py
@@ -1,19 +1,22 @@
-"""What latency to expect of a backend server."""
+"""What latency to expect of a warm backend server."""
 
 from collections import deque
-from itertools import islice
+from collections.abc import Iterable
 
-# Weights of RFC 6298, section 2.
-_MEAN_WEIGHT = 1 / 8
-_DEVIATION_WEIGHT = 1 / 4
-_DEVIATIONS = 4
-# A latency below this multiple of the mean is no sign of anything, however
-# little latencies have deviated so far.
-_JUMP_FACTOR = 2.5
+# Latencies in time that are remembered.
+HISTORY = 64
+# Newest latencies whose mean is watched.
+RECENT = 8
+# A latency is a jump above this multiple of the 90th percentile; the mean of
+# the newest ones above this multiple of the mean.  Were a single one held
+# against the mean, each tenth request of an ordinary service with a long tail
+# would pass for a cold start.
+JUMP_FACTOR = 2.5
+_PERCENTILE = 0.9
 
 
-class LatencyExpectation:
-    """Mean and deviation of latency, estimated as TCP does (RFC 6298).
+class LatencyReference:
+    """Latencies of a warm server.
 
     Parameters
     ----------
@@ -23,67 +26,44 @@
 
     def __init__(self, mean: float | None = None) -> None:
         self.mean = mean
-        self._deviation = 0 if mean is None else mean / 2
-
-    @property
-    def bound(self) -> float | None:
-        """Seconds above which a latency is a jump; None while unknown."""
-        if self.mean is None:
-            return None
-        deviating = self.mean + _DEVIATIONS * self._deviation
-        return max(_JUMP_FACTOR * self.mean, deviating)
+        self.bound = None if mean is None else JUMP_FACTOR * mean
+        self._latencies: deque[float] = deque(maxlen=HISTORY)
+        self._recent: deque[float] = deque(maxlen=RECENT)
 
     def is_jump(self, latency: float) -> bool:
         """Whether a latency, or that of a run so far, is out of all bounds."""
-        bound = self.bound
-        return bound is not None and latency > bound
-
-    def observe(self, latency: float) -> None:
-        """Take a latency into the estimate."""
-        if self.mean is None:
-            self.mean = latency
-            self._deviation = latency / 2
-            return
-        error = latency - self.mean
-        self._deviation += _DEVIATION_WEIGHT * (abs(error) - self._deviation)
-        self.mean += _MEAN_WEIGHT * error
-
-    def restart(self, latency: float) -> None:
-        """Forget the past: the server has settled at another latency."""
-        self.mean = latency
-        self._deviation = latency / 2
-
-
-class WarmUpTrend:
-    """Whether latencies are still falling, as they do while a server warms up.
-
-    The mean of the later half of a window is compared with the earlier half.
+        return self.bound is not None and latency > self.bound
 
-    Parameters
-    ----------
-    window : int
-        How many latencies are compared, at least 2.
-    """
-
-    # A fall of less than this fraction from half to half is no fall.
-    tolerance = 0.05
+    def has_risen(self, latency: float) -> bool:
+        """Take a latency in time; whether the newest ones are high together.
 
-    def __init__(self, window: int) -> None:
-        self._half = window // 2
-        self._latencies: deque[float] = deque(maxlen=2 * self._half)
+        A cold server whose requests differ widely answers some of them in
+        time; all of them together give it away.
+        """
+        self._recent.append(latency)
+        if self.mean is None or len(self._recent) < RECENT:
+            return False
+        return sum(self._recent) > JUMP_FACTOR * self.mean * RECENT
 
     def observe(self, latency: float) -> None:
-        """Take the latency of the next completed run."""
+        """Add a latency of a server that is taken for warm."""
         self._latencies.append(latency)
+        self._update()
 
-    def clear(self) -> None:
-        """Begin a new window."""
+    def restart(self, latencies: Iterable[float]) -> None:
+        """Begin anew with the latencies at which the server has settled."""
         self._latencies.clear()
-
-    def has_settled(self) -> bool:
-        """Whether the window is full and latencies no longer fall."""
-        if len(self._latencies) < 2 * self._half:
-            return False
-        earlier = sum(islice(self._latencies, self._half))
-        later = sum(self._latencies) - earlier
-        return later >= earlier * (1 - self.tolerance)
+        self._recent.clear()
+        self._latencies.extend(latencies)
+        self._update()
+
+    def forget_recent(self) -> None:
+        """Watch the newest latencies anew."""
+        self._recent.clear()
+
+    def _update(self) -> None:
+        count = len(self._latencies)
+        ordered = sorted(self._latencies)
+        self.mean = sum(ordered) / count
+        high = ordered[int(_PERCENTILE * (count - 1))]
+        self.bound = JUMP_FACTOR * max(high, self.mean)
--- a/redwingstream/admission/limit.py
+++ b/redwingstream/admission/limit.py
@@ -8,16 +8,12 @@
 import enum
 import math
 
-from redwingstream.admission.evidence import Evidence
+from redwingstream.admission.evidence import EVIDENCE, Evidence
 from redwingstream.admission.in_flight import RunsInFlight
-from redwingstream.admission.latency import LatencyExpectation
+from redwingstream.admission.warmth import Sign, Warmth
 
 # What a server is given after an announcement or any sign of a cold start.
 COLD_LIMIT = 1
-# Latency jumps in a row that mean a cold start; a single one is a long request.
-JUMPS_FOR_COLD = 2
-# Jumps in a row after which the new latency is the one to expect.
-JUMPS_TO_RELEARN = 64
 # Seconds without a start after a server has refused even the cold limit.
 FIRST_PAUSE = 0.5
 MAX_PAUSE = 8
@@ -57,10 +53,8 @@
         self._ceiling = ceiling
         self._raised_to = COLD_LIMIT
         self._is_draining = False
-        self._expected = LatencyExpectation(expected_latency)
+        self._warmth = Warmth(expected_latency)
         self._evidence = Evidence()
-        self._jumps = 0
-        self._proven_at = -math.inf
         self._pause = FIRST_PAUSE
         self._paused_until = -math.inf
         self._runs = RunsInFlight()
@@ -83,13 +77,33 @@
     @property
     def expected_latency(self) -> float | None:
         """Seconds that a request takes; None before the first answer."""
-        return self._expected.mean
+        return self._warmth.reference.mean
+
+    def expect(self, latency: float) -> None:
+        """Take the latency of warm servers of the pool, if none is known.
+
+        Parameters
+        ----------
+        latency : float
+            Seconds, from other agents' reports.
+        """
+        if self._warmth.reference.mean is None:
+            self._warmth = Warmth(latency)
 
     def has_room(self, now: float) -> bool:
         """Whether a run may start now."""
         if now < self._paused_until:
             return False
-        return self.in_flight < self._limit_now(now)
+        # A server that turns cold without a word shows nothing until a run
+        # that started since should have ended; when it is idle, not even then.
+        # So more than the cold limit is started only while a run that started
+        # lately has completed in time.  Without this hold every run that ended
+        # in between, or the first burst after a pause, would be let through in
+        # full and bring it down.  One long request among others that are in
+        # time does not hold the limit down.
+        if self.is_cold or self._warmth.is_proven(now):
+            return self.in_flight < self.limit
+        return self.in_flight < min(COLD_LIMIT, self.limit)
 
     def try_start(self, now: float) -> bool:
         """Start a run if the server can bear it.
@@ -154,44 +168,25 @@
         self._is_draining = False
         self.server_restarted(now)
 
-    def _limit_now(self, now: float) -> int:
-        # A server that turns cold without a word shows it first by a run that
-        # does not come back, then by one that took too long; an idle server
-        # shows nothing at all.  So more than the cold limit is started only
-        # while nothing is overdue and a run has lately completed in time.
-        # Without this hold every run that ended in between, or the first burst
-        # after a pause, would be let through in full and bring it down.
-        unproven_for = max(self._runs.longest(now), now - self._proven_at)
-        if not self._expected.is_jump(unproven_for):
-            return self.limit
-        return min(COLD_LIMIT, self.limit)
-
     def _completed(self, latency: float, was_in_use: bool, now: float) -> None:
         self._pause = FIRST_PAUSE
-        if self._expected.is_jump(latency):
-            self._jumped(latency)
-            return
-        self._jumps = 0
-        self._proven_at = now
-        self._expected.observe(latency)
-        if not was_in_use or self._raised_to >= self._ceiling:
-            return
-        self._evidence.add(latency)
-        if self._evidence.is_enough():
-            self._raised_to += 1
-            self._evidence.start_anew()
+        match self._warmth.judge(latency, now, self.is_cold):
+            case Sign.COLD:
+                self._turn_cold()
+            case Sign.LATE:
+                self._evidence.start_anew()
+            case Sign.IN_TIME:
+                if was_in_use and self._raised_to < self._ceiling:
+                    self._grow(latency)
 
-    def _jumped(self, latency: float) -> None:
-        self._jumps += 1
-        self._proven_at = -math.inf
+    def _grow(self, latency: float) -> None:
+        self._evidence.add(latency)
+        if not self._evidence.is_enough(self._warmth.reference):
+            return
+        if self.is_cold:
+            self._warmth.settled(self._evidence.newest(EVIDENCE))
+        self._raised_to += 1
         self._evidence.start_anew()
-        if self._jumps >= JUMPS_TO_RELEARN:
-            # Not cold but slower for good, such as after a new release: the
-            # old expectation would keep the server at the cold limit for ever.
-            self._expected.restart(latency)
-            self._jumps = 0
-        elif self._jumps >= JUMPS_FOR_COLD:
-            self._raised_to = COLD_LIMIT
 
     def _refused(self, now: float) -> None:
         if self._raised_to > COLD_LIMIT:
@@ -204,5 +199,5 @@
 
     def _turn_cold(self) -> None:
         self._raised_to = COLD_LIMIT
-        self._jumps = 0
+        self._warmth.turned_cold()
         self._evidence.start_anew()
--- a/redwingstream/admission/tests/test_choice.py
+++ b/redwingstream/admission/tests/test_choice.py
@@ -53,6 +53,12 @@
         loads.reported(LoadReport('carse1', 1, 2, 3, 0), now=0.3)
         assert loads.choose(NOBODY, now=0.3) == 'carse1'
 
+    def test_what_has_ended_counts_no_more(self):
+        loads = peers(carse1=2)
+        assert loads.choose(NOBODY, now=0, run_time=0.1) == 'carse1'
+        assert loads.choose(NOBODY, now=0.1, run_time=0.1) is None
+        assert loads.choose(NOBODY, now=0.2, run_time=0.1) == 'carse1'
+
     def test_report_of_an_earlier_run_is_not_taken(self):
         loads = PeerLoads(random.Random(1))
         loads.reported(LoadReport('carse1', 2, 0, 0, 0), now=0)
@@ -64,6 +70,20 @@
         loads.forget('carse1')
         assert loads.choose(NOBODY, now=0) is None
 
+    def test_expected_latency_is_that_of_warm_peers(self):
+        loads = PeerLoads(random.Random(1))
+        assert loads.expected_latency(now=0) is None
+        for host, limit, latency in (
+            ('carse1', 3, 5),
+            ('carse2', 3, 7),
+            ('carse3', 2, 9),
+            ('cold1', 1, 90),
+            ('unknown1', 3, 0),
+        ):
+            report = LoadReport(host, 1, 0, limit, 0, latency)
+            loads.reported(report, now=0)
+        assert loads.expected_latency(now=0) == 7
+
     def test_two_choices_are_more_even_than_one(self):
         names = {f'host{number}': 0 for number in range(20)}
         loads = PeerLoads(random.Random(1))
--- a/redwingstream/admission/tests/test_limit.py
+++ b/redwingstream/admission/tests/test_limit.py
@@ -2,13 +2,14 @@
 
 import pytest
 
+from redwingstream.admission.evidence import FIRST_EVIDENCE
 from redwingstream.admission.limit import (
     COLD_LIMIT,
-    JUMPS_TO_RELEARN,
     ConcurrencyLimit,
     RunResult,
 )
 from redwingstream.admission.tests.fake_server import FakeServer, Simulation
+from redwingstream.admission.warmth import JUMPS_TO_RELEARN
 
 LATENCY = 0.05
 
@@ -139,6 +140,20 @@
             driver.complete(1, latency=1 - number / 110)
         assert driver.limit.limit == COLD_LIMIT
 
+    def test_without_an_expected_latency_more_is_needed(self):
+        driver = Driver(2)
+        driver.complete(FIRST_EVIDENCE - 1)
+        assert driver.limit.limit == COLD_LIMIT
+        driver.complete(1)
+        assert driver.limit.limit == 2
+
+    def test_latency_of_peers_is_taken_while_none_is_known(self):
+        driver = Driver(2)
+        driver.limit.expect(LATENCY)
+        driver.limit.expect(8 * LATENCY)
+        driver.complete(FIRST_EVIDENCE - 1, latency=8 * LATENCY)
+        assert driver.limit.limit == COLD_LIMIT
+
     def test_slow_server_is_held_against_the_expected_latency(self):
         driver = Driver(2, LATENCY)
         driver.complete(JUMPS_TO_RELEARN - 1, latency=8 * LATENCY)
@@ -148,7 +163,8 @@
         driver = warm(ceiling=2)
         driver.complete(2, latency=8 * LATENCY)
         assert driver.limit.limit == COLD_LIMIT
-        driver.complete(JUMPS_TO_RELEARN + 20, latency=8 * LATENCY)
+        relearned = JUMPS_TO_RELEARN + FIRST_EVIDENCE
+        driver.complete(relearned, latency=8 * LATENCY)
         assert driver.limit.limit == 2
 
 
--- a/redwingstream/forwarding/messages.py
+++ b/redwingstream/forwarding/messages.py
@@ -115,6 +115,9 @@
         Requests that it may run at once; 0 takes no new work.
     flows : int
         Feeds that it carries.
+    latency : float
+        Seconds that a request takes on it, as the agent has measured; 0 when
+        it is cold or nothing is known.
     """
 
     host: str
@@ -122,6 +125,7 @@
     in_flight: int
     limit: int
     flows: int
+    latency: float = 0
 
 
 @message(kind=53)
