Keep order of age without scans, and write down the choices for flows

A plain dict that loses its first keys and gains new last ones is scanned from its start on each look at the oldest; expiry runs at every tick.

without_server names each feed once a second at most: the agent asks for each at every tick of 20 ms, which is 50 questions a second and feed while a server is away.

--- a/redwingstream/flows/blocks.py
+++ b/redwingstream/flows/blocks.py
@@ -4,6 +4,8 @@
 So a transfer under way stays with the server that sent its first block.
 """
 
+from collections import OrderedDict
+
 import attrs
 from aiocoap.message import Message
 
@@ -66,7 +68,7 @@
         self._host = host
         self._capacity = capacity
         # The transfer longest without a block first.
-        self._transfer_by_name: dict[_Name, _Transfer] = {}
+        self._transfer_by_name: OrderedDict[_Name, _Transfer] = OrderedDict()
 
     def __len__(self) -> int:
         """Return how many transfers are under way."""
@@ -88,7 +90,7 @@
             return
         self._transfer_by_name[name] = _Transfer(bucket, now)
         if len(self._transfer_by_name) > self._capacity:
-            self._transfer_by_name.pop(next(iter(self._transfer_by_name)))
+            self._transfer_by_name.popitem(last=False)
 
     def placements(self, bucket: int, now: float) -> tuple[FlowRecord, ...]:
         """Return a placement for each flow of a bucket with a transfer."""
@@ -102,7 +104,8 @@
 
     def expire(self, now: float) -> None:
         """Forget transfers that callers have given up."""
-        for name, transfer in tuple(self._transfer_by_name.items()):
-            if now - transfer.last_block < TRANSFER_TIMEOUT:
+        while self._transfer_by_name:
+            oldest = next(iter(self._transfer_by_name.values()))
+            if now - oldest.last_block < TRANSFER_TIMEOUT:
                 return
-            self._transfer_by_name.pop(name)
+            self._transfer_by_name.popitem(last=False)
--- a/redwingstream/flows/caller_ids.py
+++ b/redwingstream/flows/caller_ids.py
@@ -1,6 +1,7 @@
 """Message ids of a carrier towards each caller."""
 
 import random
+from collections import OrderedDict
 
 import xxhash
 
@@ -36,7 +37,9 @@
         place = xxhash.xxh32_intdigest(host.encode()) % ID_RANGES
         self._first = place * IDS_PER_RANGE
         # With the time of last use; those used last stand last.
-        self._ids_by_ends: dict[Ends, tuple[MessageIds, float]] = {}
+        self._ids_by_ends: OrderedDict[Ends, tuple[MessageIds, float]] = (
+            OrderedDict()
+        )
 
     def take(self, ends: Ends, now: float) -> int | None:
         """Return a message id, or None while all may still be in use."""
@@ -49,7 +52,8 @@
 
     def forget_idle(self, now: float) -> None:
         """Forget callers that were sent nothing for long enough."""
-        for ends, (_, used) in tuple(self._ids_by_ends.items()):
+        while self._ids_by_ends:
+            _, used = next(iter(self._ids_by_ends.values()))
             if now - used <= EXCHANGE_LIFETIME:
                 return
-            self._ids_by_ends.pop(ends)
+            self._ids_by_ends.popitem(last=False)
--- a/redwingstream/flows/exchanges.py
+++ b/redwingstream/flows/exchanges.py
@@ -1,5 +1,6 @@
 """Requests that an agent's server is working on, by what names them."""
 
+from collections import OrderedDict
 from collections.abc import Hashable, Iterator
 
 import attrs
@@ -128,8 +129,10 @@
         self._by_number: dict[int, Exchange] = {}
         self._by_token: dict[bytes, Exchange] = {}
         self._by_message_id: dict[tuple[int, int], Exchange] = {}
-        self._feed_by_owner: dict[Hashable, Exchange] = {}
-        self._answered_by_token: dict[bytes, tuple[float, bool]] = {}
+        self._feed_by_owner: OrderedDict[Hashable, Exchange] = OrderedDict()
+        self._answered_by_token: OrderedDict[bytes, tuple[float, bool]] = (
+            OrderedDict()
+        )
 
     def __len__(self) -> int:
         """Return how many exchanges are open."""
@@ -157,11 +160,10 @@
         if self._feed_by_owner.get(exchange.owner) is exchange:
             self._feed_by_owner.pop(exchange.owner)
         self._answered_by_token[exchange.token] = (now, answered)
-        oldest = next(iter(self._answered_by_token))
-        ended = self._answered_by_token[oldest][0]
+        ended = next(iter(self._answered_by_token.values()))[0]
         full = len(self._answered_by_token) > MAX_FINISHED
         if full or now - ended > EXCHANGE_LIFETIME:
-            self._answered_by_token.pop(oldest)
+            self._answered_by_token.popitem(last=False)
 
     def was_answered(self, token: bytes) -> bool | None:
         """Return whether an ended exchange was answered; None if unknown."""
@@ -197,8 +199,7 @@
 
     def heard(self, exchange: Exchange) -> None:
         """Move a feed behind all others: it was heard last."""
-        self._feed_by_owner.pop(exchange.owner, None)
-        self._feed_by_owner[exchange.owner] = exchange
+        self._feed_by_owner.move_to_end(exchange.owner)
 
     def requests(self) -> Iterator[Exchange]:
         """Iterate over the exchanges that are no feeds."""
--- a/redwingstream/flows/feed_queries.py
+++ b/redwingstream/flows/feed_queries.py
@@ -59,14 +59,6 @@
         """Return the records of the feeds carried, as far as known here."""
         return tuple(self._feeds.records())
 
-    def without_server(self, now: float, longer_than: float) -> list[FlowKey]:
-        """Return the feeds not registered at the server for some time."""
-        return [
-            feed.key
-            for feed in self._registrations.waiting()
-            if now - feed.waiting_since > longer_than
-        ]
-
     def handover(self, key: FlowKey) -> FeedMove | None:
         """Return the request to place a feed elsewhere.
 
--- a/redwingstream/flows/feed_state.py
+++ b/redwingstream/flows/feed_state.py
@@ -93,6 +93,8 @@
         Since when it is not.
     attempts : int
         Registrations so far; part of the source's name.
+    asked_at : float or None
+        When its home was last asked to place it elsewhere.
     failures : int
         Registrations that failed since the last notification.
     established : bool
@@ -105,6 +107,7 @@
     delivery: Delivery
     source: FeedSource | None = None
     waiting_since: float = 0
+    asked_at: float | None = None
     attempts: int = 0
     failures: int = 0
     established: bool = False
--- a/redwingstream/flows/feeds.py
+++ b/redwingstream/flows/feeds.py
@@ -19,6 +19,9 @@
 from redwingstream.forwarding.messages import FeedMoved
 from redwingstream.wire import coap
 
+ASK_INTERVAL = 1.0
+"""Seconds between two questions to place a feed elsewhere."""
+
 FINAL_COPIES = 2
 """Balancers through which the final answer of a feed given up goes."""
 
@@ -190,6 +193,25 @@
         """
         return self._registrations.take_due(now, room)
 
+    def without_server(self, now: float, longer_than: float) -> list[FlowKey]:
+        """Return the feeds not registered at the server for some time.
+
+        Notes
+        -----
+        The agent asks their homes to place them elsewhere.  Each is returned
+        once in ``ASK_INTERVAL`` at most: a server with thousands of feeds that
+        dies would otherwise have as many questions sent at every tick.
+        """
+        stuck = [
+            feed
+            for feed in self._registrations.waiting()
+            if now - feed.waiting_since > longer_than
+            and (feed.asked_at is None or now - feed.asked_at >= ASK_INTERVAL)
+        ]
+        for asked in stuck:
+            asked.asked_at = now
+        return [feed.key for feed in stuck]
+
     def give_up(
         self, key: FlowKey, why: ResultCode, now: float
     ) -> list[FeedEffect]:
--- a/redwingstream/flows/table.py
+++ b/redwingstream/flows/table.py
@@ -1,6 +1,6 @@
 """The flows of the buckets for which an agent is home or heir."""
 
-import itertools
+from collections import OrderedDict
 from collections.abc import Iterable
 
 import attrs
@@ -48,7 +48,7 @@
         self._idle_timeout = idle_timeout
         self._entry_by_key: dict[FlowKey, _Entry] = {}
         # Plain placements, least recently used first.
-        self._plain_by_key: dict[FlowKey, None] = {}
+        self._plain_by_key: OrderedDict[FlowKey, None] = OrderedDict()
         self._tombstones = Tombstones(capacity)
         self._keys_by_bucket: dict[int, set[FlowKey]] = {}
         self._feeds_by_ends: dict[tuple[str, str], tuple[FlowKey, ...]] = {}
@@ -93,11 +93,8 @@
         if entry is None:
             return None
         entry.last_used = now
-        key = entry.record.key
-        if key in self._plain_by_key:
-            # Moves the key to the end: most recently used.
-            self._plain_by_key.pop(key)
-            self._plain_by_key[key] = None
+        if not entry.record.registration:
+            self._plain_by_key.move_to_end(entry.record.key)
         return entry.record
 
     def carriers(self, caller: str, service: str) -> frozenset[str]:
@@ -154,14 +151,14 @@
 
     def expire(self, now: float) -> None:
         """Forget idle plain placements and old tombstones."""
-        placements = _older(
-            (self._entry_by_key[key] for key in self._plain_by_key),
-            now - self._idle_timeout,
-        )
-        for idle in placements:
-            self._forget(idle)
-            self.counters.expired += 1
         self._tombstones.expire(now)
+        while self._plain_by_key:
+            oldest = next(iter(self._plain_by_key))
+            idle = now - self._entry_by_key[oldest].last_used
+            if idle < self._idle_timeout:
+                return
+            self._forget(oldest)
+            self.counters.expired += 1
 
     def _make_room(self) -> bool:
         if len(self._entry_by_key) < self._capacity:
@@ -203,12 +200,6 @@
             self._feeds_by_ends[ends] = left
 
 
-def _older(entries: Iterable[_Entry], limit: float) -> list[FlowKey]:
-    """Return the keys of the leading entries last used before a time."""
-    older = itertools.takewhile(lambda entry: entry.last_used <= limit, entries)
-    return [entry.record.key for entry in older]
-
-
 def _replaces(record: FlowRecord, known: FlowRecord | None) -> bool:
     if known is None:
         return True
--- a/redwingstream/flows/tests/test_feeds.py
+++ b/redwingstream/flows/tests/test_feeds.py
@@ -318,6 +318,8 @@
             carrier.ended(source, ResultCode.NO_SERVER, None, 1)
         assert carrier.next_registrations(9, 0) == []
         assert len(carrier.without_server(9, 5)) == 10
+        assert not carrier.without_server(9.5, 5)
+        assert len(carrier.without_server(10, 5)) == 10
         rounds = [carrier.next_registrations(9, 4) for _ in range(4)]
         assert [len(opened) for opened in rounds] == [4, 4, 2, 0]
         assert len({one.source for some in rounds for one in some}) == 10
--- a/redwingstream/flows/tombstones.py
+++ b/redwingstream/flows/tombstones.py
@@ -1,5 +1,6 @@
 """Flows that have ended, remembered for a while."""
 
+from collections import OrderedDict
 from collections.abc import Iterator
 
 import attrs
@@ -29,7 +30,7 @@
 
     def __init__(self, capacity: int) -> None:
         self._capacity = capacity
-        self._tombstone_by_key: dict[FlowKey, _Tombstone] = {}
+        self._tombstone_by_key: OrderedDict[FlowKey, _Tombstone] = OrderedDict()
 
     def add(self, bucket: int, record: FlowRecord, now: float) -> None:
         """Remember a closed record, without its registration."""
@@ -37,7 +38,7 @@
         self._tombstone_by_key.pop(record.key, None)
         self._tombstone_by_key[record.key] = _Tombstone(bare, bucket, now)
         if len(self._tombstone_by_key) > self._capacity:
-            self._tombstone_by_key.pop(next(iter(self._tombstone_by_key)))
+            self._tombstone_by_key.popitem(last=False)
 
     def find(self, key: FlowKey) -> FlowRecord | None:
         """Return the closed record of a flow."""
@@ -61,7 +62,8 @@
 
     def expire(self, now: float) -> None:
         """Forget those that are old enough."""
-        for key, tombstone in tuple(self._tombstone_by_key.items()):
-            if now - tombstone.since < TOMBSTONE_LIFETIME:
+        while self._tombstone_by_key:
+            earliest = next(iter(self._tombstone_by_key.values()))
+            if now - earliest.since < TOMBSTONE_LIFETIME:
                 return
-            self._tombstone_by_key.pop(key)
+            self._tombstone_by_key.popitem(last=False)
