Keep the record of a feed until its final answer is acknowledged

The home leads a caller's ACK to those who have a record; with the record gone, each final answer went out five times, also from an agent that refuses feeds in overload. The test for it showed that a feed opened again got the name of its former registration, so attempts are now numbered for the whole carrier.

--- a/redwingstream/flows/carried.py
+++ b/redwingstream/flows/carried.py
@@ -78,9 +78,12 @@
     def add(self, record: FlowRecord, now: float) -> Feed:
         """Open a feed, in place of one with its key that is being closed."""
         former = self._feed_by_key.get(record.key)
+        feed = Feed(record, Delivery())
         if former is not None:
             self.remove(former)
-        feed = Feed(record, Delivery())
+            if former.record.generation == record.generation:
+                # The caller may still compare with the numbers before.
+                feed.delivery.counter = former.delivery.counter
         self._feed_by_key[record.key] = feed
         self._registrations.wait(feed, now)
         return feed
@@ -100,22 +103,25 @@
 
     def close(self, feed: Feed, why: ResultCode) -> list[FeedEffect]:
         """Forget a feed and tell its home."""
-        effects = self.remove(feed)
-        if not feed.closing:
-            effects.append(FeedClosed(_closed(feed.record), why))
-        return effects
+        closed = FeedClosed(_closed(feed.record), why)
+        return [*self.remove(feed), closed]
 
     def finish(
-        self, feed: Feed, response: Message, why: ResultCode, now: float
+        self, feed: Feed, response: Message, now: float
     ) -> list[FeedEffect]:
-        """Send the final answer; forget the feed when it is acknowledged."""
+        """Send the final answer; forget the feed when it is acknowledged.
+
+        Notes
+        -----
+        The home keeps the record until then.  It passes a caller's ACK on to
+        those who have a record; without one, each final answer would be sent
+        five times, also by an agent that refuses feeds in overload.
+        """
         self._notifications.forget(feed)
         self._registrations.forget(feed)
         feed.source = None
         feed.closing = True
-        effects = self._notifications.send(feed, response, now)
-        effects.append(FeedClosed(_closed(feed.record), why))
-        return effects
+        return self._notifications.send(feed, response, now)
 
     def repeat(self, key: FlowKey, now: float) -> list[FeedEffect]:
         """Repeat a notification, or give up a caller that never answers."""
--- a/redwingstream/flows/effects.py
+++ b/redwingstream/flows/effects.py
@@ -142,12 +142,21 @@
 
 @attrs.frozen
 class FeedSource:
-    """Owner of a feed at the server: a feed under one generation.
+    """Owner of a feed at the server: one registration of it.
+
+    Parameters
+    ----------
+    key : FlowKey
+        Which feed.
+    generation : int
+        Of its record.
+    attempt : int
+        Number of the registration, never used twice by a carrier.
 
     Notes
     -----
-    The generation stands in it so that what an earlier registration still
-    yields is told apart from what belongs to the present one.
+    What an earlier registration still yields is so told apart from what
+    belongs to the present one, also when a feed is ended and opened again.
     """
 
     key: FlowKey
--- a/redwingstream/flows/feed_state.py
+++ b/redwingstream/flows/feed_state.py
@@ -91,8 +91,6 @@
         The server's side; None while the feed is not registered there.
     waiting_since : float
         Since when it is not.
-    attempts : int
-        Registrations so far; part of the source's name.
     asked_at : float or None
         When its home was last asked to place it elsewhere.
     failures : int
@@ -108,7 +106,6 @@
     source: FeedSource | None = None
     waiting_since: float = 0
     asked_at: float | None = None
-    attempts: int = 0
     failures: int = 0
     established: bool = False
     closing: bool = False
--- a/redwingstream/flows/feeds.py
+++ b/redwingstream/flows/feeds.py
@@ -130,7 +130,7 @@
             return []
         if message.mtype is coap.ACK:
             if feed.closing:
-                return self._feeds.remove(feed)
+                return self._feeds.close(feed, ResultCode.OK)
             return self._notifications.acknowledged(feed, now)
         if message.mtype is not coap.RST:
             return []
@@ -177,7 +177,7 @@
                 self._registrations.wait_again(feed, now, max_age)
             case _:
                 final = response or self._feeds.final_answer(why)
-                return self._feeds.finish(feed, final, why, now)
+                return self._feeds.finish(feed, final, now)
         return []
 
     def next_registrations(self, now: float, room: int) -> list[OpenFeed]:
--- a/redwingstream/flows/registrations.py
+++ b/redwingstream/flows/registrations.py
@@ -33,6 +33,7 @@
         self._limits = limits
         self._feed_by_key: dict[FlowKey, Feed] = {}
         self._timers: Timers[FlowKey] = Timers()
+        self._attempts = itertools.count(1)
 
     def wait(self, feed: Feed, now: float) -> None:
         """Let a new feed wait for room."""
@@ -80,7 +81,6 @@
         return min(delay, self._limits.max_backoff) * spread
 
     def _open(self, feed: Feed) -> OpenFeed:
-        feed.attempts += 1
         generation = feed.record.generation
-        feed.source = FeedSource(feed.key, generation, feed.attempts)
+        feed.source = FeedSource(feed.key, generation, next(self._attempts))
         return OpenFeed(feed.source, coap.decode(feed.record.registration))
--- a/redwingstream/flows/tests/test_feeds.py
+++ b/redwingstream/flows/tests/test_feeds.py
@@ -236,11 +236,28 @@
         final = coap.decode(found[0].payload)
         assert final.code is coap.SERVICE_UNAVAILABLE
         assert final.opt.observe is None
-        assert found[1].record.closed
         assert carrier.handover(KEY) is None
-        reply(carrier, final)
+        assert reply(carrier, final)[0].record.closed
         assert len(carrier) == 0
 
+    def test_opens_again_while_the_final_answer_waits(self) -> None:
+        """A planner that comes back at once would see nothing for a while.
+
+        The server has ended the feed, the caller's ACK is lost, and it opens
+        the feed again under its token; numbers that begin anew would look old.
+        """
+        carrier = make_carrier()
+        source = make_feed(carrier)
+        first = notify(carrier, source, 1)
+        reply(carrier, first)
+        gone = Message(code=coap.aiocoap.NOT_FOUND)
+        carrier.ended(source, ResultCode.OK, gone, 0)
+        again = make_feed(carrier)
+        assert again != source
+        state = notify(carrier, again, 2)
+        assert is_newer(state.opt.observe, first.opt.observe)
+        assert len(carrier) == 1
+
 
 class TestMoves:
     """Feeds that another server goes on with."""
@@ -287,6 +304,18 @@
         found = carrier.take(record('a', 1), 3 * COUNTER_LIMIT, 1)
         assert found == [effects.GenerationWanted(record('a', 1))]
 
+    def test_restarted_carrier_uses_other_message_ids(self) -> None:
+        """A caller would drop the first states after an agent's restart.
+
+        The agent starts again and sends to the same callers within 247 s.
+        """
+        ends = (CALLER, SERVICE)
+        taken = {
+            CallerIds('carse-1', random.Random(run)).take(ends, 0)
+            for run in range(3)
+        }
+        assert len(taken) == 3
+
     def test_message_ids_differ_between_carriers(self) -> None:
         """A caller would drop a reading as a duplicate.
 
