--- a/redwingstream/flows/tests/fakes.py
+++ b/redwingstream/flows/tests/fakes.py
@@ -112,7 +112,7 @@
         if not coap.is_idempotent(message):
             self.runs.append(message.payload)
         answer = coap.reply_to(message, coap.CONTENT)
-        answer.payload = str(self.reading).encode()
+        answer.payload = message.payload or str(self.reading).encode()
         if message.opt.observe == coap.OBSERVE_REGISTER:
             self.source_by_token[message.token] = source
             answer.opt.observe = self.number
