Bound a feed's registration, and ask the table before opening a feed

The home opened a feed without asking whether its table kept the record. With a table full of feeds, or a registration of 64 KiB, the feed was open and nobody would have known it after the next view.

--- a/redwingstream/flows/table.py
+++ b/redwingstream/flows/table.py
@@ -8,6 +8,9 @@
 from redwingstream.flows.records import FlowKey, FlowRecord
 from redwingstream.flows.tombstones import Tombstones
 
+MAX_REGISTRATION = 1152
+"""Bytes of a feed's registration; what fits a datagram (RFC 7252, 4.6)."""
+
 
 @attrs.define
 class FlowCounters:
@@ -64,8 +67,7 @@
         Returns
         -------
         bool
-            False when a newer one is known, or when the table is full of
-            feeds: a feed that was not recorded must not be opened.
+            False when a newer one is known, or when :meth:`takes` says so.
         """
         known = self.find(record.key) or self._tombstones.find(record.key)
         if not _replaces(record, known):
@@ -75,7 +77,7 @@
             self._forget(record.key)
             self._tombstones.add(bucket, record, now)
             return True
-        if record.key not in self._entry_by_key and not self._make_room():
+        if not self.takes(record):
             self.counters.refused += 1
             return False
         self._forget(record.key)
@@ -83,6 +85,21 @@
         self._remember(_Entry(record, bucket, now))
         return True
 
+    def takes(self, record: FlowRecord) -> bool:
+        """Whether there is room for a record.
+
+        Notes
+        -----
+        Feeds leave no room for others, placements do.  A feed that is not
+        recorded must not be opened: after the next change of view nobody
+        would know it.
+        """
+        if len(record.registration) > MAX_REGISTRATION:
+            return False
+        if record.key in self._entry_by_key or self._plain_by_key:
+            return True
+        return len(self._entry_by_key) < self._capacity
+
     def carrier_of(
         self, caller: str, service: str, token: bytes, now: float
     ) -> FlowRecord | None:
@@ -160,18 +177,11 @@
             self._forget(oldest)
             self.counters.expired += 1
 
-    def _make_room(self) -> bool:
-        if len(self._entry_by_key) < self._capacity:
-            return True
-        oldest = next(iter(self._plain_by_key), None)
-        if oldest is None:
-            return False
-        # A forgotten placement costs balance; a forgotten feed breaks.
-        self._forget(oldest)
-        self.counters.evicted += 1
-        return True
-
     def _remember(self, entry: _Entry) -> None:
+        if self._plain_by_key and len(self._entry_by_key) >= self._capacity:
+            # A forgotten placement costs balance; a forgotten feed breaks.
+            self._forget(next(iter(self._plain_by_key)))
+            self.counters.evicted += 1
         key = entry.record.key
         self._entry_by_key[key] = entry
         self._keys_by_bucket.setdefault(entry.bucket, set()).add(key)
--- a/redwingstream/flows/tests/test_table.py
+++ b/redwingstream/flows/tests/test_table.py
@@ -2,8 +2,10 @@
 
 import itertools
 
+import attrs
+
 from redwingstream.flows.records import FlowKey, FlowRecord
-from redwingstream.flows.table import FlowTable
+from redwingstream.flows.table import MAX_REGISTRATION, FlowTable
 from redwingstream.flows.tests.fakes import (
     CALLER,
     KEY,
@@ -110,6 +112,21 @@
         assert table.counters.refused == 2
         assert record('a') in table.export(BUCKET)
 
+    def test_refuses_a_registration_that_is_too_long(self) -> None:
+        """One caller could fill an agent's memory with a few feeds.
+
+        A datagram may have 64 KiB, and home and heir keep the registration of
+        each feed for as long as it is open.
+        """
+        longest = attrs.evolve(
+            record('a'), registration=b'x' * MAX_REGISTRATION
+        )
+        assert make_table().takes(longest)
+        too_long = attrs.evolve(longest, registration=b'x' * 1153)
+        table = make_table()
+        assert not table.takes(too_long)
+        assert not table.put(BUCKET, too_long, 1)
+
     def test_placement_does_not_replace_a_feed_without_token(self) -> None:
         """A feed would go silent when its caller asks for something else.
 
