Look a moved feed up by its own record only

carrier_of falls back to the flow's placement. A move of a feed that its home did not know, of a caller with a newer placement, handed that placement over as the feed; its empty registration cannot be sent to a server. The carrier now refuses such a record as well.

--- a/redwingstream/agent/moves.py
+++ b/redwingstream/agent/moves.py
@@ -73,9 +73,8 @@
         key = message.record.key
         if not self._is_home(key) or key in self._moving:
             return []
-        known = self._parts.store.flows.carrier_of(
-            key.caller, key.service, key.token, now
-        )
+        # Not carrier_of: the caller's plain placement is no record of the feed.
+        known = self._parts.store.flows.find(key)
         if known is not None and known.generation > message.record.generation:
             # Placed before; the word to the new carrier or to the old one was
             # lost.
@@ -108,9 +107,7 @@
         effects: list[Effect] = []
         for record in message.records:
             key = record.key
-            known = self._parts.store.flows.carrier_of(
-                key.caller, key.service, key.token, now
-            )
+            known = self._parts.store.flows.find(key)
             if known != record and self._is_home(key):
                 bucket = self._parts.bucket_of(key.caller, key.service)
                 self._parts.store.flows.put(bucket, record, now)
--- a/redwingstream/flows/feeds.py
+++ b/redwingstream/flows/feeds.py
@@ -93,6 +93,10 @@
             The time.
         """
         feed = self._feeds.find_open(record.key)
+        if not record.registration:
+            # A placement is no feed: there is nothing to register.
+            self.counters.refused += 1
+            return []
         if feed is None:
             feed = self._feeds.add(record, now)
             feed.established = True
--- a/redwingstream/flows/tests/test_feeds.py
+++ b/redwingstream/flows/tests/test_feeds.py
@@ -299,6 +299,13 @@
         assert stale == [effects.CloseFeed(earlier)]
         assert carrier.counters.late == 1
 
+    def test_takes_no_placement_for_a_feed(self) -> None:
+        carrier = make_carrier()
+        placement = attrs.evolve(record('a', 1), registration=b'')
+        assert not carrier.take(placement, 0, 1)
+        assert not carrier.next_registrations(1, 1)
+        assert carrier.counters.refused == 1
+
     def test_asks_for_a_generation_that_looks_newer(self) -> None:
         carrier = make_carrier()
         found = carrier.take(record('a', 1), 3 * COUNTER_LIMIT, 1)
