Say not run for the request whose packet the host returned

A port that refuses was only a hint: a non-idempotent request ended unknown after a second, also when no process ever had it. The error queue of a socket on Linux returns the packet (tried: the first four bytes are there), which names the request by its message id.

--- a/redwingstream/flows/sending.py
+++ b/redwingstream/flows/sending.py
@@ -25,6 +25,8 @@
 from redwingstream.wire import coap
 
 RANDOM_FACTOR = 0.5
+HEAD_SIZE = 4
+"""Bytes of a CoAP message up to its message id."""
 _TOKEN_SIZE = 8
 
 Effects = list[UpstreamEffect]
@@ -179,6 +181,27 @@
             Failed(exchange.owner, RequestState.UNKNOWN, why),
         ]
 
+    def undelivered(self, packet: bytes, source: int, now: float) -> Effects:
+        """End the request that the host could not deliver.
+
+        Notes
+        -----
+        No process had the packet, so it was not run, if it is the only copy.
+        Idempotent requests are repeated instead: the server may be back soon.
+        """
+        message_id = int.from_bytes(packet[2:HEAD_SIZE], 'big')
+        exchange = self.exchanges.by_message_id(message_id, source)
+        if len(packet) < HEAD_SIZE or exchange is None or exchange.is_feed:
+            return []
+        was_seen = exchange.acknowledged or exchange.copies > 1
+        if was_seen or exchange.packet[:HEAD_SIZE] != packet[:HEAD_SIZE]:
+            return []
+        if self._may_repeat(exchange):
+            return []
+        self.finish(exchange, now, answered=False)
+        why = ResultCode.NO_SERVER
+        return [Failed(exchange.owner, RequestState.NOT_RUN, why)]
+
     def end_feed(self, feed: Exchange, now: float, why: ResultCode) -> Effects:
         """Forget a feed that the server does not carry any more."""
         self.finish(feed, now, answered=False)
--- a/redwingstream/flows/tests/test_upstream.py
+++ b/redwingstream/flows/tests/test_upstream.py
@@ -196,6 +196,23 @@
         found = poll_until(upstream, 2.5)
         assert of_type(found, effects.Failed)[0].state is RequestState.UNKNOWN
 
+    def test_undelivered_request_was_not_run(self, upstream: Upstream) -> None:
+        """A farm adviser would walk the field again for nothing.
+
+        The server is down; the host returns the packet of one request, which
+        nobody had.  Another one was handed over before the server died.
+        """
+        post(upstream, 'before')
+        packet = post(upstream, 'after')
+        source = 0
+        found = upstream.refused(1, packet[:4], source)
+        assert found[0] == effects.Failed(
+            'after', RequestState.NOT_RUN, ResultCode.NO_SERVER
+        )
+        ended = of_type(poll_until(upstream, 2.5), effects.Failed)
+        assert [one.owner for one in ended] == ['before']
+        assert ended[0].state is RequestState.UNKNOWN
+
     @pytest.mark.parametrize('packet', [b'', b'\xff' * 9, b'@\x01\x00'])
     def test_counts_malformed_packets(
         self, upstream: Upstream, packet: bytes
--- a/redwingstream/flows/upstream.py
+++ b/redwingstream/flows/upstream.py
@@ -108,21 +108,35 @@
         """
         return self._receiving.receive(packet, now, source)
 
-    def refused(self, now: float) -> Effects:
+    def refused(
+        self, now: float, packet: bytes = b'', source: int = 0
+    ) -> Effects:
         """Take the hint that nobody listens at the server's address.
 
+        Parameters
+        ----------
+        now : float
+            The time.
+        packet : bytes
+            What could not be delivered, when the host says so; its first four
+            bytes are enough.
+        source : int
+            The socket from which it was sent.
+
         Notes
         -----
         The process is gone, and what it knew with it.  A non-idempotent
         request that it had may have run, and no answer will come but one that
-        is already in the socket's buffer; hence the short grace.
+        is already in the socket's buffer; hence the short grace.  The one
+        whose packet came back was surely not run.
         """
+        not_run = self._sending.undelivered(packet, source, now)
         grace = self._sending.limits.ack_timeout / 2
         for exchange in self._exchanges.requests():
             if not exchange.idempotent:
                 exchange.deadline = min(exchange.deadline, now + grace)
                 self._sending.timers.start(exchange.number, exchange.deadline)
-        return self.restarted(now)
+        return not_run + self.restarted(now)
 
     def restarted(self, now: float) -> Effects:
         """End every feed: the server has started anew and knows none."""
