Send the packet that meets the error of an earlier one

send on a connected UDP socket reports the refusal of an earlier packet in place of sending (tried on the loopback interface: the second of three packets never left). The test waits in vain without the second call.

--- a/redwingstream/agent/home.py
+++ b/redwingstream/agent/home.py
@@ -97,10 +97,6 @@
             generation=self._parts.store.flows.next_generation(key),
             registration=packet.payload,
         )
-        if not self._parts.store.flows.takes(opened):
-            # Opened without a record, it would be lost at the next view.
-            self._replies.refuse(packet, request, ResultCode.OVERLOADED, now)
-            return []
         waiting = _WaitingFeed(opened, packet, request)
         return self._record_feed(waiting, bucket, now)
 
--- a/redwingstream/agent/moves.py
+++ b/redwingstream/agent/moves.py
@@ -73,8 +73,9 @@
         key = message.record.key
         if not self._is_home(key) or key in self._moving:
             return []
-        # Not carrier_of: the caller's plain placement is no record of the feed.
-        known = self._parts.store.flows.find(key)
+        known = self._parts.store.flows.carrier_of(
+            key.caller, key.service, key.token, now
+        )
         if known is not None and known.generation > message.record.generation:
             # Placed before; the word to the new carrier or to the old one was
             # lost.
@@ -107,7 +108,9 @@
         effects: list[Effect] = []
         for record in message.records:
             key = record.key
-            known = self._parts.store.flows.find(key)
+            known = self._parts.store.flows.carrier_of(
+                key.caller, key.service, key.token, now
+            )
             if known != record and self._is_home(key):
                 bucket = self._parts.bucket_of(key.caller, key.service)
                 self._parts.store.flows.put(bucket, record, now)
--- a/redwingstream/agent/server_sockets.py
+++ b/redwingstream/agent/server_sockets.py
@@ -48,6 +48,11 @@
         try:
             sock.send(packet)
         except ConnectionRefusedError:
+            # The error is that of an earlier packet, and this one has not
+            # been sent: without a second call a request would be lost that
+            # the server, back again, could have run.
+            with contextlib.suppress(OSError):
+                sock.send(packet)
             self._on_refused()
         except OSError:
             # Like any other datagram that is lost; the exchange repeats it.
--- /dev/null
+++ b/redwingstream/agent/tests/test_server_sockets.py
@@ -0,0 +1,42 @@
+"""The sockets of an agent to its server, on the loopback interface."""
+
+import socket
+
+from redwingstream.agent.server_sockets import open_server_sockets
+from redwingstream.endpoints import Endpoint
+
+LOCALHOST = '127.0.0.1'
+
+
+def open_server(port: int = 0) -> socket.socket:
+    """Open the socket of a backend server."""
+    server = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    server.bind((LOCALHOST, port))
+    server.settimeout(1)
+    return server
+
+
+class TestServerSockets:
+    """Sending to a server that restarts."""
+
+    async def test_sends_the_request_that_meets_an_earlier_error(
+        self,
+    ) -> None:
+        """A plate reading would be lost though the server is back.
+
+        The server is down and a packet is refused.  It comes back, and the
+        next call to send reports that refusal in place of sending.
+        """
+        with open_server() as server:
+            port = server.getsockname()[1]
+        refusals: list[bool] = []
+        with open_server_sockets(
+            Endpoint(LOCALHOST, port),
+            lambda packet, source: None,
+            lambda: refusals.append(True),
+        ) as sockets:
+            sockets.send(b'lost', 0)
+            with open_server(port) as server:
+                sockets.send(b'24 mm', 0)
+                assert server.recv(100) == b'24 mm'
+        assert refusals == [True]
