--- a/redwingstream/flows/feeds.py
+++ b/redwingstream/flows/feeds.py
@@ -19,6 +19,9 @@
 from redwingstream.forwarding.messages import FeedMoved
 from redwingstream.wire import coap
 
+ASK_INTERVAL = 1.0
+"""Seconds between two questions to place a feed elsewhere."""
+
 FINAL_COPIES = 2
 """Balancers through which the final answer of a feed given up goes."""
 
@@ -90,6 +93,10 @@
             The time.
         """
         feed = self._feeds.find_open(record.key)
+        if not record.registration:
+            # A placement is no feed: there is nothing to register.
+            self.counters.refused += 1
+            return []
         if feed is None:
             feed = self._feeds.add(record, now)
             feed.established = True
@@ -127,7 +134,7 @@
             return []
         if message.mtype is coap.ACK:
             if feed.closing:
-                return self._feeds.remove(feed)
+                return self._feeds.close(feed, ResultCode.OK)
             return self._notifications.acknowledged(feed, now)
         if message.mtype is not coap.RST:
             return []
@@ -174,7 +181,7 @@
                 self._registrations.wait_again(feed, now, max_age)
             case _:
                 final = response or self._feeds.final_answer(why)
-                return self._feeds.finish(feed, final, why, now)
+                return self._feeds.finish(feed, final, now)
         return []
 
     def next_registrations(self, now: float, room: int) -> list[OpenFeed]:
@@ -190,6 +197,25 @@
         """
         return self._registrations.take_due(now, room)
 
+    def without_server(self, now: float, longer_than: float) -> list[FlowKey]:
+        """Return the feeds not registered at the server for some time.
+
+        Notes
+        -----
+        The agent asks their homes to place them elsewhere.  Each is returned
+        once in ``ASK_INTERVAL`` at most: a server with thousands of feeds that
+        dies would otherwise have as many questions sent at every tick.
+        """
+        stuck = [
+            feed
+            for feed in self._registrations.waiting()
+            if now - feed.waiting_since > longer_than
+            and (feed.asked_at is None or now - feed.asked_at >= ASK_INTERVAL)
+        ]
+        for asked in stuck:
+            asked.asked_at = now
+        return [feed.key for feed in stuck]
+
     def give_up(
         self, key: FlowKey, why: ResultCode, now: float
     ) -> list[FeedEffect]:
