--- a/demo/checks.py
+++ b/demo/checks.py
@@ -44,6 +44,8 @@
 
     Parameters
     ----------
+    client : Client
+        Its caller.
     observation : Observation
         The feed.
     states : list of State
@@ -52,6 +54,7 @@
         Longest time without one, in seconds.
     """
 
+    client: Client
     observation: Observation
     states: list[State] = attrs.field(factory=list)
     longest_gap: float = 0
@@ -65,9 +68,9 @@
     async def listen(self) -> None:
         """Take states until the feed breaks or the task is cancelled."""
         while not self.broken:
-            state = await self.observation.next_state(SILENCE)
+            state = await self.client.next_state(self.observation, SILENCE)
             if state is None:
-                self.broken = self.observation.ended or 'silent'
+                self.broken = self.observation.ended
                 return
             if self.states:
                 gap = state.at - self.states[-1].at
@@ -115,7 +118,7 @@
         service = self.layout.services[SWARD]
         client = self.one_more()
         feed = await client.observe(service, FEED_PATH, ATTEMPTS)
-        return LiveFeed(feed)
+        return LiveFeed(client, feed)
 
     async def ask_host(self) -> str:
         """Ask from a fresh address; return the server that answered.
--- a/redwingstream/operators/commands/members.py
+++ b/redwingstream/operators/commands/members.py
@@ -1,5 +1,6 @@
 """Commands on members: drain, undrain, status, dump."""
 
+import msgspec
 from cleo.helpers import argument
 
 from redwingstream.endpoints import Endpoint, parse_endpoint
@@ -64,10 +65,11 @@
     ]
 
     async def run_command(self, client: ControlClient) -> ResultCode:
-        """Write the dump as it came."""
+        """Write the dump as it came for programs, indented for people."""
         endpoint = await self._find(client, self.argument('process'))
         text = await client.dump(endpoint)
-        self.show_text(text)
+        is_raw = self.option('json')
+        self.show_text(text if is_raw else msgspec.json.format(text))
         return ResultCode.OK
 
     async def _find(self, client: ControlClient, process: str) -> Endpoint:
--- a/redwingstream/operators/explain.py
+++ b/redwingstream/operators/explain.py
@@ -104,8 +104,8 @@
     told = steps.explanation
     bucket = bucket_of(told.caller, told.service, pool.buckets, key)
     steps.add(
-        f'the keyed hash of caller and service is bucket {bucket} of '
-        f'{pool.buckets}',
+        f'the keyed hash of caller and service gives bucket {bucket}, from '
+        f'0 to {pool.buckets - 1}',
         bucket=bucket,
         view=view.number,
     )
--- a/redwingstream/operators/tests/test_tool.py
+++ b/redwingstream/operators/tests/test_tool.py
@@ -60,6 +60,8 @@
         output, errors = await process.communicate()
         return process.returncode, output.decode(), errors.decode()
 
+    run.endpoint = str(endpoint)
+
     async def handle(request):
         return await fleet.call(endpoint, request, object)
 
@@ -93,6 +95,14 @@
         assert code == ResultCode.OK
         assert json.loads(output)['revision'] == 8
 
+    async def test_dump_is_indented_for_people_only(self, run_tool):
+        code, output, _ = await run_tool('dump', '127.0.0.1:1')
+        assert code == ResultCode.TIMED_OUT
+        code, output, _ = await run_tool('dump', run_tool.endpoint)
+        assert (code, output.count('\n')) == (ResultCode.OK, 4)
+        code, output, _ = await run_tool('dump', run_tool.endpoint, '--json')
+        assert (code, output.count('\n')) == (ResultCode.OK, 1)
+
     async def test_settings_are_checked(self, run_tool, key_path):
         code, _, errors = await run_tool('status', '--timeout', 'soon')
         assert code == ResultCode.BAD_SETTING
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -76,9 +76,9 @@
     end = loop.time() + flags.seconds
     feed = await client.observe(flags.service, flags.path, flags.attempts)
     while loop.time() < end:
-        state = await feed.next_state(flags.silence)
+        state = await client.next_state(feed, flags.silence)
         if state is None:
-            _show('broken', feed=number, reason=feed.ended or 'silent')
+            _show('broken', feed=number, reason=feed.ended)
             return False
         _show('state', feed=number, sequence=state.sequence)
     await client.cancel(flags.service, flags.path, feed)
--- a/standins/client.py
+++ b/standins/client.py
@@ -13,7 +13,7 @@
 from redwingstream.wire import coap
 from redwingstream.wire.datagrams import DatagramSocket, open_datagrams
 from standins.blocks import BLOCK_EXPONENT, Blocks, BlockState, Whole
-from standins.observation import Observation
+from standins.observation import Observation, State
 from standins.outcomes import (
     Answered,
     NoAnswer,
@@ -103,7 +103,7 @@
             Seconds to wait; it travels in the deadline option, and the
             request is cancelled (RST) when it has passed.
         """
-        packet.token = packet.token or self._new_token()
+        packet.token = packet.token or self._random.randbytes(TOKEN_SIZE)
         wait = self._deadline if deadline is None else deadline
         if wait is not None:
             coap.set_deadline(packet, wait)
@@ -152,7 +152,7 @@
         token: bytes = b'',
     ) -> Observation:
         """Register for a feed; the result says if it has ended at once."""
-        feed = Observation(token or self._new_token())
+        feed = Observation(token or self._random.randbytes(TOKEN_SIZE))
         self._feed_by_name[service.as_pair(), feed.token] = feed
         packet = request_for(path)
         packet.token = feed.token
@@ -162,6 +162,24 @@
             feed.end(str(outcome))
         return feed
 
+    async def next_state(
+        self, feed: Observation, silence: float
+    ) -> State | None:
+        """Wait for the next fresh state; None when the feed is broken.
+
+        Parameters
+        ----------
+        feed : Observation
+            A registered feed.
+        silence : float
+            Seconds without a fresh state after which it counts as broken.
+        """
+        state = await feed.next_state(silence)
+        if state is None and not feed.ended:
+            feed.end('silent')
+            self.counters.broken_feeds += 1
+        return state
+
     async def cancel(
         self, service: Endpoint, path: str, feed: Observation
     ) -> Outcome:
@@ -272,9 +290,6 @@
         else:
             self.counters.stale += 1
 
-    def _new_token(self) -> bytes:
-        return self._random.randbytes(TOKEN_SIZE)
-
 
 def request_for(path: str) -> Message:
     """Return a GET of a path."""
--- a/standins/tests/test_whole_way.py
+++ b/standins/tests/test_whole_way.py
@@ -101,6 +101,16 @@
         await path.client.cancel(path.service, 'feed', feed)
         assert path.backend.feeds.count == 0
 
+    async def test_silent_feed_is_broken(self, path):
+        # The fabric loses every packet from some point on.  Nothing tells the
+        # caller that its feed is over but the time without a fresh state.
+        feed = await path.client.observe(path.service, 'feed')
+        path.fabric.faults = Faults(drop=1)
+        while not feed.ended:
+            await path.client.next_state(feed, silence=0.5)
+        assert feed.ended == 'silent'
+        assert path.client.counters.broken_feeds == 1
+
     async def test_draining_server_refuses_new_work(self, path):
         path.backend.jobs.work.draining = True
         packet = request_for('reports/spring')
