--- a/demo/tayside.py
+++ b/demo/tayside.py
@@ -138,12 +138,12 @@
         flowing = await asyncio.gather(
             *(feed.wait_for(STATES_WANTED) for feed in feeds)
         )
-        hosts = ', '.join(sorted({feed.host for feed in feeds}))
+        hosts = ', '.join(sorted({feed.host for feed in feeds} - {''}))
         self._report.add(
             Finding(
                 all(flowing),
                 f'live feeds: {sum(flowing)} of {len(feeds)} stream, from '
-                f'{hosts}',
+                f'{hosts}{_broken(feeds)}',
             )
         )
 
@@ -208,7 +208,8 @@
             Finding(
                 len(going) == len(watched) and gap < LONGEST_GAP,
                 f'zone {zone} {state}: {len(going)} of {len(watched)} feeds '
-                f'from elsewhere go on, longest gap {gap:.1f} s',
+                f'from elsewhere go on, longest gap {gap:.1f} s'
+                f'{_broken(watched)}',
             )
         )
 
@@ -248,6 +249,12 @@
     return report.went_well
 
 
+def _broken(feeds: list[LiveFeed]) -> str:
+    """Return why feeds are broken, for the end of a line."""
+    causes = sorted({feed.broken for feed in feeds if feed.broken})
+    return '; broken: {0}'.format(', '.join(causes)) if causes else ''
+
+
 def _end_at_sigterm() -> None:
     """Turn SIGTERM into a cancellation.
 
