--- /dev/null
+++ b/redwingstream/agent/tests/exchange.py
@@ -0,0 +1,117 @@
+"""Passes frames between fake processes: late, twice, or never.
+
+Time is a number that :meth:`Exchange.run` advances.
+"""
+
+import heapq
+import itertools
+from collections.abc import Callable
+from typing import Protocol
+
+import attrs
+
+TICK = 0.05
+TRAVEL = 0.002
+"""Seconds that a frame takes from one process to another."""
+
+
+@attrs.frozen
+class Frame:
+    """A message on its way from one process to another."""
+
+    source: str
+    target: str
+    payload: object
+
+
+class Process(Protocol):
+    """What stands at an address."""
+
+    def receive(self, frame: Frame, now: float) -> None:
+        """Take a frame."""
+
+    def tick(self, now: float) -> None:
+        """Do what is due."""
+
+
+Inspect = Callable[[Frame], 'tuple[float, ...] | None']
+"""Returns how long each copy of a frame is delayed; None for no opinion."""
+
+
+class Exchange:
+    """The network between fake processes, and their clock.
+
+    Attributes
+    ----------
+    now : float
+        Seconds.
+    process_by_address : dict
+        The living processes.
+    frozen : set of str
+        Addresses whose processes stand still; their frames wait.
+    cuts : set of tuple
+        Pairs of source and target between which every frame is lost.
+    inspect : callable
+        Looks at each frame before it is sent.
+    """
+
+    def __init__(self) -> None:
+        self.now = float()
+        self.process_by_address: dict[str, Process] = {}
+        self.frozen: set[str] = set()
+        self.cuts: set[tuple[str, str]] = set()
+        self.inspect: Inspect | None = None
+        self._serial = itertools.count()
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._waiting: list[Frame] = []
+        self._tick_at = float()
+
+    def call_later(self, delay: float, action: Callable[[], None]) -> None:
+        """Run something later."""
+        event = (self.now + delay, next(self._serial), action)
+        heapq.heappush(self._events, event)
+
+    def send(self, source: str, target: str, payload: object) -> None:
+        """Send a frame, as the faults of the moment allow."""
+        frame = Frame(source, target, payload)
+        delays = None if self.inspect is None else self.inspect(frame)
+        if (source, target) in self.cuts:
+            return
+        for delay in (0,) if delays is None else delays:
+            self.call_later(TRAVEL + delay, lambda: self._deliver(frame))
+
+    def thaw(self, address: str) -> None:
+        """Let a process run again; it finds the frames that have waited."""
+        self.frozen.discard(address)
+        waiting, self._waiting = self._waiting, []
+        for frame in waiting:
+            self._deliver(frame)
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        end = self.now + seconds
+        while True:
+            due = self._events[0][0] if self._events else end
+            if min(due, self._tick_at) > end:
+                break
+            if due <= self._tick_at and self._events:
+                self.now, _, action = heapq.heappop(self._events)
+                action()
+            else:
+                self.now = self._tick_at
+                self._tick_at += TICK
+                self._tick()
+        self.now = end
+
+    def _tick(self) -> None:
+        for address, process in list(self.process_by_address.items()):
+            if address not in self.frozen:
+                process.tick(self.now)
+
+    def _deliver(self, frame: Frame) -> None:
+        if frame.target in self.frozen:
+            self._waiting.append(frame)
+            return
+        process = self.process_by_address.get(frame.target)
+        if process is not None and (frame.source, frame.target) not in self.cuts:
+            process.receive(frame, self.now)
--- /dev/null
+++ b/redwingstream/agent/tests/fake_server.py
@@ -0,0 +1,170 @@
+"""A fake backend server: counts runs, has slots, falls over, restarts."""
+
+from collections import Counter
+
+import attrs
+from aiocoap.message import Message
+
+from redwingstream.agent.tests.exchange import Exchange, Frame
+from redwingstream.wire import coap
+
+RUN_TIME = 0.02
+ACK_AFTER = 1.0
+NOTIFY_EVERY = 1.0
+FALL_TIME = 2.0
+
+
+@attrs.frozen
+class ServerPacket:
+    """A CoAP packet between agent and server, and the agent's socket."""
+
+    payload: bytes
+    source: int
+
+
+@attrs.define(eq=False)
+class _Feed:
+    packet: ServerPacket
+    agent: str
+    request: Message
+    number: int
+
+
+class FakeServer:
+    """Runs requests one to a slot.
+
+    Parameters
+    ----------
+    exchange : Exchange
+        Where it stands.
+    address : str
+        Its address there.
+    slots : int
+        What it bears; one request more and it falls over.
+
+    Attributes
+    ----------
+    runs_by_key : Counter
+        Runs of non-idempotent requests by payload, over all restarts.
+    run_time : float
+        Seconds of a run.
+    is_silent : bool
+        Takes everything and answers nothing.
+    """
+
+    def __init__(self, exchange: Exchange, address: str, slots: int) -> None:
+        self.runs_by_key: Counter[bytes] = Counter()
+        self.run_time = RUN_TIME
+        self.is_silent = False
+        self.falls = 0
+        self.in_flight = 0
+        self._exchange = exchange
+        self._address = address
+        self._slots = slots
+        self._run = 0
+        self._seen: dict[tuple[int, int], bytes] = {}
+        self._feeds: dict[tuple[int, bytes], _Feed] = {}
+        self._message_id = 0
+        self._notify_at = float()
+        exchange.process_by_address[address] = self
+
+    def restart(self) -> None:
+        """Forget everything but the counts."""
+        self._run += 1
+        self.in_flight = 0
+        self._seen.clear()
+        self._feeds.clear()
+        self._message_id += 1000
+
+    def receive(self, frame: Frame, now: float) -> None:
+        """Take a packet of the agent."""
+        packet = frame.payload
+        message = coap.decode(packet.payload)
+        if coap.is_request(message):
+            self._take_request(message, packet, frame.source)
+        elif message.code is coap.EMPTY and message.mtype is coap.CON:
+            reset = coap.empty(coap.RST, message.mid)
+            self._send(reset, packet.source, frame.source)
+        elif message.mtype is coap.RST:
+            self._seen[packet.source, message.mid] = b''
+
+    def tick(self, now: float) -> None:
+        """Notify the feeds."""
+        if now < self._notify_at:
+            return
+        self._notify_at = now + NOTIFY_EVERY
+        for feed in self._feeds.values():
+            feed.number += 1
+            self._notify(feed, coap.CON)
+
+    def _take_request(
+        self, request: Message, packet: ServerPacket, agent: str
+    ) -> None:
+        name = (packet.source, request.mid)
+        if name in self._seen:
+            if self._seen[name]:
+                self._send_bytes(self._seen[name], packet.source, agent)
+            return
+        self._seen[name] = b''
+        if request.opt.observe == coap.OBSERVE_REGISTER:
+            feed = _Feed(packet, agent, request, len(self._seen))
+            self._feeds[packet.source, request.token] = feed
+            self._notify(feed, coap.ACK)
+            return
+        if request.opt.observe == coap.OBSERVE_CANCEL:
+            self._feeds.pop((packet.source, request.token), None)
+        self._start(request, packet, agent)
+
+    def _start(
+        self, request: Message, packet: ServerPacket, agent: str
+    ) -> None:
+        self.in_flight += 1
+        if self.in_flight > self._slots:
+            self.falls += 1
+            self.restart()
+            return
+        if not coap.is_idempotent(request):
+            self.runs_by_key[request.payload] += 1
+        run = self._run
+        self._exchange.call_later(
+            self.run_time, lambda: self._finish(run, request, packet, agent)
+        )
+        if self.run_time > ACK_AFTER:
+            ack = coap.empty(coap.ACK, request.mid)
+            self._send(ack, packet.source, agent)
+
+    def _finish(
+        self, run: int, request: Message, packet: ServerPacket, agent: str
+    ) -> None:
+        if run != self._run:
+            return
+        self.in_flight -= 1
+        answer = coap.reply_to(
+            request, coap.CHANGED, b'done:' + request.payload
+        )
+        if self.run_time > ACK_AFTER:
+            answer.mtype = coap.CON
+            answer.mid = self._next_id()
+        self._seen[packet.source, request.mid] = coap.encode(answer)
+        self._send(answer, packet.source, agent)
+
+    def _notify(self, feed: _Feed, mtype: object) -> None:
+        state = f'state {feed.number}'.encode()
+        answer = coap.reply_to(feed.request, coap.CONTENT, state)
+        if mtype is coap.CON:
+            answer.mtype = coap.CON
+            answer.mid = self._next_id()
+        answer.opt.observe = feed.number
+        self._send(answer, feed.packet.source, feed.agent)
+
+    def _next_id(self) -> int:
+        self._message_id = (self._message_id + 1) % coap.MESSAGE_ID_LIMIT
+        return self._message_id
+
+    def _send(self, message: Message, source: int, agent: str) -> None:
+        self._send_bytes(coap.encode(message), source, agent)
+
+    def _send_bytes(self, payload: bytes, source: int, agent: str) -> None:
+        if not self.is_silent:
+            packet = ServerPacket(payload, source)
+            self._exchange.send(self._address, agent, packet)
--- /dev/null
+++ b/redwingstream/agent/tests/pool.py
@@ -0,0 +1,461 @@
+"""One pool in one process: agents, balancers, control and callers, faked.
+
+Only agents and the balancers' decisions are the real ones.  There is no
+cluster here: no sockets, no consensus, no clock.
+"""
+
+import itertools
+import random
+
+import attrs
+
+from redwingstream.agent.core import AgentCore
+from redwingstream.agent.parts import (
+    AgentIdentity,
+    ServerCapacity,
+    make_parts,
+)
+from redwingstream.agent.tests.exchange import Exchange, Frame
+from redwingstream.agent.tests.fake_caller import CallerPacket, FakeCaller
+from redwingstream.agent.tests.fake_server import FakeServer, ServerPacket
+from redwingstream.endpoints import parse_endpoint
+from redwingstream.errors import ResultCode
+from redwingstream.forwarding.messages import Answer
+from redwingstream.membership.messages import Probe, ProbeAck
+from redwingstream.balancer.forwarder import Forward, Forwarder, Refuse
+from redwingstream.node.metrics import Metrics
+from redwingstream.tables.rows import (
+    EarlierView,
+    Member,
+    Pool,
+    PoolView,
+    Role,
+    Route,
+    ViewMember,
+    ZoneMark,
+)
+from redwingstream.tables.snapshot import Tables
+from redwingstream.wire import coap
+from redwingstream.wire.fabric import Way
+
+POOL = 'lot-desk'
+SERVICE = '198.51.100.1:5683'
+CONTROL = '10.9.0.1:7000'
+KEY = b'k' * 32
+BUCKETS = 4
+LEASE = 3.0
+BEAT_INTERVAL = 0.5
+ZONES = ('godoy-cruz', 'lujan', 'maipu')
+
+
+@attrs.frozen
+class Beat:
+    """A fake heartbeat."""
+
+    host: str
+    boot: int
+    incarnation: int
+    settled_view: int
+
+
+@attrs.frozen
+class Admitted:
+    """Control tells a process its incarnation."""
+
+    incarnation: int
+
+
+@attrs.frozen
+class Fetch:
+    """A process asks another one for its tables."""
+
+
+class Agent:
+    """An agent process beside its fake server; the outlets of its core."""
+
+    def __init__(
+        self, pool: 'FakePool', host: str, boot: int, server: str
+    ) -> None:
+        self.host = host
+        self.endpoint = pool.endpoint_by_host[host]
+        self.core: AgentCore | None = None
+        self.metrics = Metrics('agent', None)
+        self.tables = Tables()
+        self._boot = boot
+        self._pool = pool
+        self._exchange = pool.exchange
+        self._server = server
+        self._incarnation = 0
+        self._beat_at = float()
+
+    def receive(self, frame: Frame, now: float) -> None:
+        """Take a frame."""
+        match frame.payload:
+            case Tables(revision=revision):
+                if revision > self.tables.revision:
+                    self.tables = frame.payload
+                    self._adopt(now)
+            case Admitted(incarnation):
+                self._incarnation = incarnation
+                self._adopt(now)
+            case Fetch():
+                self.to_peer(frame.source, self.tables)
+            case Probe(revision):
+                self.to_peer(frame.source, ProbeAck(self.tables.revision))
+                self.hear_revision(revision, frame.source)
+            case _:
+                self._take(frame, now)
+
+    def tick(self, now: float) -> None:
+        """Beat, and do what is due."""
+        if now >= self._beat_at:
+            self._beat_at = now + BEAT_INTERVAL
+            settled = 0 if self.core is None else self.core.vitals().settled_view
+            beat = Beat(self.host, self._boot, self._incarnation, settled)
+            self.to_peer(CONTROL, beat)
+        if self.core is not None:
+            self.core.tick(now)
+
+    def to_peer(self, endpoint: str, payload: object) -> None:
+        """Send a frame."""
+        self._exchange.send(self.endpoint, endpoint, payload)
+
+    def to_server(self, packet: bytes, source: int) -> None:
+        """Send a packet to the server."""
+        self.to_peer(self._server, ServerPacket(packet, source))
+
+    def replace_source(self, source: int) -> None:
+        """Do nothing: sockets are not faked."""
+
+    def hear_revision(self, revision: int, endpoint: str) -> None:
+        """Fetch newer tables."""
+        if revision > self.tables.revision:
+            self.to_peer(endpoint, Fetch())
+
+    def _take(self, frame: Frame, now: float) -> None:
+        core = self.core
+        if core is None:
+            return
+        match frame.payload:
+            case ServerPacket(payload, source):
+                core.take_from_server(payload, source, now)
+            case ProbeAck(revision):
+                core.parts.links.heard(parse_endpoint(frame.source))
+                self.hear_revision(revision, frame.source)
+            case _:
+                core.take(frame.payload, frame.source, now)
+
+    def _adopt(self, now: float) -> None:
+        member = self.tables.member_by_host.get(self.host)
+        if member is None or member.incarnation != self._incarnation:
+            if self.core is not None:
+                self.core.follow(self.tables, now)
+            return
+        if self.core is None or not self._is_current():
+            self.core = self._make_core(now)
+        self.core.follow(self.tables, now)
+
+    def _is_current(self) -> bool:
+        return self.core.parts.me.incarnation == self._incarnation
+
+    def _make_core(self, now: float) -> AgentCore:
+        if self.core is not None:
+            self.core.retire(now)
+        me = AgentIdentity(
+            host=self.host,
+            incarnation=self._incarnation,
+            endpoint=self.endpoint,
+            zone=self._pool.zone_by_host[self.host],
+            pool=POOL,
+            buckets=BUCKETS,
+            key=KEY,
+        )
+        capacity = ServerCapacity(self._pool.slots, 2000)
+        rng = random.Random(f'{self.host}{self._incarnation}')
+        return AgentCore(make_parts(me, capacity, self, self.metrics, rng))
+
+
+class Balancer:
+    """A balancer: the real decisions behind a fake fabric."""
+
+    def __init__(self, pool: 'FakePool', endpoint: str) -> None:
+        self.tables = Tables()
+        self.endpoint = endpoint
+        self._exchange = pool.exchange
+        self._forwarder = Forwarder(parse_endpoint(endpoint), KEY)
+
+    def receive(self, frame: Frame, now: float) -> None:
+        """Take a frame of an agent or a caller's packet."""
+        match frame.payload:
+            case Tables(revision=revision):
+                if revision > self.tables.revision:
+                    self.tables = frame.payload
+                    self._forwarder.adopt(self.tables)
+            case CallerPacket():
+                self._forward(frame.payload, now)
+            case Answer(revision, caller, service, payload):
+                self._heard(frame.source, revision)
+                packet = CallerPacket(caller, service, payload)
+                self._exchange.send(self.endpoint, caller, packet)
+            case ProbeAck(revision):
+                self._heard(frame.source, revision)
+            case Fetch():
+                self._exchange.send(self.endpoint, frame.source, self.tables)
+
+    def tick(self, now: float) -> None:
+        """Probe silent agents."""
+        for peer in self._forwarder.links.due_probes(now):
+            probe = Probe(self.tables.revision)
+            self._exchange.send(self.endpoint, str(peer), probe)
+
+    def _heard(self, source: str, revision: int) -> None:
+        self._forwarder.links.heard(parse_endpoint(source))
+        if revision > self.tables.revision:
+            self._exchange.send(self.endpoint, source, Fetch())
+
+    def _forward(self, packet: CallerPacket, now: float) -> None:
+        way = Way(
+            parse_endpoint(packet.caller), parse_endpoint(packet.service)
+        )
+        match self._forwarder.decide(way, packet.payload, now):
+            case Forward(agent, forwarded):
+                self._exchange.send(self.endpoint, str(agent), forwarded)
+            case Refuse(reason):
+                self._refuse(packet, reason)
+
+    def _refuse(self, packet: CallerPacket, reason: ResultCode) -> None:
+        request = coap.decode(packet.payload)
+        if coap.is_request(request):
+            payload = coap.encode(coap.refusal(request, reason, 1))
+            answer = attrs.evolve(packet, payload=payload)
+            self._exchange.send(self.endpoint, packet.caller, answer)
+
+
+class Control:
+    """Stands for the control instances: members, leases, views, marks."""
+
+    def __init__(self, exchange: Exchange, tables: Tables) -> None:
+        self.tables = tables
+        self._exchange = exchange
+        self._heard_at: dict[str, float] = {}
+        self._settled: dict[str, int] = {}
+        self._known_revision: dict[str, int] = {}
+        self._announced_by_host: dict[str, Member] = {}
+        exchange.process_by_address[CONTROL] = self
+
+    def announce(self, member: Member) -> None:
+        """Know a process before it beats for the first time."""
+        self._announced_by_host[member.host] = member
+
+    def receive(self, frame: Frame, now: float) -> None:
+        """Take a heartbeat."""
+        match frame.payload:
+            case Beat(host, boot, incarnation, settled):
+                self._heard_at[host] = now
+                self._settled[host] = settled
+                self._answer(frame.source, host, boot, incarnation)
+            case Fetch():
+                self._exchange.send(CONTROL, frame.source, self.tables)
+
+    def tick(self, now: float) -> None:
+        """Remove silent members, settle views, send tables."""
+        for member in list(self.tables.member_by_host.values()):
+            heard_at = self._heard_at.get(member.host, now)
+            if member.role is Role.AGENT and now - heard_at > LEASE:
+                self.remove(member.host)
+        self._settle()
+        revision = self.tables.revision
+        for endpoint, process in self._exchange.process_by_address.items():
+            if isinstance(process, Agent | Balancer):
+                if process.tables.revision < revision:
+                    self._exchange.send(CONTROL, endpoint, self.tables)
+
+    def remove(self, host: str) -> None:
+        """Remove a member."""
+        members = dict(self.tables.member_by_host)
+        members.pop(host, None)
+        self._commit(members)
+
+    def mark_draining(self, host: str) -> None:
+        """Take a member out of the view; it stays a member."""
+        members = dict(self.tables.member_by_host)
+        members[host] = attrs.evolve(members[host], draining=True)
+        self._commit(members)
+
+    def mark_zone(self, zone: str, *, is_out: bool) -> None:
+        """Take a zone out or in."""
+        zones = {**self.tables.zone_by_name, zone: ZoneMark(zone, is_out)}
+        self.tables = attrs.evolve(self.tables, zone_by_name=zones)
+        self._commit(dict(self.tables.member_by_host))
+
+    def _answer(
+        self, source: str, host: str, boot: int, incarnation: int
+    ) -> None:
+        known = self.tables.member_by_host.get(host)
+        if known is None or known.boot != boot:
+            announced = self._announced_by_host[host]
+            members = dict(self.tables.member_by_host)
+            known = attrs.evolve(
+                announced, boot=boot, incarnation=self.tables.revision + 1
+            )
+            members[host] = known
+            self._commit(members)
+        if known.incarnation != incarnation:
+            self._exchange.send(CONTROL, source, Admitted(known.incarnation))
+
+    def _commit(self, members: dict[str, Member]) -> None:
+        revision = self.tables.revision + 1
+        former = self.tables.view_by_pool[POOL]
+        serving = tuple(
+            ViewMember(
+                member.host,
+                member.incarnation,
+                member.endpoint,
+                member.zone,
+            )
+            for host, member in sorted(members.items())
+            if member.role is Role.AGENT
+            and not member.draining
+            and not self.tables.is_zone_out(member.zone)
+        )
+        view = former
+        if serving != former.members:
+            earlier = EarlierView(former.number, former.members)
+            unsettled = (earlier, *former.unsettled) if former.number else ()
+            view = PoolView(POOL, revision, serving, unsettled)
+        self.tables = attrs.evolve(
+            self.tables,
+            revision=revision,
+            member_by_host=members,
+            view_by_pool={POOL: view},
+        )
+
+    def _settle(self) -> None:
+        view = self.tables.view_by_pool[POOL]
+        hosts = [member.host for member in view.members]
+        if not view.unsettled or not hosts:
+            return
+        if all(self._settled.get(host, 0) >= view.number for host in hosts):
+            settled = attrs.evolve(view, unsettled=())
+            self.tables = attrs.evolve(
+                self.tables,
+                revision=self.tables.revision + 1,
+                view_by_pool={POOL: settled},
+            )
+
+
+class FakePool:
+    """Agents with their servers, balancers, control, and callers.
+
+    Parameters
+    ----------
+    hosts : int
+        How many agents.
+    slots : int
+        Requests that each server bears.
+    """
+
+    def __init__(self, hosts: int = 3, slots: int = 3) -> None:
+        self.exchange = Exchange()
+        self.slots = slots
+        self.hosts = tuple(f'lot-{number}' for number in range(hosts))
+        self.endpoint_by_host = {
+            host: f'10.0.0.{number + 1}:7000'
+            for number, host in enumerate(self.hosts)
+        }
+        self.zone_by_host = dict(zip(self.hosts, itertools.cycle(ZONES)))
+        self.balancers = ('10.0.1.1:7000', '10.0.1.2:7000')
+        self.callers: list[FakeCaller] = []
+        self.server_by_host: dict[str, FakeServer] = {}
+        self.cores_seen: list[AgentCore] = []
+        self._boots = itertools.count(1)
+        self.control = Control(self.exchange, self._first_tables())
+        for endpoint in self.balancers:
+            balancer = Balancer(self, endpoint)
+            self.exchange.process_by_address[endpoint] = balancer
+        for host in self.hosts:
+            address = f'server of {host}'
+            server = FakeServer(self.exchange, address, slots)
+            self.server_by_host[host] = server
+            self.start(host)
+
+    def start(self, host: str) -> Agent:
+        """Start an agent, also one that was killed."""
+        endpoint = self.endpoint_by_host[host]
+        member = Member(
+            host=host,
+            role=Role.AGENT,
+            incarnation=0,
+            boot=0,
+            endpoint=endpoint,
+            zone=self.zone_by_host[host],
+            pool=POOL,
+        )
+        self.control.announce(member)
+        agent = Agent(self, host, next(self._boots), f'server of {host}')
+        self.exchange.process_by_address[endpoint] = agent
+        return agent
+
+    def kill(self, address: str) -> None:
+        """End a process without a word."""
+        self.exchange.process_by_address.pop(address, None)
+
+    def agent(self, host: str) -> Agent:
+        """Return a living agent."""
+        return self.exchange.process_by_address[self.endpoint_by_host[host]]
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        self.exchange.run(seconds)
+
+    def caller(self, number: int = 1) -> FakeCaller:
+        """Return a new caller."""
+        address = f'192.0.2.{number}:5000'
+        made = FakeCaller(self.exchange, address, SERVICE, self.balancers)
+        self.callers.append(made)
+        return made
+
+    def pair(self, caller: FakeCaller) -> tuple[str, str]:
+        """Return the hosts of home and heir of a caller's bucket."""
+        host = self.hosts[0]
+        for name in self.hosts:
+            if self.endpoint_by_host[name] in self.exchange.process_by_address:
+                host = name
+        parts = self.agent(host).core.parts
+        bucket = parts.bucket_of(caller.address, SERVICE)
+        return parts.home_of(bucket).host, parts.heir_of(bucket).host
+
+    def runs(self, body: bytes) -> int:
+        """Return how often a non-idempotent request was run."""
+        servers = self.server_by_host.values()
+        return sum(server.runs_by_key[body] for server in servers)
+
+    def total(self, name: str) -> int:
+        """Return a counter summed over the living agents."""
+        processes = self.exchange.process_by_address.values()
+        return sum(
+            process.metrics.total_by_name[name]
+            for process in processes
+            if isinstance(process, Agent)
+        )
+
+    def _first_tables(self) -> Tables:
+        route = Route(SERVICE, POOL)
+        members = {
+            f'entry-{number}': Member(
+                host=f'entry-{number}',
+                role=Role.BALANCER,
+                incarnation=number + 1,
+                boot=number + 1,
+                endpoint=endpoint,
+                zone=ZONES[0],
+            )
+            for number, endpoint in enumerate(self.balancers)
+        }
+        return Tables(
+            revision=10,
+            route_by_key={route.key: route},
+            pool_by_name={POOL: Pool(POOL, ('lot-*',), BUCKETS)},
+            member_by_host=members,
+            view_by_pool={POOL: PoolView(POOL, 0, ())},
+        )
--- /dev/null
+++ b/redwingstream/agent/tests/test_basic.py
@@ -0,0 +1,38 @@
+"""The usual way of requests and feeds through a pool without faults."""
+
+from redwingstream.agent.tests.pool import FakePool
+
+
+def settled_pool(hosts: int = 3, slots: int = 3) -> FakePool:
+    """Return a pool whose first view is settled."""
+    pool = FakePool(hosts, slots)
+    pool.run(3)
+    return pool
+
+
+class TestRequests:
+    """Requests without faults."""
+
+    def test_non_idempotent(self) -> None:
+        pool = settled_pool()
+        asked = pool.caller().post(b'bay 7')
+        pool.run(1)
+        assert asked.outcome == 'answered'
+        assert pool.runs(b'bay 7') == 1
+
+    def test_idempotent(self) -> None:
+        pool = settled_pool()
+        asked = pool.caller().get(b'map')
+        pool.run(1)
+        assert asked.outcome == 'answered'
+
+
+class TestFeeds:
+    """Feeds without faults."""
+
+    def test_goes_on(self) -> None:
+        pool = settled_pool()
+        watched = pool.caller().watch()
+        pool.run(20)
+        assert len(watched.seen_at) > 15
+        assert watched.longest_gap(pool.exchange.now) < 2
