--- a/redwingstream/agent/tests/pool.py
+++ b/redwingstream/agent/tests/pool.py
@@ -367,12 +367,10 @@
         self.balancers = ('10.0.1.1:7000', '10.0.1.2:7000')
         self.callers: list[FakeCaller] = []
         self.server_by_host: dict[str, FakeServer] = {}
-        self.cores_seen: list[AgentCore] = []
         self._boots = itertools.count(1)
         self.control = Control(self.exchange, self._first_tables())
         for endpoint in self.balancers:
-            balancer = Balancer(self, endpoint)
-            self.exchange.process_by_address[endpoint] = balancer
+            self.start_balancer(endpoint)
         for host in self.hosts:
             address = f'server of {host}'
             server = FakeServer(self.exchange, address, slots)
@@ -396,6 +394,11 @@
         self.exchange.process_by_address[endpoint] = agent
         return agent
 
+    def start_balancer(self, endpoint: str) -> None:
+        """Start a balancer, also one that was killed."""
+        balancer = Balancer(self, endpoint)
+        self.exchange.process_by_address[endpoint] = balancer
+
     def kill(self, address: str) -> None:
         """End a process without a word."""
         self.exchange.process_by_address.pop(address, None)
--- /dev/null
+++ b/redwingstream/agent/tests/test_matrix.py
@@ -0,0 +1,16 @@
+"""Every fault at every step of the protocol."""
+
+import pytest
+
+from redwingstream.agent.tests.matrix import FAULT_BY_NAME, STEPS, run_cell
+
+
+class TestMatrix:
+    """The promises hold in every cell."""
+
+    @pytest.mark.parametrize('fault', FAULT_BY_NAME)
+    @pytest.mark.parametrize('step', [step.name for step in STEPS])
+    def test_cell(self, step: str, fault: str) -> None:
+        result = run_cell(step, fault)
+        assert result.happened
+        assert not result.violations
