--- a/redwingstream/agent/__init__.py
+++ b/redwingstream/agent/__init__.py
@@ -4,19 +4,23 @@
 -------
 parts
     The decision objects of one agent, put together.
-intake
-    Takes callers' packets: checks them and finds who decides.
+intake, held, reactions
+    Take callers' packets: check them and find who decides.
 home
     Decides on the flows of the buckets of which this agent is home.
 once
     Non-idempotent requests at their home.
-carrier
+carrier, waiting, runs
     Runs requests on the server beside this agent.
-feeds
+assignments, assigned
+    Requests that another agent runs for their home, seen from both.
+feeds, openings
     Feeds of the server beside this agent.
-moves
+moves, feed_checks
     Feeds that change their carrier.
-core
+store
+    Ledger, flows and transfers, bucket by bucket.
+core, keeper_side, server_side
     All of these behind one door, without I/O.
 role
     The process: sockets and timers round the core.
--- a/redwingstream/agent/assigned.py
+++ b/redwingstream/agent/assigned.py
@@ -1,6 +1,8 @@
 """Requests that other homes have assigned to this agent's server."""
 
+import functools
 from collections import OrderedDict
+from collections.abc import Callable
 
 import attrs
 
@@ -8,19 +10,28 @@
 from redwingstream.agent.feeds import FeedRelay
 from redwingstream.agent.parts import REPLAY_HORIZON, AgentParts
 from redwingstream.agent.replies import Replies
-from redwingstream.agent.runs import Run, RunEnd, deadline_of, key_of
+from redwingstream.agent.runs import Run, RunEnd, deadline_of
+from redwingstream.agent.waiting import Waiter
 from redwingstream.errors import ResultCode, WireError
 from redwingstream.flows.records import FlowKey, FlowRecord
-from redwingstream.forwarding.messages import Assigned, RunOutcome
+from redwingstream.flows.blocks import is_later_block
+from redwingstream.forwarding.messages import Assigned
 from redwingstream.requests.checksum import request_checksum
-from redwingstream.requests.records import RequestKey, RequestState
+from redwingstream.requests.records import RequestState
+from redwingstream.requests.slots import Identity
 from redwingstream.wire import coap
 
 
+_Refuse = Callable[[Run, float], None]
+
+RETOLD_FOR = 60.0
+"""Seconds in which the outcome of a run is told to a new home of its bucket."""
+
+
 @attrs.define(eq=False)
 class _Known:
     since: float
-    outcome: RunOutcome | None = None
+    end: RunEnd | None = None
 
 
 class AssignedRequests:
@@ -49,7 +60,7 @@
         self._replies = replies
         self._carrier = carrier
         self._feeds = feeds
-        self._known_by_key: OrderedDict[RequestKey, _Known] = OrderedDict()
+        self._known: OrderedDict[Identity, _Known] = OrderedDict()
 
     def take(self, assigned: Assigned, now: float) -> None:
         """Take an assignment, or its repetition."""
@@ -73,37 +84,41 @@
 
     def ended(self, end: RunEnd, now: float) -> None:
         """Tell the home how an assigned request ended."""
-        outcome = RunOutcome(end.run.key, end.state, end.answer)
-        known = self._known_by_key.get(end.run.key)
+        known = self._known.get(end.run.identity)
         if known is not None:
-            known.outcome = outcome
-        self._parts.out.to_peer(end.run.home, outcome)
+            known.end = end
+        self._tell(end.run.home, end)
+        self._tell_other_home(end)
+
+    def follow(self, now: float) -> None:
+        """Tell new homes how requests ended that former ones assigned.
+
+        Guards against a home that is lost before it hears an outcome: replays
+        would get *unknown*, although this agent has the answer.
+        """
+        for known in self._known.values():
+            if known.end is not None and now - known.since < RETOLD_FOR:
+                self._tell_other_home(known.end)
 
     def expire(self, now: float) -> None:
         """Forget assignments that no home repeats any more."""
-        while self._known_by_key:
-            key, known = next(iter(self._known_by_key.items()))
+        while self._known:
+            identity, known = next(iter(self._known.items()))
             if now - known.since < REPLAY_HORIZON:
                 return
-            self._known_by_key.pop(key)
+            self._known.pop(identity)
 
     def _take_once(
         self, assigned: Assigned, request: coap.Message, now: float
     ) -> None:
-        key = key_of(assigned.packet, request)
-        known = self._known_by_key.get(key)
-        if known is not None:
-            if known.outcome is not None:
-                self._parts.out.to_peer(assigned.home, known.outcome)
-            return
-        self._known_by_key[key] = _Known(now)
         run = self._run_of(assigned, request, now)
-        slot = self._carrier.reserve(now)
-        if slot is None:
-            answer = self._replies.not_run(request, ResultCode.OVERLOADED, now)
-            self.ended(RunEnd(run, RequestState.NOT_RUN, answer), now)
+        known = self._known.get(run.identity)
+        if known is not None:
+            if known.end is not None:
+                self._tell(assigned.home, known.end)
             return
-        self._carrier.start(run, slot, now)
+        self._known[run.identity] = _Known(now)
+        self._start(run, self._refuse_once, now)
 
     def _take_feed(
         self, assigned: Assigned, request: coap.Message, now: float
@@ -123,12 +138,46 @@
         packet = assigned.packet
         if request.opt.observe == coap.OBSERVE_CANCEL:
             self._feeds.deregister(packet, request, now)
-        slot = self._carrier.reserve(now)
-        if slot is None:
-            self._replies.refuse(packet, request, ResultCode.OVERLOADED, now)
+        run = attrs.evolve(
+            self._run_of(assigned, request, now), home='', checksum=b''
+        )
+        self._start(run, self._refuse_plain, now)
+
+    def _start(self, run: Run, refuse: _Refuse, now: float) -> None:
+        """Run a request now or in a moment, or refuse it."""
+        if self._start_now(run, now):
             return
-        run = attrs.evolve(self._run_of(assigned, request, now), home='')
-        self._carrier.start(run, slot, now)
+        waiter = Waiter(
+            run.deadline,
+            functools.partial(self._start_now, run),
+            functools.partial(refuse, run),
+        )
+        if not self._carrier.room.enter(waiter, now):
+            refuse(run, now)
+
+    def _start_now(self, run: Run, now: float) -> bool:
+        goes_on = is_later_block(run.request)
+        slot = self._carrier.reserve(now, goes_on=goes_on)
+        if slot is not None:
+            self._carrier.start(run, slot, now)
+        return slot is not None
+
+    def _refuse_once(self, run: Run, now: float) -> None:
+        request = run.request
+        answer = self._replies.not_run(request, ResultCode.OVERLOADED, now)
+        self.ended(RunEnd(run, RequestState.NOT_RUN, answer), now)
+
+    def _refuse_plain(self, run: Run, now: float) -> None:
+        overloaded = ResultCode.OVERLOADED
+        self._replies.refuse(run.packet, run.request, overloaded, now)
+
+    def _tell(self, home: str, end: RunEnd) -> None:
+        self._parts.out.to_peer(home, end.as_outcome())
+
+    def _tell_other_home(self, end: RunEnd) -> None:
+        home = self._parts.home_of(end.run.bucket)
+        if home is not None and home.endpoint != end.run.home:
+            self._tell(home.endpoint, end)
 
     def _run_of(
         self, assigned: Assigned, request: coap.Message, now: float
--- a/redwingstream/agent/assignments.py
+++ b/redwingstream/agent/assignments.py
@@ -5,7 +5,7 @@
 from redwingstream.agent.parts import AgentParts, carrier_name
 from redwingstream.agent.runs import Run
 from redwingstream.forwarding.messages import Assigned
-from redwingstream.requests.records import RequestKey
+from redwingstream.requests.slots import Identity
 
 REPEAT_AFTER = 0.25
 MAX_COPIES = 4
@@ -39,11 +39,11 @@
 
     def __init__(self, parts: AgentParts) -> None:
         self._parts = parts
-        self._assignment_by_key: dict[RequestKey, _Assignment] = {}
+        self._assignment_by_identity: dict[Identity, _Assignment] = {}
 
     def __len__(self) -> int:
         """Return how many outcomes are awaited."""
-        return len(self._assignment_by_key)
+        return len(self._assignment_by_identity)
 
     def choose(self, now: float) -> str:
         """Return a carrier with room, or an empty text."""
@@ -65,24 +65,26 @@
             wants_outcome=True,
         )
         assignment = _Assignment(run, message, endpoint or '', now)
-        self._assignment_by_key[run.key] = assignment
+        self._assignment_by_identity[run.identity] = assignment
         self._send(assignment, now)
 
-    def has(self, key: RequestKey) -> bool:
-        """Whether the outcome of a request is awaited."""
-        return key in self._assignment_by_key
-
-    def finish(self, key: RequestKey) -> Run | None:
+    def finish(self, identity: Identity) -> Run | None:
         """Take out a request whose outcome has come."""
-        assignment = self._assignment_by_key.pop(key, None)
+        assignment = self._assignment_by_identity.pop(identity, None)
         return None if assignment is None else assignment.run
 
+    def take_all(self) -> list[Run]:
+        """Take out all requests: nobody will wait for them any more."""
+        assignments = list(self._assignment_by_identity.values())
+        self._assignment_by_identity.clear()
+        return [assignment.run for assignment in assignments]
+
     def tick(self, now: float) -> list[Run]:
         """Repeat what is due; take out the runs past their deadline."""
         late = []
-        for key, assignment in list(self._assignment_by_key.items()):
+        for identity, assignment in list(self._assignment_by_identity.items()):
             if now > assignment.run.deadline + OUTCOME_GRACE:
-                self._assignment_by_key.pop(key)
+                self._assignment_by_identity.pop(identity)
                 late.append(assignment.run)
             elif self._is_due(assignment, now):
                 assignment.copies += 1
--- a/redwingstream/agent/carrier.py
+++ b/redwingstream/agent/carrier.py
@@ -7,17 +7,16 @@
 from aiocoap.message import Message
 
 from redwingstream.admission.limit import RunResult
+from redwingstream.agent.openings import Perform
 from redwingstream.agent.parts import AgentParts
 from redwingstream.agent.replies import Replies
 from redwingstream.agent.runs import Run, RunEnd, answer_with
+from redwingstream.agent.waiting import WaitingRoom
 from redwingstream.errors import ResultCode
-from redwingstream.flows.effects import UpstreamEffect
 from redwingstream.flows.records import FlowKey
 from redwingstream.requests.records import RequestState
 from redwingstream.wire import coap
 
-Perform = Callable[[list[UpstreamEffect], float], None]
-
 _TRIAL_INTERVAL = 1.0
 
 
@@ -55,6 +54,11 @@
     perform : callable
         Carries out what the server's side asks for; see
         :class:`~redwingstream.agent.server_side.ServerSide`.
+
+    Attributes
+    ----------
+    room : WaitingRoom
+        Requests that wait a moment for a place.
     """
 
     def __init__(
@@ -64,6 +68,7 @@
         on_end: Callable[[RunEnd, float], None],
         perform: Perform,
     ) -> None:
+        self.room = WaitingRoom(parts.limit)
         self._parts = parts
         self._perform = perform
         self._replies = replies
@@ -76,8 +81,19 @@
         """Return how many requests are running."""
         return len(self._started_by_owner)
 
-    def reserve(self, now: float) -> Slot | None:
-        """Take a place on the server, if it can bear one more request."""
+    def reserve(self, now: float, *, goes_on: bool = False) -> Slot | None:
+        """Take a place on the server, if it can bear one more request.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        goes_on : bool
+            True for a later block of an answer: a server that leaves finishes
+            what it has begun.
+        """
+        if self._parts.is_leaving and not goes_on:
+            return None
         if not self._takes_work(now) or not self._parts.limit.try_start(now):
             return None
         self._parts.gauge.served(now)
@@ -88,6 +104,7 @@
         self._parts.limit.finished(
             now - slot.taken_at, RunResult.CANCELLED, now
         )
+        self.room.serve(now)
 
     def start(self, run: Run, slot: Slot, now: float) -> None:
         """Hand a request to the server in a place that was reserved."""
@@ -106,8 +123,17 @@
         self._started_by_owner[owner] = _Started(run, slot, number)
         self._perform(effects, now)
 
+    def tick(self, now: float) -> None:
+        """Admit who waits, or refuse those who have waited long enough."""
+        parts = self._parts
+        if parts.is_leaving or parts.is_zone_out() or parts.server_is_silent:
+            self.room.clear(now)
+        self.room.serve(now)
+        self.room.expire(now)
+
     def cancel_all(self, now: float) -> None:
         """Give up all that runs: cancelled at the server, told truthfully."""
+        self.room.clear(now)
         for started in list(self._started_by_owner.values()):
             effects = self._parts.upstream.cancel(started.exchange, now)
             self._perform(effects, now)
@@ -152,7 +178,7 @@
         self._on_end(RunEnd(started.run, RequestState.UNKNOWN, answer), now)
 
     def _takes_work(self, now: float) -> bool:
-        if self._parts.is_leaving or self._parts.is_zone_out():
+        if self._parts.is_zone_out():
             return False
         if not self._parts.server_is_silent:
             return True
@@ -167,3 +193,4 @@
     ) -> None:
         latency = now - started.slot.taken_at
         self._parts.limit.finished(latency, run_result, now)
+        self.room.serve(now)
--- a/redwingstream/agent/home.py
+++ b/redwingstream/agent/home.py
@@ -1,23 +1,28 @@
 """Decides on idempotent requests of the buckets of which this agent is home."""
 
+import functools
+
 import attrs
 from aiocoap.message import Message
 
 from redwingstream.agent.assignments import Assignments
 from redwingstream.agent.carrier import Carrier
 from redwingstream.agent.feeds import FeedRelay
-from redwingstream.agent.parts import AgentParts
+from redwingstream.agent.parts import AgentParts, PerformEffects
 from redwingstream.agent.replies import Replies
 from redwingstream.agent.runs import Run, deadline_of
+from redwingstream.agent.waiting import Waiter
+from redwingstream.endpoints import parse_endpoint
 from redwingstream.errors import ResultCode
 from redwingstream.flows.blocks import is_later_block
 from redwingstream.flows.records import FlowKey, FlowRecord
 from redwingstream.forwarding.messages import Assigned, Packet
-from redwingstream.placement.effects import Effect
 from redwingstream.placement.messages import BucketContents
 from redwingstream.wire import coap
 
-RECORD_TIMEOUT = 2.0
+RECORD_TIMEOUT = 4.5
+"""Seconds that a record may take; longer than control needs to replace a dead
+heir, so that a feed is opened under the next view rather than refused."""
 
 
 @attrs.frozen(eq=False)
@@ -25,6 +30,7 @@
     record: FlowRecord
     packet: Packet
     request: Message
+    bucket: int
 
 
 class HomeDesk:
@@ -42,6 +48,8 @@
         Feeds of the own server.
     assignments : Assignments
         Chooses other agents.
+    perform : callable
+        Carries out what the keeper asks for.
     """
 
     def __init__(
@@ -51,54 +59,62 @@
         carrier: Carrier,
         feeds: FeedRelay,
         assignments: Assignments,
+        perform: PerformEffects,
     ) -> None:
         self._parts = parts
         self._replies = replies
         self._carrier = carrier
         self._feeds = feeds
         self._assignments = assignments
+        self._perform = perform
         self._waiting_by_ticket: dict[int, _WaitingFeed] = {}
         self._waiting_keys: set[FlowKey] = set()
 
     def plain(
         self, packet: Packet, request: Message, bucket: int, now: float
-    ) -> list[Effect]:
+    ) -> None:
         """Have a plain idempotent request run where its flow is."""
         record = self._record_of(packet, request.token, now)
-        if record is not None and self._pass_on(packet, record):
-            return []
+        if record is not None and self._pass_on(packet, record, now):
+            return
         if request.opt.observe == coap.OBSERVE_CANCEL:
             self._feeds.deregister(packet, request, now)
-        slot = self._carrier.reserve(now)
-        if slot is not None:
-            run = Run(packet, request, bucket, deadline_of(request, now))
-            self._carrier.start(run, slot, now)
-            return []
-        return self._place_elsewhere(packet, request, bucket, now)
+        run = Run(packet, request, bucket, deadline_of(request, now))
+        if self._start_now(run, now) or self._place_elsewhere(run, now):
+            return
+        waiter = Waiter(
+            run.deadline,
+            functools.partial(self._start_now, run),
+            functools.partial(self._refuse, run),
+        )
+        if not self._carrier.room.enter(waiter, now):
+            self._refuse(run, now)
 
     def feed(
         self, packet: Packet, request: Message, bucket: int, now: float
-    ) -> list[Effect]:
+    ) -> None:
         """Open a feed, or take the repetition of its registration."""
         key = FlowKey(packet.caller, packet.service, request.token)
-        if key in self._waiting_keys:
-            return []
-        record = self._record_of(packet, request.token, now)
-        if record is not None and record.registration:
-            if self._go_on(record, packet, request, now):
-                return []
+        if key in self._waiting_keys or self.known_feed(packet, request, now):
+            return
         carrier = self._choose_for_feed(now)
         if not carrier:
             self._replies.refuse(packet, request, ResultCode.OVERLOADED, now)
-            return []
+            return
         opened = FlowRecord(
             key=key,
             carrier=carrier,
             generation=self._parts.store.flows.next_generation(key),
             registration=packet.payload,
         )
-        waiting = _WaitingFeed(opened, packet, request)
-        return self._record_feed(waiting, bucket, now)
+        self._record_feed(_WaitingFeed(opened, packet, request, bucket), now)
+
+    def known_feed(self, packet: Packet, request: Message, now: float) -> bool:
+        """Hand a registration to the carrier of its feed, if one lives."""
+        record = self._record_of(packet, request.token, now)
+        if record is None or not record.registration:
+            return False
+        return self._go_on(record, packet, request, now)
 
     def recorded(self, ticket: int, now: float) -> bool:
         """Start a feed that home and heir hold; False if it is none."""
@@ -111,8 +127,17 @@
     def refused(self, ticket: int, reason: ResultCode, now: float) -> None:
         """Refuse a feed that could not be recorded."""
         waiting = self._take_waiting(ticket)
-        if waiting is not None:
-            packet = waiting.packet
+        if waiting is None:
+            return
+        packet = waiting.packet
+        home = self._parts.home_of(waiting.bucket)
+        if reason is ResultCode.OUTCOME_UNKNOWN:
+            # An earlier home has opened it: to refuse it now would end an
+            # established feed.
+            self.feed(packet, waiting.request, waiting.bucket, now)
+        elif reason is ResultCode.STALE and home is not None:
+            self._parts.out.to_peer(home.endpoint, packet)
+        else:
             self._replies.refuse(packet, waiting.request, reason, now)
 
     def _record_of(
@@ -133,12 +158,14 @@
         if record.carrier == self._parts.me.carrier:
             self._feeds.register(record, packet, request, now)
             return True
-        return self._pass_on(packet, record)
+        return self._pass_on(packet, record, now)
 
-    def _pass_on(self, packet: Packet, record: FlowRecord) -> bool:
+    def _pass_on(self, packet: Packet, record: FlowRecord, now: float) -> bool:
         """Send a packet to the agent that carries its flow, if that lives."""
         if record.carrier == self._parts.me.carrier:
             return False
+        if self._parts.is_carrier_silent(record.carrier, now):
+            return False
         endpoint = self._parts.endpoint_of_carrier(record.carrier)
         if endpoint is None:
             return False
@@ -149,6 +176,7 @@
             generation=record.generation,
             carrier_incarnation=int(record.carrier.rpartition('#')[2]),
         )
+        self._parts.links.sent(parse_endpoint(endpoint), now)
         self._parts.out.to_peer(endpoint, assigned)
         return True
 
@@ -157,46 +185,53 @@
             return self._parts.me.carrier
         return self._assignments.choose(now)
 
-    def _place_elsewhere(
-        self, packet: Packet, request: Message, bucket: int, now: float
-    ) -> list[Effect]:
+    def _start_now(self, run: Run, now: float) -> bool:
+        goes_on = is_later_block(run.request)
+        slot = self._carrier.reserve(now, goes_on=goes_on)
+        if slot is not None:
+            self._carrier.start(run, slot, now)
+        return slot is not None
+
+    def _refuse(self, run: Run, now: float) -> None:
+        overloaded = ResultCode.OVERLOADED
+        self._replies.refuse(run.packet, run.request, overloaded, now)
+
+    def _place_elsewhere(self, run: Run, now: float) -> bool:
         # A block after the first must come from the server that sent the
         # first: another one may have another representation.
         carrier = ''
-        if not is_later_block(request):
+        if not is_later_block(run.request):
             carrier = self._assignments.choose(now)
         if not carrier:
-            self._replies.refuse(packet, request, ResultCode.OVERLOADED, now)
-            return []
+            return False
         self._parts.metrics.count('placed_elsewhere')
+        packet = run.packet
         key = FlowKey(packet.caller, packet.service)
-        record = FlowRecord(
-            key, carrier, self._parts.store.flows.next_generation(key)
-        )
-        self._parts.store.flows.put(bucket, record, now)
-        self._pass_on(packet, record)
+        generation = self._parts.store.flows.next_generation(key)
+        record = FlowRecord(key, carrier, generation)
+        self._parts.store.flows.put(run.bucket, record, now)
         # Not waited for: a placement that is forgotten costs a transfer in
         # blocks its next block, which its caller asks for again.
-        _, effects = self._parts.keeper.record(
-            bucket,
-            BucketContents(flows=(record,)),
-            now,
-            now + RECORD_TIMEOUT,
-        )
-        return effects
+        self._record_flow(record, run.bucket, now)
+        return self._pass_on(packet, record, now)
 
-    def _record_feed(
-        self, waiting: _WaitingFeed, bucket: int, now: float
-    ) -> list[Effect]:
+    def _record_feed(self, waiting: _WaitingFeed, now: float) -> None:
         ticket, effects = self._parts.keeper.record(
-            bucket,
+            waiting.bucket,
             BucketContents(flows=(waiting.record,)),
             now,
             now + RECORD_TIMEOUT,
         )
         self._waiting_by_ticket[ticket] = waiting
         self._waiting_keys.add(waiting.record.key)
-        return effects
+        self._perform(effects, now)
+
+    def _record_flow(self, record: FlowRecord, bucket: int, now: float) -> None:
+        contents = BucketContents(flows=(record,))
+        _, effects = self._parts.keeper.record(
+            bucket, contents, now, now + RECORD_TIMEOUT
+        )
+        self._perform(effects, now)
 
     def _take_waiting(self, ticket: int) -> _WaitingFeed | None:
         waiting = self._waiting_by_ticket.pop(ticket, None)
--- a/redwingstream/agent/intake.py
+++ b/redwingstream/agent/intake.py
@@ -1,22 +1,20 @@
 """Takes callers' packets: checks them and finds who decides."""
 
-from collections import deque
-
 import attrs
 from aiocoap.message import Message
 
-from redwingstream.agent.feeds import FeedRelay
+from redwingstream.agent.held import Held, HeldPackets
 from redwingstream.agent.home import HomeDesk
 from redwingstream.agent.once import OnceRequests
 from redwingstream.agent.parts import AgentParts
+from redwingstream.agent.reactions import Reactions
 from redwingstream.agent.replies import Replies
 from redwingstream.endpoints import parse_endpoint
-from redwingstream.errors import ResultCode, WireError
+from redwingstream.errors import ResultCode, SettingError, WireError
 from redwingstream.forwarding.messages import Packet
 from redwingstream.membership.messages import ProbeAck
 from redwingstream.placement.effects import (
     BucketStatus,
-    Effect,
     InEffect,
     NotHome,
     Recovering,
@@ -26,14 +24,11 @@
 
 MAX_HOPS = 2
 HOLD_SECONDS = 0.25
-MAX_HELD = 64
-"""Packets held for a bucket that is being taken over."""
-
+"""Seconds for which a plain idempotent request waits for its bucket."""
 
-@attrs.frozen(eq=False)
-class _Held:
-    packet: Packet
-    since: float
+HOLD_LIMIT = 4.5
+"""Seconds for which any other waits; longer than control needs to replace a
+home that is lost."""
 
 
 class Intake:
@@ -49,8 +44,8 @@
         Idempotent requests and feeds.
     once : OnceRequests
         Non-idempotent requests.
-    feeds : FeedRelay
-        Feeds of the own server.
+    reactions : Reactions
+        Callers' ACKs and RSTs.
     """
 
     def __init__(
@@ -59,54 +54,60 @@
         replies: Replies,
         home: HomeDesk,
         once: OnceRequests,
-        feeds: FeedRelay,
+        reactions: Reactions,
     ) -> None:
         self._parts = parts
         self._replies = replies
         self._home = home
         self._once = once
-        self._feeds = feeds
-        self._held_by_bucket: dict[int, deque[_Held]] = {}
+        self._reactions = reactions
+        self._held = HeldPackets()
 
-    def take(self, packet: Packet, source: str, now: float) -> list[Effect]:
+    def take(self, packet: Packet, now: float) -> None:
         """Take a packet from a balancer, or one passed on by an agent."""
-        self._parts.paths.heard(packet.balancer, now)
         if not self._is_ours(packet):
             self._parts.metrics.count('misrouted')
             revision = self._parts.tables.revision
             self._parts.out.to_peer(packet.balancer, ProbeAck(revision))
-            return []
+            return
+        self._parts.paths.heard(packet.balancer, now)
         try:
             request = coap.decode(packet.payload)
         except WireError:
             self._parts.metrics.count('caller_malformed')
-            return []
-        if not coap.is_request(request):
-            self._take_reaction(packet, request, now)
-            return []
+            return
         bucket = self._parts.bucket_of(packet.caller, packet.service)
-        status = self._parts.keeper.status(bucket)
-        return self._decide(status, packet, request, now)
+        if not coap.is_request(request):
+            self._reactions.take(packet, request, bucket, now)
+            return
+        held = Held(packet, bucket, now)
+        if not self._decide(held, request, now) and not self._held.add(held):
+            self._parts.metrics.count('held_dropped')
+            self._give_up(held, request, now)
 
-    def bucket_in_effect(self, bucket: int, now: float) -> list[Effect]:
+    def bucket_in_effect(self, bucket: int, now: float) -> None:
         """Take the packets that were held for a bucket."""
-        held = self._held_by_bucket.pop(bucket, ())
-        effects: list[Effect] = []
-        for one in held:
-            effects.extend(self.take(one.packet, '', now))
-        return effects
-
-    def tick(self, now: float) -> list[Effect]:
-        """Serve held packets whose bucket takes too long."""
-        effects: list[Effect] = []
-        for bucket, held in list(self._held_by_bucket.items()):
-            while held and now - held[0].since >= HOLD_SECONDS:
-                packet = held.popleft().packet
-                request = coap.decode(packet.payload)
-                effects.extend(self._serve(packet, request, bucket, now))
-            if not held:
-                self._held_by_bucket.pop(bucket, None)
-        return effects
+        for held in self._held.of_bucket(bucket):
+            self._try_again(held, now)
+
+    def tick(self, now: float) -> None:
+        """Look whether what is held can be decided on, or waits too long."""
+        for held in self._held:
+            self._try_again(held, now)
+
+    def give_up(self, now: float) -> None:
+        """End all that is held: the process stops."""
+        for held in self._held:
+            self._held.remove(held)
+            self._give_up(held, coap.decode(held.packet.payload), now)
+
+    def _try_again(self, held: Held, now: float) -> None:
+        request = coap.decode(held.packet.payload)
+        if self._decide(held, request, now):
+            self._held.remove(held)
+        elif now - held.since >= HOLD_LIMIT:
+            self._held.remove(held)
+            self._give_up(held, request, now)
 
     def _is_ours(self, packet: Packet) -> bool:
         """Whether the tables here too say that the packet is for this pool.
@@ -117,103 +118,102 @@
         """
         if packet.pool != self._parts.me.pool:
             return False
-        caller = parse_endpoint(packet.caller)
+        try:
+            caller = parse_endpoint(packet.caller)
+        except SettingError:
+            return False
         route = self._parts.routing.find(packet.service, caller)
         return route is not None and route.pool == packet.pool
 
-    def _decide(
-        self,
-        status: BucketStatus,
-        packet: Packet,
-        request: Message,
-        now: float,
-    ) -> list[Effect]:
-        bucket = self._parts.bucket_of(packet.caller, packet.service)
+    def _decide(self, held: Held, request: Message, now: float) -> bool:
+        """Decide on a request; False while it has to be held."""
+        status: BucketStatus = self._parts.keeper.status(held.bucket)
         match status:
             case NotHome():
-                return self._not_home(packet, request, bucket, now)
+                return self._not_home(held, request, now)
             case Taking():
-                self._hold(packet, bucket, now)
-                return []
+                is_late = now - held.since >= HOLD_SECONDS
+                if not is_late or not _is_plain(request):
+                    return False
+                self._serve(held, request, now)
             case InEffect() | Recovering():
-                return self._serve(packet, request, bucket, now)
-        return []
+                self._serve(held, request, now)
+        return True
 
-    def _serve(
-        self, packet: Packet, request: Message, bucket: int, now: float
-    ) -> list[Effect]:
+    def _serve(self, held: Held, request: Message, now: float) -> None:
+        packet = held.packet
         if not coap.is_idempotent(request):
-            return self._once.take(packet, request, bucket, now)
-        if request.opt.observe == coap.OBSERVE_REGISTER:
-            return self._home.feed(packet, request, bucket, now)
-        return self._home.plain(packet, request, bucket, now)
-
-    def _not_home(
-        self, packet: Packet, request: Message, bucket: int, now: float
-    ) -> list[Effect]:
-        home = self._parts.home_of(bucket)
-        if home is None:
-            self._replies.refuse(packet, request, ResultCode.NO_SERVER, now)
-            return []
-        if self._parts.is_me(home):
-            # Fenced at a view that this agent has not heard of yet.
-            self._replies.refuse(packet, request, ResultCode.RECOVERING, now)
-            return []
+            self._once.take(packet, request, held.bucket, now)
+        elif _is_plain(request):
+            self._home.plain(packet, request, held.bucket, now)
+        else:
+            self._home.feed(packet, request, held.bucket, now)
+
+    def _not_home(self, held: Held, request: Message, now: float) -> bool:
+        home = self._parts.home_of(held.bucket)
+        if home is None or self._parts.is_me(home):
+            # No home, or fenced at a view that this agent has not heard of
+            # yet.  The request may have run before: see _give_up.
+            return self._tell_known(held.packet, request)
         endpoint = parse_endpoint(home.endpoint)
-        is_heir = self._parts.is_me(self._parts.heir_of(bucket))
+        is_heir = self._parts.is_me(self._parts.heir_of(held.bucket))
         if is_heir and self._parts.links.is_silent(endpoint, now):
-            return self._stand_in(packet, request, bucket, now)
+            return self._stand_in(held, request, now)
+        packet = held.packet
         if packet.hops >= MAX_HOPS:
             self._parts.metrics.count('hops_exceeded')
-            return []
+            return True
         self._parts.links.sent(endpoint, now)
         following = attrs.evolve(packet, hops=packet.hops + 1)
         self._parts.out.to_peer(home.endpoint, following)
-        return []
+        return True
 
-    def _stand_in(
-        self, packet: Packet, request: Message, bucket: int, now: float
-    ) -> list[Effect]:
-        """Serve as heir what does not need the silent home."""
-        self._parts.metrics.count('stood_in')
+    def _stand_in(self, held: Held, request: Message, now: float) -> bool:
+        """Serve as heir what does not need the silent home; hold the rest.
+
+        Notes
+        -----
+        What is held goes to the new home, which control names within the
+        lease.  To say *not run* would be false: the home may only be cut off,
+        and may have run the request or have a duplicate of it on its way.
+        """
+        packet = held.packet
+        if _is_plain(request):
+            self._parts.metrics.count('stood_in')
+            self._home.plain(packet, request, held.bucket, now)
+            return True
         if coap.is_idempotent(request):
-            if request.opt.observe != coap.OBSERVE_REGISTER:
-                return self._home.plain(packet, request, bucket, now)
-        self._replies.refuse(packet, request, ResultCode.RECOVERING, now)
-        return []
-
-    def _hold(self, packet: Packet, bucket: int, now: float) -> None:
-        held = self._held_by_bucket.setdefault(bucket, deque(maxlen=MAX_HELD))
-        if len(held) == MAX_HELD:
-            self._parts.metrics.count('held_dropped')
-        held.append(_Held(packet, now))
+            return self._home.known_feed(packet, request, now)
+        return self._tell_known(packet, request)
 
-    def _take_reaction(
-        self, packet: Packet, reaction: Message, now: float
-    ) -> None:
-        """Take a caller's ACK or RST to a notification."""
-        parts = self._parts
-        effects = parts.feeds.reply(
-            packet.caller, packet.service, reaction, now
-        )
-        self._feeds.carry_out(effects, now)
-        following = attrs.evolve(packet, hops=packet.hops + 1)
-        bucket = parts.bucket_of(packet.caller, packet.service)
-        home = parts.home_of(bucket)
-        if parts.is_me(home):
-            self._pass_to_carriers(following)
-        elif home is not None and not packet.hops:
-            parts.out.to_peer(home.endpoint, following)
-
-    def _pass_to_carriers(self, packet: Packet) -> None:
-        """Send a reaction to all who carry feeds of the flow.
-
-        A reaction names a message id and no token, so the home cannot tell
-        which feed it is for; those who did not send that id ignore it.
+    def _tell_known(self, packet: Packet, request: Message) -> bool:
+        """Answer a replay whose outcome is in the ledger here."""
+        if coap.is_idempotent(request):
+            return False
+        known = self._once.known_answer(packet, request)
+        if known is None:
+            return False
+        self._replies.send(packet, known.answer)
+        return True
+
+    def _give_up(self, held: Held, request: Message, now: float) -> None:
+        """Answer a request for which no home was found.
+
+        Notes
+        -----
+        A non-idempotent one may be the replay of one that has run, at a home
+        that this agent knows nothing of.
         """
-        flows = self._parts.store.flows
-        carriers = flows.carriers(packet.caller, packet.service)
-        for carrier in carriers - {self._parts.me.carrier}:
-            endpoint = self._parts.endpoint_of_carrier(carrier)
-            if endpoint is not None:
-                self._parts.out.to_peer(endpoint, packet)
+        if coap.is_idempotent(request):
+            reason = ResultCode.RECOVERING
+            self._replies.refuse(held.packet, request, reason, now)
+        else:
+            answer = self._replies.unknown(request)
+            self._replies.send(held.packet, answer)
+
+
+def _is_plain(request: Message) -> bool:
+    """Whether a request is idempotent and opens no feed."""
+    if not coap.is_idempotent(request):
+        return False
+    return request.opt.observe != coap.OBSERVE_REGISTER
--- a/redwingstream/agent/once.py
+++ b/redwingstream/agent/once.py
@@ -2,39 +2,57 @@
 
 The order is: ledger, place on a server, record at home and heir, run.  Whatever
 goes wrong before the run ends as *not run*; whatever after it, as *unknown*.
+While the bucket is not in effect here, a request that looks new may be the
+replay of one that an earlier home has run, so nothing is called *not run* then.
 """
 
+import functools
+
 import attrs
 from aiocoap.message import Message
 
 from redwingstream.agent.assignments import Assignments
 from redwingstream.agent.carrier import Carrier, Slot
-from redwingstream.agent.parts import AgentParts
+from redwingstream.agent.parts import AgentParts, PerformEffects
 from redwingstream.agent.replies import Replies
 from redwingstream.agent.runs import Run, RunEnd, deadline_of, key_of
+from redwingstream.agent.waiting import Waiter
 from redwingstream.errors import ResultCode
 from redwingstream.forwarding.messages import Packet, RunOutcome
-from redwingstream.placement.effects import Effect
+from redwingstream.placement.effects import Effect, InEffect
 from redwingstream.placement.messages import BucketContents
-from redwingstream.requests.begun import Fresh, Running
+from redwingstream.requests.begun import Begun, Fresh, Full, Running
 from redwingstream.requests.checksum import request_checksum
 from redwingstream.requests.outcomes import told_again
-from redwingstream.requests.records import RequestKey, RequestState
+from redwingstream.requests.records import LedgerEntry, RequestState
+
+RECORD_TIMEOUT = 4.5
+"""Seconds that a record may take; after that: not run.
+
+Longer than control needs to replace a dead heir (lease of 3 s), so that a
+request is run under the next view rather than refused.
+"""
 
-RECORD_TIMEOUT = 2.0
-"""Seconds that the heir may take to acknowledge; after that: not run."""
+SLOT_PATIENCE = 0.1
+"""Seconds after which a slot is given back while the heir is silent."""
 
+OUTCOME_TIMEOUT = 10.0
 
-@attrs.frozen(eq=False)
+_REPEATABLE = frozenset((RequestState.ANSWERED, RequestState.NOT_RUN))
+
+
+@attrs.define(eq=False)
 class _Waiting:
     """A request that is being recorded.
 
-    ``slot`` is a place on the own server; without one it goes to ``carrier``.
+    ``slot`` is a place on the own server; without one it goes to ``carrier``,
+    and without that either a place is looked for once it is recorded.
     """
 
     run: Run
-    slot: Slot | None
-    carrier: str
+    since: float
+    slot: Slot | None = None
+    carrier: str = ''
 
 
 class OnceRequests:
@@ -50,6 +68,8 @@
         Runs at the own server.
     assignments : Assignments
         Runs at other agents.
+    perform : callable
+        Carries out what the keeper asks for.
     """
 
     def __init__(
@@ -58,100 +78,186 @@
         replies: Replies,
         carrier: Carrier,
         assignments: Assignments,
+        perform: PerformEffects,
     ) -> None:
         self._parts = parts
+        self._ledger = parts.store.ledger
         self._replies = replies
         self._carrier = carrier
         self._assignments = assignments
+        self._perform = perform
         self._waiting_by_ticket: dict[int, _Waiting] = {}
 
     def __len__(self) -> int:
-        """Return how many requests are being recorded."""
-        return len(self._waiting_by_ticket)
+        """Return how many requests have no outcome yet, wherever they are."""
+        return len(self._waiting_by_ticket) + len(self._assignments)
 
     def take(
         self, packet: Packet, request: Message, bucket: int, now: float
-    ) -> list[Effect]:
-        """Take a request whose home this agent is.
-
-        Returns
-        -------
-        list of Effect
-            Of the keeper, for the core to carry out.
-        """
+    ) -> None:
+        """Take a request whose home this agent is."""
         checksum = request_checksum(request)
         key = key_of(packet, request)
-        begun = self._parts.store.ledger.begin(bucket, key, checksum, now)
-        if not isinstance(begun, Fresh):
-            self._replay(packet, request, begun)
-            return []
-        self._parts.budget.fresh()
+        begun = self._ledger.begin(bucket, key, checksum, now)
         run = Run(packet, request, bucket, deadline_of(request, now), checksum)
-        slot = self._carrier.reserve(now)
-        carrier = '' if slot else self._assignments.choose(now)
-        if not slot and not carrier:
-            self._end_unrecorded(run, ResultCode.OVERLOADED, now)
-            return []
-        return self._record(_Waiting(run, slot, carrier), now)
+        match begun:
+            case Fresh() if self._is_sure(bucket):
+                self._parts.budget.fresh()
+                self._place(run, now)
+            case Fresh():
+                self._end_unknown(run, now)
+            case Full() if not self._is_sure(bucket):
+                self._replies.send(packet, self._replies.unknown(request))
+            case _:
+                self._replay(packet, request, begun)
 
     def recorded(self, ticket: int, now: float) -> bool:
         """Run a request that home and heir hold; False if it is none."""
-        waiting = self._waiting_by_ticket.pop(ticket, None)
+        waiting = self._take_out(ticket)
         if waiting is None:
             return False
-        if waiting.slot is not None:
-            self._carrier.start(waiting.run, waiting.slot, now)
-        else:
-            self._assignments.start(waiting.run, waiting.carrier, now)
+        self._parts.store.release(waiting.run.identity)
+        self._launch(waiting, now)
         return True
 
-    def refused(
-        self, ticket: int, reason: ResultCode, now: float
-    ) -> list[Effect]:
+    def refused(self, ticket: int, reason: ResultCode, now: float) -> None:
         """End a request that must not run here."""
-        waiting = self._waiting_by_ticket.pop(ticket, None)
+        waiting = self._take_out(ticket)
         if waiting is None:
-            return []
+            return
         if waiting.slot is not None:
             self._carrier.release(waiting.slot, now)
         run = waiting.run
-        if reason in {ResultCode.RECOVERING, ResultCode.OUTCOME_UNKNOWN}:
+        if reason is ResultCode.OUTCOME_UNKNOWN:
+            self._tell_what_is_known(run, now)
+        elif reason is ResultCode.RECOVERING:
             # It may be the replay of a request that a lost home has run.
-            answer = self._replies.unknown(run.request)
-            return self.ended(RunEnd(run, RequestState.UNKNOWN, answer), now)
-        self._end_unrecorded(run, reason, now)
-        return []
+            self._end_unknown(run, now)
+        elif self._is_sure(run.bucket):
+            self._parts.store.release(run.identity)
+            self._end_unrecorded(run, reason, now)
+        else:
+            self._hand_on(run, now)
 
-    def ended(self, end: RunEnd, now: float) -> list[Effect]:
+    def ended(self, end: RunEnd, now: float) -> None:
         """Take the end of a run: remember it, answer, tell the heir."""
         run = end.run
-        ledger = self._parts.store.ledger
-        ledger.finish(run.key, run.checksum, end.state, end.answer, now)
+        self._ledger.finish(run.key, run.checksum, end.state, end.answer, now)
         self._replies.send(run.packet, end.answer)
-        return self._tell_heir(run, now)
+        if self._is_sure(run.bucket):
+            self._tell_heir(run, now)
+        else:
+            self._tell_next_home(end)
 
-    def outcome(self, outcome: RunOutcome, now: float) -> list[Effect]:
+    def outcome(self, outcome: RunOutcome, now: float) -> None:
         """Take the outcome of a run at another agent."""
-        run = self._assignments.finish(outcome.key)
-        if run is None:
-            self._parts.metrics.count('outcome_late')
-            return []
-        return self.ended(RunEnd(run, outcome.state, outcome.answer), now)
+        identity = (outcome.key, outcome.checksum)
+        run = self._assignments.finish(identity)
+        if run is not None:
+            self.ended(RunEnd(run, outcome.state, outcome.answer), now)
+            return
+        # Of a run that an earlier home has begun: its replays find it here.
+        self._parts.metrics.count('outcome_late')
+        if self._ledger.entry(*identity) is not None:
+            self._ledger.finish(*identity, outcome.state, outcome.answer, now)
 
-    def tick(self, now: float) -> list[Effect]:
+    def tick(self, now: float) -> None:
         """Repeat assignments; end those whose carrier does not answer."""
-        effects: list[Effect] = []
         for run in self._assignments.tick(now):
-            answer = self._replies.unknown(run.request)
-            end = RunEnd(run, RequestState.UNKNOWN, answer)
-            effects.extend(self.ended(end, now))
-        return effects
+            self._end_unknown(run, now)
+        for waiting in self._waiting_by_ticket.values():
+            is_slow = now - waiting.since > SLOT_PATIENCE
+            if waiting.slot is not None and is_slow:
+                # A dead heir would otherwise keep the server idle.
+                self._carrier.release(waiting.slot, now)
+                waiting.slot = None
+
+    def give_up(self, now: float) -> None:
+        """End all that has no outcome: the process stops."""
+        for ticket in list(self._waiting_by_ticket):
+            waiting = self._take_out(ticket)
+            if waiting is not None:
+                # The heir may hold its record, and may be asked for it.
+                self._end_unknown(waiting.run, now)
+        for run in self._assignments.take_all():
+            self._end_unknown(run, now)
+
+    def known_answer(
+        self, packet: Packet, request: Message
+    ) -> LedgerEntry | None:
+        """Return what is surely known of a request, also by an heir."""
+        key = key_of(packet, request)
+        entry = self._ledger.entry(key, request_checksum(request))
+        if entry is None or entry.state not in _REPEATABLE:
+            return None
+        return entry if entry.answer else None
+
+    def _is_sure(self, bucket: int) -> bool:
+        """Whether the ledger knows of every earlier run in the bucket."""
+        return isinstance(self._parts.keeper.status(bucket), InEffect)
+
+    def _place(self, run: Run, now: float) -> None:
+        slot = self._carrier.reserve(now)
+        carrier = '' if slot else self._assignments.choose(now)
+        if slot or carrier:
+            self._record(_Waiting(run, now, slot, carrier), now)
+            return
+        waiter = Waiter(
+            run.deadline,
+            functools.partial(self._admitted, run),
+            functools.partial(self._not_admitted, run),
+        )
+        if not self._carrier.room.enter(waiter, now):
+            self._not_admitted(run, now)
+
+    def _admitted(self, run: Run, now: float) -> bool:
+        slot = self._carrier.reserve(now)
+        if slot is None:
+            return False
+        if self._is_sure(run.bucket):
+            self._record(_Waiting(run, now, slot), now)
+        else:
+            self._carrier.release(slot, now)
+            self._hand_on(run, now)
+        return True
+
+    def _not_admitted(self, run: Run, now: float) -> None:
+        if self._is_sure(run.bucket):
+            self._end_unrecorded(run, ResultCode.OVERLOADED, now)
+        else:
+            self._hand_on(run, now)
 
-    def is_running(self, key: RequestKey) -> bool:
-        """Whether a request waits for another agent's outcome."""
-        return self._assignments.has(key)
+    def _record(self, waiting: _Waiting, now: float) -> None:
+        run = waiting.run
+        entry = self._ledger.entry(run.key, run.checksum, now)
+        contents = BucketContents(entries=(entry,) if entry else ())
+        self._parts.store.withhold(run.identity)
+        ticket, effects = self._parts.keeper.record(
+            run.bucket, contents, now, min(run.deadline, now + RECORD_TIMEOUT)
+        )
+        self._waiting_by_ticket[ticket] = waiting
+        self._perform(effects, now)
+
+    def _launch(self, waiting: _Waiting, now: float) -> None:
+        run = waiting.run
+        slot = waiting.slot
+        if slot is None and not waiting.carrier:
+            slot = self._carrier.reserve(now)
+        if slot is not None:
+            self._carrier.start(run, slot, now)
+            return
+        carrier = waiting.carrier or self._assignments.choose(now)
+        if carrier:
+            self._assignments.start(run, carrier, now)
+            return
+        request = run.request
+        answer = self._replies.not_run(request, ResultCode.OVERLOADED, now)
+        self.ended(RunEnd(run, RequestState.NOT_RUN, answer), now)
 
-    def _replay(self, packet: Packet, request: Message, begun: object) -> None:
+    def _take_out(self, ticket: int) -> _Waiting | None:
+        return self._waiting_by_ticket.pop(ticket, None)
+
+    def _replay(self, packet: Packet, request: Message, begun: Begun) -> None:
         self._parts.metrics.count('replayed')
         if isinstance(begun, Running):
             # No empty ACK: the answer itself comes as one, and the caller's
@@ -161,33 +267,61 @@
         if payload is not None:
             self._replies.send(packet, payload)
 
-    def _record(self, waiting: _Waiting, now: float) -> list[Effect]:
-        run = waiting.run
-        entry = self._parts.store.ledger.entry(run.key, run.checksum, now)
-        contents = BucketContents(entries=(entry,) if entry else ())
-        give_up_at = min(run.deadline, now + RECORD_TIMEOUT)
-        ticket, effects = self._parts.keeper.record(
-            run.bucket, contents, now, give_up_at
+    def _hand_on(self, run: Run, now: float) -> None:
+        """Let the next home decide on what surely has not run here.
+
+        Notes
+        -----
+        To say *not run* would be false if a duplicate of the packet has
+        reached the next home.  What is kept here is *unknown*, and withheld
+        from the next home, which would otherwise have to say so too.
+        """
+        home = self._parts.home_of(run.bucket)
+        if home is None or self._parts.is_me(home):
+            self._end_unknown(run, now)
+            return
+        self._parts.metrics.count('handed_on')
+        self._parts.store.withhold(run.identity)
+        unknown = RequestState.UNKNOWN
+        self._ledger.finish(run.key, run.checksum, unknown, b'', now)
+        self._parts.out.to_peer(home.endpoint, run.packet)
+
+    def _tell_what_is_known(self, run: Run, now: float) -> None:
+        """Answer a request that another home has recorded meanwhile."""
+        self._parts.store.release(run.identity)
+        entry = self.known_answer(run.packet, run.request)
+        if entry is None:
+            self._end_unknown(run, now)
+            return
+        self._ledger.finish(
+            run.key, run.checksum, entry.state, entry.answer, now
         )
-        self._waiting_by_ticket[ticket] = waiting
-        return effects
+        self._replies.send(run.packet, entry.answer)
+
+    def _end_unknown(self, run: Run, now: float) -> None:
+        answer = self._replies.unknown(run.request)
+        self.ended(RunEnd(run, RequestState.UNKNOWN, answer), now)
 
     def _end_unrecorded(self, run: Run, reason: ResultCode, now: float) -> None:
         answer = self._replies.not_run(run.request, reason, now)
-        ledger = self._parts.store.ledger
-        ledger.abandon(run.key, run.checksum, answer, now)
+        self._ledger.abandon(run.key, run.checksum, answer, now)
         self._replies.send(run.packet, answer)
 
-    def _tell_heir(self, run: Run, now: float) -> list[Effect]:
+    def _tell_heir(self, run: Run, now: float) -> None:
         """Pass the outcome on, so that a replay finds it after a failure.
 
         Nothing waits for it: without it a replay gets *unknown*.
         """
-        entry = self._parts.store.ledger.entry(run.key, run.checksum, now)
+        entry = self._ledger.entry(run.key, run.checksum, now)
         if entry is None:
-            return []
+            return
         contents = BucketContents(entries=(entry,))
         _, effects = self._parts.keeper.record(
-            run.bucket, contents, now, now + RECORD_TIMEOUT
+            run.bucket, contents, now, now + OUTCOME_TIMEOUT
         )
-        return effects
+        self._perform(effects, now)
+
+    def _tell_next_home(self, end: RunEnd) -> None:
+        home = self._parts.home_of(end.run.bucket)
+        if home is not None and not self._parts.is_me(home):
+            self._parts.out.to_peer(home.endpoint, end.as_outcome())
--- a/redwingstream/agent/parts.py
+++ b/redwingstream/agent/parts.py
@@ -1,6 +1,7 @@
 """The decision objects of one agent, put together."""
 
 import random
+from collections.abc import Callable
 
 import attrs
 
@@ -11,17 +12,22 @@
 from redwingstream.admission.retry_budget import RetryBudget
 from redwingstream.agent.outlets import Outlets
 from redwingstream.agent.store import AgentStore
+from redwingstream.endpoints import parse_endpoint
 from redwingstream.flows.feeds import FeedCarrier
 from redwingstream.flows.paths import ReturnPaths
 from redwingstream.flows.upstream import Upstream
 from redwingstream.membership.peers import PeerLinks
 from redwingstream.node.metrics import Metrics
+from redwingstream.placement.effects import Effect
 from redwingstream.placement.keeper import BucketKeeper
 from redwingstream.placement.rendezvous import PairTable, bucket_of
 from redwingstream.tables.routing import Routing
-from redwingstream.tables.rows import ViewMember
+from redwingstream.tables.rows import Role, ViewMember
 from redwingstream.tables.snapshot import Tables
 
+PerformEffects = Callable[[list[Effect], float], None]
+"""Carries out what a keeper of buckets asks for, at a time."""
+
 REPLAY_HORIZON = 247.0
 """Seconds in which a caller may repeat a message (RFC 7252, section 4.8.2)."""
 
@@ -121,13 +127,14 @@
     is_leaving: bool = False
     server_is_silent: bool = False
 
-    def follow(self, tables: Tables) -> None:
+    def follow(self, tables: Tables, now: float) -> None:
         """Go by newer tables from now on."""
         if tables.route_by_key != self.tables.route_by_key:
             self.routing = Routing(tables.route_by_key)
         view = tables.view_by_pool.get(self.me.pool)
         self.pairs = None if view is None else PairTable.of_view(view)
         self.tables = tables
+        self._follow_balancers(now)
 
     def bucket_of(self, caller: str, service: str) -> int:
         """Return the bucket of a flow in this agent's pool."""
@@ -156,6 +163,23 @@
         member = self.tables.member_by_host.get(carrier.rpartition('#')[0])
         return member is not None and self.tables.is_zone_out(member.zone)
 
+    def is_former_run(self) -> bool:
+        """Whether control has removed this run of the agent."""
+        member = self.tables.member_by_host.get(self.me.host)
+        return member is None or member.incarnation != self.me.incarnation
+
+    def is_carrier_silent(self, carrier: str, now: float) -> bool:
+        """Whether a carrier is gone, or has not reacted for a second.
+
+        Guards against a carrier that has died without a word: it stays in the
+        tables until its lease ends, and for ever while control is gone too.
+        It shows as frames to it that nothing follows.
+        """
+        endpoint = self.endpoint_of_carrier(carrier)
+        if endpoint is None:
+            return True
+        return self.links.is_silent(parse_endpoint(endpoint), now)
+
     def endpoint_of_carrier(self, carrier: str) -> str | None:
         """Return where a carrier is reached; None when that run is gone."""
         host, _, incarnation = carrier.rpartition('#')
@@ -164,6 +188,17 @@
             return None
         return member.endpoint
 
+    def _follow_balancers(self, now: float) -> None:
+        # When all balancers are replaced while callers send nothing, none of
+        # the new ones has been heard from: feeds would have no way back.
+        balancers = [
+            member.endpoint
+            for member in self.tables.member_by_host.values()
+            if member.role is Role.BALANCER
+        ]
+        if balancers:
+            self.paths.set_members(balancers, now)
+
 
 def carrier_name(host: str, incarnation: int) -> str:
     """Return how flow records name a run of an agent.
--- a/redwingstream/agent/role.py
+++ b/redwingstream/agent/role.py
@@ -6,10 +6,10 @@
 from collections.abc import AsyncIterator
 from typing import Any
 
-import attrs
 from absl import logging
 
-from redwingstream.agent.core import AGENT_MESSAGES, AgentCore, AgentMessage
+from redwingstream.agent.core import AgentCore
+from redwingstream.agent.inbox import AGENT_MESSAGES, AgentMessage
 from redwingstream.agent.parts import (
     AgentIdentity,
     ServerCapacity,
@@ -19,6 +19,7 @@
     ServerSockets,
     open_server_sockets,
 )
+from redwingstream.agent.status import state_of
 from redwingstream.endpoints import Endpoint, parse_endpoint
 from redwingstream.membership.announcer import Vitals
 from redwingstream.membership.messages import Announce, ProbeAck
@@ -64,6 +65,7 @@
             self._node.handle(message_class, self._on_frame)
         self._node.handle(ProbeAck, self._on_probe_ack)
         self._core: AgentCore | None = None
+        self._is_leaving = False
         self._sockets: ServerSockets | None = None
 
     @contextlib.asynccontextmanager
@@ -85,14 +87,14 @@
         """Leave: no new work, running requests finish, feeds move away."""
         logging.info('agent: %s drains.', self._settings.host)
         self._node.announcer.leaving = True
-        core = self._core
-        if core is None:
+        self._is_leaving = True
+        if self._core is None:
             return
-        core.leave()
+        self._core.leave()
         deadline = self._node.now + self._settings.drain_seconds
-        while not self._has_left(core) and self._node.now < deadline:
+        while not self._has_left(self._core) and self._node.now < deadline:
             await asyncio.sleep(_DRAIN_TICK)
-        core.give_up(self._node.now)
+        self._core.give_up(self._node.now)
         logging.info('agent: %s has drained.', self._settings.host)
 
     def to_peer(self, endpoint: str, payload: object) -> None:
@@ -126,23 +128,43 @@
         return core.is_idle() and not is_in_view and not view.unsettled
 
     def _adopt(self) -> None:
-        core = self._core or self._make_core()
-        if core is not None:
-            core.follow(self._node.history.tables, self._node.now)
+        if not self._is_current():
+            self._make_core()
+        if self._core is not None:
+            self._core.follow(self._node.history.tables, self._node.now)
 
-    def _make_core(self) -> AgentCore | None:
-        """Begin to work once this run is admitted and its pool is known."""
-        tables = self._node.history.tables
-        settings = self._settings
-        pool = tables.pool_by_name.get(settings.pool)
-        member = tables.member_by_host.get(settings.host)
-        if pool is None or member is None:
-            return None
-        if member.incarnation != self._node.announcer.incarnation:
+    def _is_current(self) -> bool:
+        """Whether the core is that of the run that control has admitted."""
+        if self._core is None:
+            return False
+        return self._core.parts.me.incarnation == self._incarnation()
+
+    def _incarnation(self) -> int | None:
+        """Return what control and the tables agree on, else None."""
+        host = self._settings.host
+        member = self._node.history.tables.member_by_host.get(host)
+        admitted = self._node.announcer.incarnation
+        if member is None or member.incarnation != admitted:
             return None
+        return admitted
+
+    def _make_core(self) -> None:
+        """Begin to work once this run is admitted and its pool is known.
+
+        A process that was frozen or cut off for longer than its lease is
+        admitted anew: what the former run held is no longer valid, and a core
+        that kept its incarnation would be home of nothing for ever.
+        """
+        settings = self._settings
+        pool = self._node.history.tables.pool_by_name.get(settings.pool)
+        incarnation = self._incarnation()
+        if pool is None or incarnation is None:
+            return
+        if self._core is not None:
+            self._core.retire(self._node.now)
         me = AgentIdentity(
             host=settings.host,
-            incarnation=member.incarnation,
+            incarnation=incarnation,
             endpoint=str(settings.endpoint),
             zone=settings.zone,
             pool=settings.pool,
@@ -152,7 +174,8 @@
         capacity = ServerCapacity(settings.slots, settings.connections)
         parts = make_parts(me, capacity, self, self.metrics, random.Random())
         self._core = AgentCore(parts)
-        return self._core
+        if self._is_leaving:
+            self._core.leave()
 
     def _vitals(self) -> Vitals:
         if self._core is None:
@@ -181,31 +204,12 @@
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK)
-            if self._core is None:
+            if not self._is_current():
                 self._adopt()
-            else:
+            if self._core is not None:
                 self._core.tick(self._node.now)
 
     def _state(self) -> dict[str, Any]:
-        core = self._core
-        if core is None:
+        if self._core is None:
             return {'admitted': False}
-        parts = core.parts
-        return {
-            'admitted': True,
-            'in_flight': parts.limit.in_flight,
-            'limit': parts.limit.limit,
-            'feed_limit': parts.feed_limit.limit,
-            'feeds': len(parts.feeds),
-            'flows': len(parts.store.flows),
-            'ledger': len(parts.store.ledger),
-            'leaving': parts.is_leaving,
-            'server_silent': parts.server_is_silent,
-            'settled_view': parts.keeper.settled_view(),
-            'buckets': {
-                bucket: type(parts.keeper.status(bucket)).__name__
-                for bucket in range(parts.me.buckets)
-            },
-            'upstream': attrs.asdict(parts.upstream.counters),
-            'feed_counters': attrs.asdict(parts.feeds.counters),
-        }
+        return state_of(self._core.parts)
--- a/redwingstream/agent/runs.py
+++ b/redwingstream/agent/runs.py
@@ -3,8 +3,9 @@
 import attrs
 from aiocoap.message import Message
 
-from redwingstream.forwarding.messages import Packet
+from redwingstream.forwarding.messages import Packet, RunOutcome
 from redwingstream.requests.records import RequestKey, RequestState
+from redwingstream.requests.slots import Identity
 from redwingstream.wire import coap
 
 DEFAULT_DEADLINE = 20.0
@@ -44,6 +45,11 @@
         """What names the request in a ledger."""
         return key_of(self.packet, self.request)
 
+    @property
+    def identity(self) -> Identity:
+        """What names it when its key was used for another one before."""
+        return (self.key, self.checksum)
+
 
 @attrs.frozen(eq=False)
 class RunEnd:
@@ -63,6 +69,11 @@
     state: RequestState
     answer: bytes
 
+    def as_outcome(self) -> RunOutcome:
+        """Return it as it travels."""
+        run = self.run
+        return RunOutcome(run.key, self.state, self.answer, run.checksum)
+
 
 def key_of(packet: Packet, request: Message) -> RequestKey:
     """Return what names a request."""
--- a/redwingstream/agent/tests/exchange.py
+++ b/redwingstream/agent/tests/exchange.py
@@ -113,5 +113,8 @@
             self._waiting.append(frame)
             return
         process = self.process_by_address.get(frame.target)
-        if process is not None and (frame.source, frame.target) not in self.cuts:
+        if (
+            process is not None
+            and (frame.source, frame.target) not in self.cuts
+        ):
             process.receive(frame, self.now)
--- a/redwingstream/agent/tests/fake_caller.py
+++ b/redwingstream/agent/tests/fake_caller.py
@@ -11,6 +11,8 @@
 
 FIRST_REPEAT = 2.0
 COPIES = 5
+FABRIC_NOTICES = 3.0
+"""Seconds in which the fabric still sprays packets to a dead balancer."""
 
 
 @attrs.frozen
@@ -109,6 +111,7 @@
         self._asked_by_token: dict[bytes, Asked] = {}
         self._service = service
         self._balancers = balancers
+        self._gone_at: dict[str, float] = {}
         self._exchange = exchange
         self._rng = random.Random(address)
         self._message_id = self._rng.randrange(coap.MESSAGE_ID_LIMIT)
@@ -149,19 +152,32 @@
 
     def send(self, payload: bytes) -> None:
         """Send a packet through some balancer."""
-        balancer = self._rng.choice(self._balancers)
+        balancer = self._rng.choice(self._fabric())
         packet = CallerPacket(self.address, self._service, payload)
         self._exchange.send(self.address, balancer, packet)
 
-    def ask_again(
-        self, asked: Asked, body: bytes
-    ) -> Asked:
+    def _fabric(self) -> tuple[str, ...]:
+        """Return the balancers that the fabric has not found dead yet."""
+        living = self._exchange.process_by_address
+        for balancer in self._balancers:
+            if balancer in living:
+                self._gone_at.pop(balancer, None)
+            else:
+                self._gone_at.setdefault(balancer, self._exchange.now)
+        found = [
+            balancer
+            for balancer in self._balancers
+            if self._exchange.now
+            - self._gone_at.get(balancer, self._exchange.now)
+            < FABRIC_NOTICES
+        ]
+        return tuple(found)
+
+    def ask_again(self, asked: Asked, body: bytes) -> Asked:
         """Use message id and token of a request for another one."""
         message = coap.decode(asked.packet)
         message.payload = body
-        again = Asked(
-            body, coap.encode(message), asked.message_id, asked.token
-        )
+        again = Asked(body, coap.encode(message), asked.message_id, asked.token)
         self._asked_by_token[asked.token] = again
         self._transmit(again, COPIES, FIRST_REPEAT)
         return again
@@ -200,9 +216,7 @@
             asked.answer = message
             asked.answered_at = now
 
-    def _notified(
-        self, watched: Watched, message: Message, now: float
-    ) -> None:
+    def _notified(self, watched: Watched, message: Message, now: float) -> None:
         watched.request.answer = message
         number = message.opt.observe
         if number is None:
--- a/redwingstream/agent/tests/matrix.py
+++ b/redwingstream/agent/tests/matrix.py
@@ -5,6 +5,7 @@
 """
 
 import functools
+import itertools
 from collections import Counter
 from collections.abc import Callable
 from types import MappingProxyType
@@ -35,6 +36,9 @@
 BODY = b'bay 7'
 FAULT_TIME = 5.0
 DELAY = 1.5
+LEAVING_HEARD = 0.6
+"""Seconds after which control hears that an agent leaves."""
+
 OVERTAKEN = 0.03
 PATIENCE = 80
 """Seconds after which a cell ends in any case."""
@@ -144,15 +148,15 @@
     Step('answer to caller', 'request', _is_answer),
     Step('assignment', 'assigned', _is_kind(Assigned)),
     Step('outcome to home', 'assigned', _is_kind(RunOutcome)),
-    Step('take bucket', 'drain', _is_kind(TakeBucket)),
-    Step('bucket given', 'drain', _is_kind(BucketGiven)),
+    Step('take bucket', 'join', _is_kind(TakeBucket)),
+    Step('bucket given', 'join', _is_kind(BucketGiven)),
     Step('feed registration', 'registration', _is_registration),
     Step('feed opening', 'registration', _is_opening),
     Step('notification', 'feed', _is_notification),
     Step("caller's ack", 'feed', _is_callers_ack),
-    Step('feed move', 'drain', _is_kind(FeedMove)),
-    Step('take feed', 'drain', _is_kind(TakeFeed)),
-    Step('feed moved', 'drain', _is_kind(FeedMoved)),
+    Step('feed move', 'leave', _is_kind(FeedMove)),
+    Step('take feed', 'leave', _is_kind(TakeFeed)),
+    Step('feed moved', 'leave', _is_kind(FeedMoved)),
 )
 
 
@@ -162,7 +166,7 @@
 
     step: Step
     fault: str
-    pool: FakePool = attrs.field(factory=lambda: FakePool(4, 3))
+    pool: FakePool = attrs.field(init=False)
     asked: list[Asked] = attrs.Factory(list)
     watched: Watched | None = None
     caller: FakeCaller | None = None
@@ -177,14 +181,26 @@
         return CellResult.of(self)
 
     def _prepare(self) -> None:
-        pool = self.pool
+        started = 3 if self.step.scenario == 'join' else None
+        pool = FakePool(4, 3, started)
+        self.pool = pool
         pool.run(3)
-        self.caller = pool.caller()
+        self.caller = self._choose_caller()
         _warm_up(pool)
         if self.step.scenario != 'registration':
             self.watched = self.caller.watch()
             pool.run(2)
 
+    def _choose_caller(self) -> FakeCaller:
+        """Return a caller whose bucket the last host gets when it joins."""
+        pool = self.pool
+        numbers = itertools.count(1)
+        caller = pool.caller(next(numbers))
+        while pool.home_of_all(caller) != pool.hosts[-1]:
+            caller = pool.caller(next(numbers))
+        pool.callers.insert(0, caller)
+        return caller
+
     def _act(self) -> None:
         pool = self.pool
         scenario = self.step.scenario
@@ -192,8 +208,10 @@
             self.watched = self.caller.watch()
         if scenario == 'assigned':
             self._fill_home()
-        if scenario == 'drain':
-            pool.control.mark_draining(pool.pair(self.caller)[0])
+        if scenario == 'join':
+            pool.start(pool.hosts[-1])
+        if scenario == 'leave':
+            self._leave(pool.pair(self.caller)[0])
         for delay in (0, 0.04, 0.1, 0.5, 1, 2, 4):
             pool.exchange.call_later(delay, self._post)
         pool.run(5)
@@ -203,6 +221,13 @@
         body = f'{BODY.decode()} {number}'.encode() if number else BODY
         self.asked.append(self.caller.post(body))
 
+    def _leave(self, host: str) -> None:
+        """Have an agent leave, as when its process is told to stop."""
+        self.pool.agent(host).core.leave()
+        self.pool.exchange.call_later(
+            LEAVING_HEARD, lambda: self.pool.control.mark_draining(host)
+        )
+
     def _fill_home(self) -> None:
         home = self.pool.pair(self.caller)[0]
         server = self.pool.server_by_host[home]
@@ -221,9 +246,21 @@
 
     def _is_fresh(self) -> bool:
         seen_at = self.watched.seen_at
+        if self.watched.ended:
+            return True
         now = self.pool.exchange.now
         return bool(seen_at) and now - seen_at[-1] < FRESH_WITHIN
 
+    def broken_feed(self) -> list[str]:
+        """Return what is wrong with the feed."""
+        watched = self.watched
+        if not watched.seen_at and watched.ended:
+            # Refused before it was established.
+            return []
+        if watched.ended:
+            return ['the feed was ended']
+        return [] if self._is_fresh() else ['the feed is silent']
+
     def _inspect(self, frame: Frame) -> tuple[float, ...] | None:
         if self.happened_at is not None or not self.step.matches(frame):
             return None
@@ -256,10 +293,7 @@
     def of(cls, cell: Cell) -> 'CellResult':
         """Judge a cell that has run."""
         broken = [each for asked in cell.asked for each in _broken(cell, asked)]
-        if cell.watched.ended:
-            broken.append('the feed was ended')
-        elif not cell._is_fresh():
-            broken.append('the feed is silent')
+        broken.extend(cell.broken_feed())
         if cell.caller.wrong_answers:
             broken.append('an answer to another request')
         falls = sum(
@@ -322,9 +356,7 @@
         pool.exchange.call_later(0.5, lambda: pool.start(process.host))
     elif process is not None:
         pool.kill(address)
-        pool.exchange.call_later(
-            0.5, lambda: pool.start_balancer(address)
-        )
+        pool.exchange.call_later(0.5, lambda: pool.start_balancer(address))
 
 
 def _freeze(pool: FakePool, frame: Frame) -> None:
--- a/redwingstream/agent/tests/pool.py
+++ b/redwingstream/agent/tests/pool.py
@@ -24,6 +24,7 @@
 from redwingstream.membership.messages import Probe, ProbeAck
 from redwingstream.balancer.forwarder import Forward, Forwarder, Refuse
 from redwingstream.node.metrics import Metrics
+from redwingstream.placement.rendezvous import bucket_of, pair_of
 from redwingstream.tables.rows import (
     EarlierView,
     Member,
@@ -42,7 +43,7 @@
 SERVICE = '198.51.100.1:5683'
 CONTROL = '10.9.0.1:7000'
 KEY = b'k' * 32
-BUCKETS = 4
+BUCKETS = 16
 LEASE = 3.0
 BEAT_INTERVAL = 0.5
 ZONES = ('godoy-cruz', 'lujan', 'maipu')
@@ -110,7 +111,9 @@
         """Beat, and do what is due."""
         if now >= self._beat_at:
             self._beat_at = now + BEAT_INTERVAL
-            settled = 0 if self.core is None else self.core.vitals().settled_view
+            settled = (
+                0 if self.core is None else self.core.vitals().settled_view
+            )
             beat = Beat(self.host, self._boot, self._incarnation, settled)
             self.to_peer(CONTROL, beat)
         if self.core is not None:
@@ -214,9 +217,7 @@
             self._exchange.send(self.endpoint, source, Fetch())
 
     def _forward(self, packet: CallerPacket, now: float) -> None:
-        way = Way(
-            parse_endpoint(packet.caller), parse_endpoint(packet.service)
-        )
+        way = Way(parse_endpoint(packet.caller), parse_endpoint(packet.service))
         match self._forwarder.decide(way, packet.payload, now):
             case Forward(agent, forwarded):
                 self._exchange.send(self.endpoint, str(agent), forwarded)
@@ -353,9 +354,13 @@
         How many agents.
     slots : int
         Requests that each server bears.
+    started : int, optional
+        How many of the agents run at first; all by default.
     """
 
-    def __init__(self, hosts: int = 3, slots: int = 3) -> None:
+    def __init__(
+        self, hosts: int = 3, slots: int = 3, started: int | None = None
+    ) -> None:
         self.exchange = Exchange()
         self.slots = slots
         self.hosts = tuple(f'lot-{number}' for number in range(hosts))
@@ -364,7 +369,7 @@
             for number, host in enumerate(self.hosts)
         }
         self.zone_by_host = dict(zip(self.hosts, itertools.cycle(ZONES)))
-        self.balancers = ('10.0.1.1:7000', '10.0.1.2:7000')
+        self.balancers = tuple(f'10.0.1.{number}:7000' for number in (1, 2, 3))
         self.callers: list[FakeCaller] = []
         self.server_by_host: dict[str, FakeServer] = {}
         self._boots = itertools.count(1)
@@ -375,7 +380,8 @@
             address = f'server of {host}'
             server = FakeServer(self.exchange, address, slots)
             self.server_by_host[host] = server
-            self.start(host)
+        for first in self.hosts[:started]:
+            self.start(first)
 
     def start(self, host: str) -> Agent:
         """Start an agent, also one that was killed."""
@@ -428,6 +434,15 @@
         bucket = parts.bucket_of(caller.address, SERVICE)
         return parts.home_of(bucket).host, parts.heir_of(bucket).host
 
+    def home_of_all(self, caller: FakeCaller) -> str:
+        """Return the home of a caller's bucket once all agents serve."""
+        members = tuple(
+            ViewMember(host, 1, endpoint, self.zone_by_host[host])
+            for host, endpoint in self.endpoint_by_host.items()
+        )
+        bucket = bucket_of(caller.address, SERVICE, BUCKETS, KEY)
+        return pair_of(members, POOL, bucket).home.host
+
     def runs(self, body: bytes) -> int:
         """Return how often a non-idempotent request was run."""
         servers = self.server_by_host.values()
--- a/redwingstream/forwarding/messages.py
+++ b/redwingstream/forwarding/messages.py
@@ -96,11 +96,14 @@
         ``ANSWERED``, ``NOT_RUN`` or ``UNKNOWN``.
     answer : bytes
         The packet for the caller.
+    checksum : bytes
+        Of the request: its key alone may have been used for another one.
     """
 
     key: RequestKey
     state: RequestState
     answer: bytes
+    checksum: bytes = b''
 
 
 @message(kind=52)
