--- a/redwingstream/agent/core.py
+++ b/redwingstream/agent/core.py
@@ -113,6 +113,7 @@
         """
         self._is_stopping = True
         self.parts.is_leaving = True
+        self._desks.feeds.move_soon()
 
     def is_idle(self) -> bool:
         """Whether nothing has an outcome outstanding and no feed is here."""
--- a/redwingstream/agent/feed_checks.py
+++ b/redwingstream/agent/feed_checks.py
@@ -58,20 +58,22 @@
         without a notification (RFC 7641).  So it is told to let go.
         """
         for record in message.records:
-            key = record.key
-            if not self._moves.is_home(key):
-                continue
-            known = self._parts.store.flows.carrier_of(
-                key.caller, key.service, key.token, now
-            )
-            if known is None or known.key != key:
-                self._moves.remember(record, now)
-            elif known.generation > record.generation:
-                if not self._moves.is_moving(key):
-                    moved = FeedMoved(key, known.generation)
-                    self._parts.out.to_peer(source, moved)
-            elif known != record:
-                self._moves.remember(record, now)
+            if self._moves.is_home(record.key):
+                self._compare(record, source, now)
+
+    def _compare(self, record: FlowRecord, source: str, now: float) -> None:
+        key = record.key
+        known = self._parts.store.flows.carrier_of(
+            key.caller, key.service, key.token, now
+        )
+        if known == record or self._moves.is_moving(key):
+            return
+        is_same_feed = known is not None and known.key == key
+        if is_same_feed and known.generation > record.generation:
+            moved = FeedMoved(key, known.generation)
+            self._parts.out.to_peer(source, moved)
+        else:
+            self._moves.remember(record, now)
 
     def _check_one(self, record: FlowRecord, now: float) -> None:
         parts = self._parts
--- a/redwingstream/agent/feeds.py
+++ b/redwingstream/agent/feeds.py
@@ -173,6 +173,10 @@
             later = FeedMoved(record.key, record.generation + 1)
             self.carry_out(self._parts.feeds.moved(later), now)
 
+    def move_soon(self) -> None:
+        """Have the next :meth:`tick` ask at once: this agent leaves."""
+        self._move_at = float()
+
     def _move_due(self, now: float) -> None:
         """Ask the homes to place feeds elsewhere, at a bounded pace."""
         feeds = self._parts.feeds
--- a/redwingstream/agent/intake.py
+++ b/redwingstream/agent/intake.py
@@ -81,9 +81,10 @@
             self._reactions.take(packet, request, bucket, now)
             return
         held = Held(packet, bucket, now)
-        if not self._decide(held, request, now) and not self._held.add(held):
-            self._parts.metrics.count('held_dropped')
-            self._give_up(held, request, now)
+        if self._decide(held, request, now) or self._held.add(held):
+            return
+        self._parts.metrics.count('held_dropped')
+        self._give_up(held, request, now)
 
     def bucket_in_effect(self, bucket: int, now: float) -> None:
         """Take the packets that were held for a bucket."""
@@ -142,12 +143,12 @@
 
     def _serve(self, held: Held, request: Message, now: float) -> None:
         packet = held.packet
-        if not coap.is_idempotent(request):
-            self._once.take(packet, request, held.bucket, now)
-        elif _is_plain(request):
+        if _is_plain(request):
             self._home.plain(packet, request, held.bucket, now)
-        else:
+        elif coap.is_idempotent(request):
             self._home.feed(packet, request, held.bucket, now)
+        else:
+            self._once.take(packet, request, held.bucket, now)
 
     def _not_home(self, held: Held, request: Message, now: float) -> bool:
         home = self._parts.home_of(held.bucket)
--- a/redwingstream/agent/moves.py
+++ b/redwingstream/agent/moves.py
@@ -14,10 +14,9 @@
 from redwingstream.forwarding.messages import (
     FeedEnd,
     FeedMove,
-    FeedMoved,
     TakeFeed,
 )
-from redwingstream.placement.effects import InEffect
+from redwingstream.placement.effects import InEffect, Recovering
 from redwingstream.placement.messages import BucketContents
 
 RECORD_TIMEOUT = 4.5
@@ -119,9 +118,14 @@
             self._moving.discard(move.record.key)
 
     def is_home(self, key: FlowKey) -> bool:
-        """Whether this agent is home of a feed in effect."""
+        """Whether this agent decides on a feed.
+
+        Also while an earlier pair is lost: the carriers know their feeds, and
+        a home that did not listen to them would not find them for ACKs.
+        """
         bucket = self._parts.bucket_of(key.caller, key.service)
-        return isinstance(self._parts.keeper.status(bucket), InEffect)
+        status = self._parts.keeper.status(bucket)
+        return isinstance(status, InEffect | Recovering)
 
     def is_moving(self, key: FlowKey) -> bool:
         """Whether a new record of a feed is on its way to the heir."""
--- a/redwingstream/agent/once.py
+++ b/redwingstream/agent/once.py
@@ -19,7 +19,7 @@
 from redwingstream.agent.waiting import Waiter
 from redwingstream.errors import ResultCode
 from redwingstream.forwarding.messages import Packet, RunOutcome
-from redwingstream.placement.effects import Effect, InEffect
+from redwingstream.placement.effects import InEffect
 from redwingstream.placement.messages import BucketContents
 from redwingstream.requests.begun import Begun, Fresh, Full, Running
 from redwingstream.requests.checksum import request_checksum
--- a/redwingstream/agent/tests/test_matrix.py
+++ b/redwingstream/agent/tests/test_matrix.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from redwingstream.agent.tests import matrix_page
 from redwingstream.agent.tests.matrix import FAULT_BY_NAME, STEPS, run_cell
 
 
@@ -14,3 +15,7 @@
         result = run_cell(step, fault)
         assert result.happened
         assert not result.violations
+
+    def test_page(self) -> None:
+        written = matrix_page.PAGE.read_text(encoding='utf-8')
+        assert written == matrix_page.render(), 'run ci/fault_matrix'
