--- a/redwingstream/agent/tests/pool.py
+++ b/redwingstream/agent/tests/pool.py
@@ -363,6 +363,7 @@
     ) -> None:
         self.exchange = Exchange()
         self.slots = slots
+        self.service = SERVICE
         self.hosts = tuple(f'lot-{number}' for number in range(hosts))
         self.endpoint_by_host = {
             host: f'10.0.0.{number + 1}:7000'
@@ -405,6 +406,14 @@
         balancer = Balancer(self, endpoint)
         self.exchange.process_by_address[endpoint] = balancer
 
+    def living(self) -> tuple[str, ...]:
+        """Return the hosts whose agents live."""
+        return tuple(
+            host
+            for host, endpoint in self.endpoint_by_host.items()
+            if endpoint in self.exchange.process_by_address
+        )
+
     def kill(self, address: str) -> None:
         """End a process without a word."""
         self.exchange.process_by_address.pop(address, None)
@@ -426,11 +435,7 @@
 
     def pair(self, caller: FakeCaller) -> tuple[str, str]:
         """Return the hosts of home and heir of a caller's bucket."""
-        host = self.hosts[0]
-        for name in self.hosts:
-            if self.endpoint_by_host[name] in self.exchange.process_by_address:
-                host = name
-        parts = self.agent(host).core.parts
+        parts = self.agent(self.living()[-1]).core.parts
         bucket = parts.bucket_of(caller.address, SERVICE)
         return parts.home_of(bucket).host, parts.heir_of(bucket).host
 
--- /dev/null
+++ b/redwingstream/agent/tests/test_requests.py
@@ -0,0 +1,292 @@
+"""Requests that are lost, repeated, or meet a change of view."""
+
+import itertools
+
+import pytest
+
+from redwingstream.agent.tests.exchange import Frame
+from redwingstream.agent.tests.fake_caller import Asked, FakeCaller
+from redwingstream.agent.tests.pool import FakePool
+from redwingstream.forwarding.messages import Answer, Packet, RunOutcome
+from redwingstream.placement.messages import Record, RecordAck
+from redwingstream.tables.snapshot import Tables
+
+
+def settled_pool(hosts: int = 3, slots: int = 3) -> FakePool:
+    """Return a pool whose first view is settled."""
+    pool = FakePool(hosts, slots)
+    pool.run(3)
+    return pool
+
+
+def lose(pool: FakePool, *kinds: type, to: str = '') -> None:
+    """Lose every frame of some kinds from now on."""
+
+    def inspect(frame: Frame) -> tuple[float, ...] | None:
+        if isinstance(frame.payload, kinds) and to in frame.target:
+            return ()
+        return None
+
+    pool.exchange.inspect = inspect
+
+
+class TestReplays:
+    """A replay gets the truth, wherever it arrives."""
+
+    def test_at_a_fenced_home(self) -> None:
+        """The caller is told *not run* of a booking that has run.
+
+        The home runs it and the answer is lost.  A new view makes another
+        agent home, which fences the old one before that hears of the view.
+        The replay reaches the old home, which refused it for not being home.
+        """
+        pool = settled_pool()
+        caller = pool.caller()
+        home, _ = pool.pair(caller)
+        endpoint = pool.endpoint_by_host[home]
+        lose(pool, Answer)
+        asked = caller.post(b'bay 7')
+        pool.run(0.5)
+        lose(pool, Tables, to=endpoint)
+        pool.control.mark_draining(home)
+        pool.run(0.3)
+        packet = _packet_of(pool, caller, asked)
+        pool.exchange.send(pool.balancers[0], endpoint, packet)
+        pool.run(1)
+        assert asked.outcome == 'answered'
+        assert pool.runs(b'bay 7') == 1
+
+    def test_at_a_heir_that_stands_in(self) -> None:
+        """The caller is told *not run* of a booking that has run.
+
+        The home runs it and dies with the answer.  The balancer finds the
+        home silent and turns to the heir, which refused what needs a home.
+        """
+        pool = settled_pool()
+        caller = pool.caller()
+        home, _ = pool.pair(caller)
+        lose(pool, Answer)
+        asked = caller.post(b'bay 7')
+        pool.run(0.2)
+        pool.exchange.inspect = None
+        pool.kill(pool.endpoint_by_host[home])
+        pool.run(40)
+        assert asked.outcome in {'answered', 'unknown'}
+        assert pool.runs(b'bay 7') == 1
+
+    def test_no_place_while_recovering(self) -> None:
+        """The caller is told *not run* of a booking that has run.
+
+        Home and heir run it and are lost.  The new home hears nobody of that
+        pair, and the replay finds its server full: it was refused as new.
+        """
+        pool = settled_pool(hosts=4)
+        caller = pool.caller()
+        lose(pool, Answer)
+        asked = caller.post(b'bay 7')
+        pool.run(0.2)
+        pool.exchange.inspect = None
+        for host in pool.pair(caller):
+            pool.kill(pool.endpoint_by_host[host])
+        pool.run(6)
+        _hold_all_slots(pool)
+        pool.run(40)
+        assert asked.outcome == 'unknown'
+        assert pool.runs(b'bay 7') == 1
+
+    def test_condensed_requests_travel(self) -> None:
+        """A booking runs twice after its bucket has moved.
+
+        The ledger has condensed its entry into a filter.  The new home is
+        given the entries only, and takes the replay for a new request.
+        """
+        pool = FakePool(hosts=3, started=2)
+        pool.run(3)
+        caller = caller_of(pool, pool.hosts[-1])
+        home, _ = pool.pair(caller)
+        parts = pool.agent(home).core.parts
+        asked = caller.post(b'bay 7')
+        pool.run(1)
+        bucket = parts.bucket_of(caller.address, pool.service)
+        for host in pool.living():
+            ledger = pool.agent(host).core.parts.store.ledger
+            entry = ledger.export(bucket, pool.exchange.now)[0]
+            ledger.drop(bucket)
+            ledger.condensed.ended.add(
+                bucket, entry.key, entry.checksum, pool.exchange.now
+            )
+        pool.start(pool.hosts[-1])
+        pool.run(3)
+        assert pool.pair(caller)[0] == pool.hosts[-1]
+        again = caller.ask_again(asked, b'bay 7')
+        pool.run(3)
+        assert again.outcome == 'unknown'
+        assert pool.runs(b'bay 7') == 1
+
+
+class TestReusedIds:
+    """A message id or token used again names another request."""
+
+    def test_at_the_home(self) -> None:
+        pool = settled_pool()
+        caller = pool.caller()
+        first = caller.post(b'bay 7')
+        pool.run(1)
+        second = caller.ask_again(first, b'bay 8')
+        pool.run(1)
+        assert second.outcome == 'answered'
+        assert pool.runs(b'bay 8') == 1
+        assert not caller.wrong_answers
+
+    def test_at_a_carrier(self) -> None:
+        """The caller gets the answer to its former booking.
+
+        The home has another agent run the booking.  The caller uses message
+        id and token again for another one, which goes to the same agent; it
+        knew assignments by those alone and repeated the former outcome.
+        """
+        pool = settled_pool(hosts=2)
+        warm_up(pool)
+        caller = pool.caller()
+        home, _ = pool.pair(caller)
+        pool.agent(home).core.parts.server_is_silent = True
+        first = caller.post(b'bay 7')
+        pool.run(0.4)
+        pool.agent(home).core.parts.server_is_silent = True
+        second = caller.ask_again(first, b'bay 8')
+        pool.run(1)
+        assert (first.outcome, second.outcome) == ('answered', 'answered')
+        assert pool.runs(b'bay 8') == 1
+        assert not caller.wrong_answers
+
+
+class TestLostRecords:
+    """What the heir does not acknowledge is not run."""
+
+    def test_heir_silent(self) -> None:
+        pool = settled_pool()
+        caller = pool.caller()
+        lose(pool, RecordAck)
+        asked = caller.post(b'bay 7')
+        pool.run(6)
+        assert asked.outcome == 'not run'
+        assert pool.runs(b'bay 7') == 0
+
+    def test_late_ack_starts_nothing(self) -> None:
+        pool = settled_pool()
+        caller = pool.caller()
+        pool.exchange.inspect = lambda frame: (
+            (8.0,) if isinstance(frame.payload, RecordAck) else None
+        )
+        asked = caller.post(b'bay 7')
+        pool.run(20)
+        assert asked.outcome == 'not run'
+        assert pool.runs(b'bay 7') == 0
+
+    def test_handed_on_after_a_fence(self) -> None:
+        """A booking is refused because its bucket changes hands.
+
+        The record waits for the heir when a new view makes another agent
+        home.  It was given up as *not run*; the new home can run it.
+        """
+        pool = settled_pool()
+        caller = pool.caller()
+        home, _ = pool.pair(caller)
+        lose(pool, Record)
+        asked = caller.post(b'bay 7')
+        pool.run(0.2)
+        pool.exchange.inspect = None
+        pool.control.mark_draining(home)
+        pool.run(1.5)
+        assert asked.outcome == 'answered'
+        assert pool.runs(b'bay 7') == 1
+
+
+class TestLedgerFull:
+    """A ledger without room refuses, and says so truthfully."""
+
+    def test_refused(self) -> None:
+        pool = settled_pool()
+        caller = pool.caller()
+        home, _ = pool.pair(caller)
+        pool.agent(home).core.parts.store.ledger.capacity = 0
+        asked = caller.post(b'bay 7')
+        pool.run(1)
+        assert asked.outcome == 'not run'
+        assert pool.runs(b'bay 7') == 0
+
+
+class TestOutcomes:
+    """Outcomes find whoever is home."""
+
+    def test_home_lost_before_the_outcome(self) -> None:
+        """A booking that was run is told *unknown*, although it is known.
+
+        The home has another agent run it and dies before the outcome comes.
+        The carrier told the dead home only.
+        """
+        pool = settled_pool(hosts=3)
+        warm_up(pool)
+        caller = pool.caller()
+        home, _ = pool.pair(caller)
+        pool.agent(home).core.parts.server_is_silent = True
+        lose(pool, RunOutcome)
+        asked = caller.post(b'bay 7')
+        pool.run(0.2)
+        pool.kill(pool.endpoint_by_host[home])
+        pool.exchange.inspect = None
+        pool.run(60)
+        assert pool.runs(b'bay 7') == 1
+        assert asked.outcome == 'answered'
+
+
+class TestSeveralAtOnce:
+    """One caller with several requests, answered in any order."""
+
+    @pytest.mark.parametrize('delay', [0.0, 0.3])
+    def test_each_gets_its_own(self, delay: float) -> None:
+        pool = settled_pool(slots=6)
+        warm_up(pool)
+        caller = pool.caller()
+        turn = iter((delay, 0, delay, 0, delay, 0) * 50)
+        pool.exchange.inspect = lambda frame: (
+            (next(turn),) if isinstance(frame.payload, Answer) else None
+        )
+        asked = [caller.post(b'bay %d' % number) for number in range(6)]
+        pool.run(20)
+        assert {each.outcome for each in asked} <= {'answered', 'not run'}
+        assert not caller.wrong_answers
+
+
+def caller_of(pool: FakePool, host: str) -> FakeCaller:
+    """Return a caller whose home is a host once all agents serve."""
+    callers = (pool.caller(number) for number in itertools.count(1))
+    return next(each for each in callers if pool.home_of_all(each) == host)
+
+
+def warm_up(pool: FakePool) -> None:
+    """Let every server reach its full limit."""
+    callers = [pool.caller(number) for number in range(10, 30)]
+    for _ in range(40):
+        for caller in callers:
+            caller.get(b'map')
+        pool.run(0.1)
+    pool.run(1)
+
+
+def _hold_all_slots(pool: FakePool) -> None:
+    for host in pool.living():
+        limit = pool.agent(host).core.parts.limit
+        while limit.try_start(pool.exchange.now):
+            continue
+
+
+def _packet_of(pool: FakePool, caller: FakeCaller, asked: Asked) -> Packet:
+    return Packet(
+        pool='lot-desk',
+        revision=1,
+        caller=caller.address,
+        service=pool.service,
+        balancer=pool.balancers[0],
+        payload=asked.packet,
+    )
