--- a/redwingstream/agent/tests/pool.py
+++ b/redwingstream/agent/tests/pool.py
@@ -10,11 +10,8 @@
 import attrs
 
 from redwingstream.agent.core import AgentCore
-from redwingstream.agent.parts import (
-    AgentIdentity,
-    ServerCapacity,
-    make_parts,
-)
+from redwingstream.agent.parts import ServerCapacity
+from redwingstream.agent.runner import AgentRunner, Station
 from redwingstream.agent.tests.exchange import Exchange, Frame
 from redwingstream.agent.tests.fake_caller import CallerPacket, FakeCaller
 from redwingstream.agent.tests.fake_server import FakeServer, ServerPacket
@@ -42,7 +39,8 @@
 POOL = 'lot-desk'
 SERVICE = '198.51.100.1:5683'
 CONTROL = '10.9.0.1:7000'
-KEY = b'k' * 32
+KEY = bytes(range(32))
+CONNECTIONS = 2000
 BUCKETS = 16
 LEASE = 3.0
 BEAT_INTERVAL = 0.5
@@ -79,16 +77,29 @@
     ) -> None:
         self.host = host
         self.endpoint = pool.endpoint_by_host[host]
-        self.core: AgentCore | None = None
         self.metrics = Metrics('agent', None)
         self.tables = Tables()
+        station = Station(
+            host=host,
+            endpoint=self.endpoint,
+            zone=pool.zone_by_host[host],
+            pool=POOL,
+            key=KEY,
+            capacity=ServerCapacity(pool.slots, CONNECTIONS),
+        )
+        rng = random.Random(f'{host} {boot}')
+        self.runner = AgentRunner(station, self, self.metrics, rng)
         self._boot = boot
-        self._pool = pool
         self._exchange = pool.exchange
         self._server = server
         self._incarnation = 0
         self._beat_at = float()
 
+    @property
+    def core(self) -> AgentCore:
+        """The core of the present run."""
+        return self.runner.core
+
     def receive(self, frame: Frame, now: float) -> None:
         """Take a frame."""
         match frame.payload:
@@ -111,13 +122,10 @@
         """Beat, and do what is due."""
         if now >= self._beat_at:
             self._beat_at = now + BEAT_INTERVAL
-            settled = (
-                0 if self.core is None else self.core.vitals().settled_view
-            )
+            settled = self.runner.vitals().settled_view
             beat = Beat(self.host, self._boot, self._incarnation, settled)
             self.to_peer(CONTROL, beat)
-        if self.core is not None:
-            self.core.tick(now)
+        self.runner.tick(now)
 
     def to_peer(self, endpoint: str, payload: object) -> None:
         """Send a frame."""
@@ -136,46 +144,17 @@
             self.to_peer(endpoint, Fetch())
 
     def _take(self, frame: Frame, now: float) -> None:
-        core = self.core
-        if core is None:
-            return
         match frame.payload:
             case ServerPacket(payload, source):
-                core.take_from_server(payload, source, now)
+                self.runner.take_from_server(payload, source, now)
             case ProbeAck(revision):
-                core.parts.links.heard(parse_endpoint(frame.source))
+                self.runner.heard(frame.source)
                 self.hear_revision(revision, frame.source)
             case _:
-                core.take(frame.payload, frame.source, now)
+                self.runner.take(frame.payload, frame.source, now)
 
     def _adopt(self, now: float) -> None:
-        member = self.tables.member_by_host.get(self.host)
-        if member is None or member.incarnation != self._incarnation:
-            if self.core is not None:
-                self.core.follow(self.tables, now)
-            return
-        if self.core is None or not self._is_current():
-            self.core = self._make_core(now)
-        self.core.follow(self.tables, now)
-
-    def _is_current(self) -> bool:
-        return self.core.parts.me.incarnation == self._incarnation
-
-    def _make_core(self, now: float) -> AgentCore:
-        if self.core is not None:
-            self.core.retire(now)
-        me = AgentIdentity(
-            host=self.host,
-            incarnation=self._incarnation,
-            endpoint=self.endpoint,
-            zone=self._pool.zone_by_host[self.host],
-            pool=POOL,
-            buckets=BUCKETS,
-            key=KEY,
-        )
-        capacity = ServerCapacity(self._pool.slots, 2000)
-        rng = random.Random(f'{self.host}{self._incarnation}')
-        return AgentCore(make_parts(me, capacity, self, self.metrics, rng))
+        self.runner.adopt(self.tables, self._incarnation, now)
 
 
 class Balancer:
--- a/redwingstream/placement/outbox.py
+++ b/redwingstream/placement/outbox.py
@@ -20,6 +20,7 @@
     take_part,
 )
 from redwingstream.placement.retries import Backoff, RetryTiming
+from redwingstream.requests.records import CondensedRequests
 from redwingstream.tables.rows import ViewMember
 
 # What waits for the heir of one bucket at most: eight records' worth, which is
@@ -106,6 +107,7 @@
         self._tickets: Iterator[int] = itertools.count(1)
         self._pending_by_ticket: dict[int, PendingRecord] = {}
         self._unsynced: deque[Item] | None = None
+        self._condensed = CondensedRequests()
         self._flight: _Flight | None = None
 
     def has_room(self, size: int) -> bool:
@@ -130,6 +132,7 @@
     def begin_sync(self, contents: BucketContents) -> None:
         """Let the heir have these contents, beside what is recorded."""
         self._unsynced = items_of(contents)
+        self._condensed = contents.condensed
 
     def accept_all(self) -> tuple[PendingRecord, ...]:
         """Remove and return all that waits: there is no heir to ask."""
@@ -180,6 +183,7 @@
         if flight is None or ack.ticket != flight.ticket or not ack.accepted:
             return ()
         self._flight = None
+        self._condensed = CondensedRequests()
         self._forget_closed(flight.closed)
         if self._unsynced is not None and not self._unsynced:
             self.synced = True
@@ -221,7 +225,9 @@
             bucket=link.bucket,
             ticket=next(self._tickets),
             asked_incarnation=link.heir.incarnation,
-            contents=contents_of(chosen),
+            contents=attrs.evolve(
+                contents_of(chosen), condensed=self._condensed
+            ),
         )
         return _Flight(
             send=Send(link.heir.endpoint, record),
