Let a replay wait for the former home that is still running it

After a planned change the new home told a replay 'unknown' while the old home waited for its server's answer.

--- a/redwingstream/agent/once.py
+++ b/redwingstream/agent/once.py
@@ -13,6 +13,7 @@
 
 from redwingstream.agent.assignments import Assignments
 from redwingstream.agent.carrier import Carrier, Slot
+from redwingstream.agent.elsewhere import RunsElsewhere
 from redwingstream.agent.parts import AgentParts, PerformEffects
 from redwingstream.agent.replies import Replies
 from redwingstream.agent.runs import Run, RunEnd, deadline_of, key_of
@@ -21,7 +22,13 @@
 from redwingstream.forwarding.messages import Packet, RunOutcome
 from redwingstream.placement.effects import InEffect
 from redwingstream.placement.messages import BucketContents
-from redwingstream.requests.begun import Begun, Fresh, Full, Running
+from redwingstream.requests.begun import (
+    Begun,
+    Fresh,
+    Full,
+    OutcomeUnknown,
+    Running,
+)
 from redwingstream.requests.checksum import request_checksum
 from redwingstream.requests.outcomes import told_again
 from redwingstream.requests.records import LedgerEntry, RequestState
@@ -86,6 +93,7 @@
         self._carrier = carrier
         self._assignments = assignments
         self._perform = perform
+        self._elsewhere = RunsElsewhere(parts)
         self._waiting_by_ticket: dict[int, _Waiting] = {}
 
     def __len__(self) -> int:
@@ -108,6 +116,8 @@
                 self._end_unknown(run, now)
             case Full() if not self._is_sure(bucket):
                 self._replies.send(packet, self._replies.unknown(request))
+            case OutcomeUnknown(b'') if self._elsewhere.wait(run, now):
+                self._parts.metrics.count('run_elsewhere')
             case _:
                 self._replay(packet, request, begun)
 
@@ -160,10 +170,15 @@
         self._parts.metrics.count('outcome_late')
         if self._ledger.entry(*identity) is not None:
             self._ledger.finish(*identity, outcome.state, outcome.answer, now)
+        replay = self._elsewhere.take_out(identity)
+        if replay is not None:
+            self._tell_what_is_known(replay, now)
 
     def tick(self, now: float) -> None:
         """Repeat assignments; end those whose carrier does not answer."""
-        for run in self._assignments.tick(now):
+        given_up = self._assignments.tick(now)
+        given_up.extend(self._elsewhere.take_hopeless(now))
+        for run in given_up:
             self._end_unknown(run, now)
         for waiting in self._waiting_by_ticket.values():
             is_slow = now - waiting.since > SLOT_PATIENCE
--- a/redwingstream/agent/parts.py
+++ b/redwingstream/agent/parts.py
@@ -124,6 +124,7 @@
     tables: Tables = attrs.field(factory=Tables)
     routing: Routing = attrs.field(factory=lambda: Routing({}))
     pairs: PairTable | None = None
+    former_pairs: PairTable | None = None
     is_leaving: bool = False
     server_is_silent: bool = False
 
@@ -132,7 +133,10 @@
         if tables.route_by_key != self.tables.route_by_key:
             self.routing = Routing(tables.route_by_key)
         view = tables.view_by_pool.get(self.me.pool)
-        self.pairs = None if view is None else PairTable.of_view(view)
+        former = self.tables.view_by_pool.get(self.me.pool)
+        if view is None or former is None or view.number != former.number:
+            self.former_pairs = self.pairs
+            self.pairs = None if view is None else PairTable.of_view(view)
         self.tables = tables
         self._follow_balancers(now)
 
@@ -148,6 +152,15 @@
         """Return the heir of a bucket in the newest view known here."""
         return None if self.pairs is None else self.pairs.pair(bucket).heir
 
+    def former_home_of(self, bucket: int) -> str:
+        """Return the run that was home of a bucket before; empty if none."""
+        if self.former_pairs is None:
+            return ''
+        home = self.former_pairs.pair(bucket).home
+        if home is None or self.is_me(home):
+            return ''
+        return carrier_name(home.host, home.incarnation)
+
     def is_me(self, member: ViewMember | None) -> bool:
         """Whether a member of a view is this run of this agent."""
         if member is None:
--- a/redwingstream/agent/tests/fake_caller.py
+++ b/redwingstream/agent/tests/fake_caller.py
@@ -11,6 +11,7 @@
 
 FIRST_REPEAT = 2.0
 COPIES = 5
+BLOCK_SIZE = 6
 FABRIC_NOTICES = 3.0
 """Seconds in which the fabric still sprays packets to a dead balancer."""
 
@@ -125,6 +126,12 @@
         """Send an idempotent request."""
         return self._ask(Message(code=coap.GET, payload=body), deadline)
 
+    def get_block(self, body: bytes, number: int) -> Asked:
+        """Ask for one block of an answer."""
+        request = Message(code=coap.GET, payload=body)
+        request.opt.block2 = (number, False, BLOCK_SIZE)
+        return self._ask(request)
+
     def watch(self) -> Watched:
         """Register a feed."""
         request = Message(code=coap.GET)
