--- a/redwingstream/wire/coap.py
+++ b/redwingstream/wire/coap.py
@@ -33,6 +33,7 @@
 # Elective and safe to forward (RFC 7252, section 5.4.6), from the range for
 # experiments: how many milliseconds the caller will still wait.
 DEADLINE_OPTION = OptionNumber(65000)  # noqa: WPS432
+DEADLINE_BYTES = 4
 
 _DECODE_ERRORS = (
     coap_errors.Error,
@@ -80,9 +81,14 @@
 
 
 def deadline_of(packet: Message) -> float | None:
-    """Return how many seconds the caller will still wait, if it said so."""
+    """Return how many seconds the caller will still wait, if it said so.
+
+    A deadline of more than ``DEADLINE_BYTES`` bytes counts as none.
+    """
     options = packet.opt.get_option(DEADLINE_OPTION)
-    if not options:
+    if not options or len(options[0].value) > DEADLINE_BYTES:
+        # A number of any length is well-formed CoAP; divided, one of some
+        # hundred bytes raises OverflowError.
         return None
     return int.from_bytes(options[0].value, 'big') / 1000  # noqa: WPS432
 
@@ -90,7 +96,7 @@
 def set_deadline(packet: Message, seconds: float) -> None:
     """Say in the message how long its sender will wait."""
     milliseconds = max(0, int(seconds * 1000))  # noqa: WPS432
-    encoded = milliseconds.to_bytes(4, 'big')
+    encoded = milliseconds.to_bytes(DEADLINE_BYTES, 'big')
     packet.opt.delete_option(DEADLINE_OPTION)
     packet.opt.add_option(OpaqueOption(DEADLINE_OPTION, encoded))
 
