Tell a carrier again of a feed that it does not name

A TakeFeed lost together with its sender left home and heir naming a carrier that knows nothing of the feed: silent for good.

--- a/redwingstream/agent/feed_checks.py
+++ b/redwingstream/agent/feed_checks.py
@@ -1,7 +1,7 @@
 """Finds feeds whose carrier is gone, silent, or stands in a zone out."""
 
 from redwingstream.agent.feeds import FeedRelay
-from redwingstream.agent.moves import FeedMoves
+from redwingstream.agent.moves import FeedMoves, Move
 from redwingstream.agent.parts import AgentParts
 from redwingstream.endpoints import parse_endpoint
 from redwingstream.errors import ResultCode
@@ -9,6 +9,12 @@
 from redwingstream.flows.records import FlowRecord
 from redwingstream.forwarding.messages import CarriedFeeds, FeedMoved
 
+FIRST_CONFIRM = 3.0
+"""Seconds in which a carrier is to name a feed that was placed with it."""
+
+CONFIRMED_FOR = 25.0
+"""Seconds for which its word is believed; it repeats it every 10 s."""
+
 CHECK_INTERVAL = 1.0
 """Seconds after which a feed without a carrier is tried again."""
 
@@ -33,6 +39,7 @@
         self._feeds = feeds
         self._moves = moves
         self._check_at = float()
+        self._due_by_record: dict[FlowRecord, float] = {}
 
     def check_soon(self) -> None:
         """Have the next :meth:`check` look at once: the tables changed."""
@@ -43,9 +50,13 @@
         if now < self._check_at:
             return
         self._check_at = now + CHECK_INTERVAL
+        former_dues = self._due_by_record
+        self._due_by_record = {}
         for record in self._parts.store.flows.feeds():
             key = record.key
             if self._moves.is_home(key) and not self._moves.is_moving(key):
+                due = former_dues.get(record, now + FIRST_CONFIRM)
+                self._due_by_record[record] = due
                 self._check_one(record, now)
 
     def carried(self, message: CarriedFeeds, source: str, now: float) -> None:
@@ -66,31 +77,56 @@
         known = self._parts.store.flows.carrier_of(
             key.caller, key.service, key.token, now
         )
-        if known == record or self._moves.is_moving(key):
+        if known == record:
+            self._due_by_record[record] = now + CONFIRMED_FOR
+            return
+        if self._moves.is_moving(key):
             return
         if known is None or known.key != key or _beats(record, known):
             self._moves.remember(record, now)
-        elif not self._moves.is_handed_over(key, now):
+        elif known.generation == record.generation:
             moved = FeedMoved(key, record.generation + 1)
             self._parts.out.to_peer(source, moved)
+        elif not self._moves.is_handed_over(key, now):
+            # The new carrier tells the former one, once it serves the feed:
+            # it may never have heard of it.
+            observe = _last_number(record)
+            self._moves.hand_over(Move(known, observe, source), now)
 
     def _check_one(self, record: FlowRecord, now: float) -> None:
         parts = self._parts
         carrier = record.carrier
         if carrier == parts.me.carrier:
-            return
-        if parts.is_carrier_in_zone_out(carrier):
+            if parts.feeds.handover(record.key) is None:
+                self._tell_again(record, now)
+        elif parts.is_carrier_in_zone_out(carrier):
             self._give_up(record, now)
         elif parts.is_carrier_silent(carrier, now):
             parts.metrics.count('feed_orphaned')
-            # Whatever the lost carrier may have sent under its generation.
-            observe = sequence_number(record.generation, COUNTER_LIMIT - 1)
-            self._moves.place(record, observe, '', now)
+            self._moves.place(record, _last_number(record), '', now)
         else:
-            endpoint = parts.endpoint_of_carrier(carrier)
-            if endpoint is not None:
-                # Probed unless it is heard from before.
-                parts.links.sent(parse_endpoint(endpoint), now)
+            self._expect_sign(record, now)
+
+    def _expect_sign(self, record: FlowRecord, now: float) -> None:
+        """Have a carrier probed, and told of a feed that it does not name.
+
+        Guards against the loss of a :class:`TakeFeed` whose sender is lost or
+        replaced too: home and heir name a carrier that knows nothing of the
+        feed, and it would be silent for good.  Carriers name their feeds when
+        the view changes and from time to time.
+        """
+        endpoint = self._parts.endpoint_of_carrier(record.carrier)
+        if endpoint is None:
+            return
+        # Probed unless it is heard from before.
+        self._parts.links.sent(parse_endpoint(endpoint), now)
+        self._tell_again(record, now)
+
+    def _tell_again(self, record: FlowRecord, now: float) -> None:
+        if now >= self._due_by_record[record]:
+            self._parts.metrics.count('feed_unconfirmed')
+            self._due_by_record[record] = now + FIRST_CONFIRM
+            self._moves.hand_over(Move(record, 0, ''), now)
 
     def _give_up(self, record: FlowRecord, now: float) -> None:
         """Tell the caller, in case the zone's own agent cannot.
@@ -114,6 +150,11 @@
         self._feeds.carry_out(effects, now)
 
 
+def _last_number(record: FlowRecord) -> int:
+    """Return the last number that may have been sent under a record."""
+    return sequence_number(record.generation, COUNTER_LIMIT - 1)
+
+
 def _beats(record: FlowRecord, known: FlowRecord) -> bool:
     """Whether a record replaces the known one in the flow table.
 
--- a/redwingstream/agent/moves.py
+++ b/redwingstream/agent/moves.py
@@ -31,7 +31,19 @@
 
 
 @attrs.frozen(eq=False)
-class _Move:
+class Move:
+    """A feed on its way to another carrier.
+
+    Parameters
+    ----------
+    record : FlowRecord
+        Its new record.
+    observe : int
+        Last number that its caller may have been sent.
+    former : str
+        ``IP:PORT`` of the carrier that serves it until then; empty if none.
+    """
+
     record: FlowRecord
     observe: int
     former: str
@@ -63,7 +75,7 @@
         self._feeds = feeds
         self._assignments = assignments
         self._perform = perform
-        self._move_by_ticket: dict[int, _Move] = {}
+        self._move_by_ticket: dict[int, Move] = {}
         self._moving: set[FlowKey] = set()
         self._handed_at: OrderedDict[FlowKey, float] = OrderedDict()
 
@@ -78,7 +90,7 @@
         if known is not None and known.generation > message.record.generation:
             # Placed before; the word to the new carrier or to the old one was
             # lost.
-            self._hand_over(_Move(known, message.observe, source), now)
+            self.hand_over(Move(known, message.observe, source), now)
             return
         self.place(message.record, message.observe, source, now)
 
@@ -95,7 +107,7 @@
         )
         self._moving.add(record.key)
         ticket, effects = self._record(following, now)
-        self._move_by_ticket[ticket] = _Move(following, observe, former)
+        self._move_by_ticket[ticket] = Move(following, observe, former)
         self._perform(effects, now)
 
     def end(self, message: FeedEnd, now: float) -> None:
@@ -117,7 +129,7 @@
         if move is None:
             return False
         self._moving.discard(move.record.key)
-        self._hand_over(move, now)
+        self.hand_over(move, now)
         return True
 
     def refused(self, ticket: int, reason: ResultCode, now: float) -> None:
@@ -139,7 +151,7 @@
             self._parts.metrics.count('feed_moved_unrecorded')
             bucket = self._parts.bucket_of(key.caller, key.service)
             self._parts.store.flows.put(bucket, move.record, now)
-            self._hand_over(move, now)
+            self.hand_over(move, now)
 
     def is_home(self, key: FlowKey) -> bool:
         """Whether this agent decides on a feed.
@@ -164,6 +176,20 @@
             self._handed_at.pop(oldest)
         return key in self._handed_at
 
+    def hand_over(self, move: Move, now: float) -> None:
+        """Tell the new carrier of a feed, also once more."""
+        self._parts.metrics.count('feed_moved')
+        record = move.record
+        self._handed_at[record.key] = now
+        self._handed_at.move_to_end(record.key)
+        message = TakeFeed(record, move.observe, move.former)
+        if record.carrier == self._parts.me.carrier:
+            self._feeds.take(message, now)
+            return
+        endpoint = self._parts.endpoint_of_carrier(record.carrier)
+        if endpoint is not None:
+            self._parts.out.to_peer(endpoint, message)
+
     def _record(
         self, record: FlowRecord, now: float
     ) -> tuple[int, list[Effect]]:
@@ -187,16 +213,3 @@
         if chosen or is_own or self._parts.is_leaving:
             return chosen
         return self._parts.me.carrier
-
-    def _hand_over(self, move: _Move, now: float) -> None:
-        self._parts.metrics.count('feed_moved')
-        record = move.record
-        self._handed_at[record.key] = now
-        self._handed_at.move_to_end(record.key)
-        message = TakeFeed(record, move.observe, move.former)
-        if record.carrier == self._parts.me.carrier:
-            self._feeds.take(message, now)
-            return
-        endpoint = self._parts.endpoint_of_carrier(record.carrier)
-        if endpoint is not None:
-            self._parts.out.to_peer(endpoint, message)
--- a/redwingstream/agent/tests/test_feeds.py
+++ b/redwingstream/agent/tests/test_feeds.py
@@ -1,5 +1,7 @@
 """Feeds whose carriers leave, die, are cut off, or lose their server."""
 
+import pytest
+
 from redwingstream.agent.tests.exchange import Frame
 from redwingstream.agent.tests.fake_caller import FakeCaller, Watched
 from redwingstream.agent.tests.fake_server import ServerPacket
@@ -7,10 +9,11 @@
 from redwingstream.agent.tests.support import (
     carriers,
     hold_slots,
+    lose,
     settled_pool,
     warm_up,
 )
-from redwingstream.forwarding.messages import FeedMove, Packet
+from redwingstream.forwarding.messages import FeedMove, Packet, TakeFeed
 from redwingstream.wire import coap
 
 
@@ -189,6 +192,28 @@
         assert watched.longest_gap(pool.exchange.now) < GAP
         assert not watched.ended
 
+    @pytest.mark.parametrize('seconds', [0.3, 1, 4])
+    def test_new_carrier_never_heard(self, seconds: float) -> None:
+        """A board stands still for good after its agent has left.
+
+        The leaving home places the board elsewhere, and the word to the new
+        carrier is lost.  The next home finds in its records that the feed has
+        a living carrier, and told the former one to let go.
+        """
+        pool = settled_pool(hosts=4)
+        warm_up(pool)
+        caller = pool.caller()
+        watched = caller.watch()
+        pool.run(2)
+        lose(pool, TakeFeed)
+        pool.leave(pool.pair(caller)[0])
+        pool.run(seconds)
+        pool.exchange.inspect = None
+        pool.run(10)
+        assert len(carriers(pool)) == 1
+        assert not watched.ended
+        assert watched.longest_gap(pool.exchange.now) < 6
+
     def test_moves_are_paced(self) -> None:
         """Feeds whose server does not take them flood the homes.
 
--- a/redwingstream/agent/waiting.py
+++ b/redwingstream/agent/waiting.py
@@ -80,6 +80,7 @@
             # Entered again by a run that ends at once; the outer call goes on.
             return
         self._is_serving = True
+        self.expire(now)
         while self._places and self._limit.has_room(now):
             place = self._places.popleft()
             if not place.waiter.admitted(now):
