--- a/redwingstream/placement/outbox.py
+++ b/redwingstream/placement/outbox.py
@@ -19,6 +19,7 @@
 )
 from redwingstream.placement.pending import PendingRecord, PendingRecords
 from redwingstream.placement.retries import Backoff, RetryTiming
+from redwingstream.requests.records import CondensedRequests
 from redwingstream.tables.rows import ViewMember
 
 _NEVER = float('inf')
@@ -85,6 +86,7 @@
         self._timing = timing
         self._tickets: Iterator[int] = itertools.count(1)
         self._unsynced: deque[Item] | None = None
+        self._condensed = CondensedRequests()
         self._flight: _Flight | None = None
 
     def restart(self) -> None:
@@ -100,6 +102,7 @@
     def begin_sync(self, contents: BucketContents) -> None:
         """Let the heir have these contents, beside what is recorded."""
         self._unsynced = items_of(contents)
+        self._condensed = contents.condensed
 
     def accept_all(self) -> list[PendingRecord]:
         """Remove and return all that waits: there is no heir to ask."""
@@ -124,6 +127,7 @@
         if flight is None or ack.ticket != flight.ticket or not ack.accepted:
             return []
         self._flight = None
+        self._condensed = CondensedRequests()
         self._forget_closed(flight.closed)
         if self._unsynced is not None and not self._unsynced:
             self.synced = True
@@ -157,7 +161,9 @@
             bucket=link.bucket,
             ticket=next(self._tickets),
             asked_incarnation=link.heir.incarnation,
-            contents=contents_of(chosen),
+            contents=attrs.evolve(
+                contents_of(chosen), condensed=self._condensed
+            ),
         )
         return _Flight(
             send=Send(link.heir.endpoint, record),
