--- a/asv_bench/packet_processes.py
+++ b/asv_bench/packet_processes.py
@@ -21,7 +21,14 @@
 from redwingstream.forwarding.messages import Answer
 from redwingstream.settings.roles import BalancerSettings
 from redwingstream.tables.messages import TablesUpdate
-from redwingstream.tables.rows import Pool, PoolView, Route, ViewMember
+from redwingstream.tables.rows import (
+    Member,
+    Pool,
+    PoolView,
+    Role,
+    Route,
+    ViewMember,
+)
 from redwingstream.wire import datagrams, fabric
 from redwingstream.wire.frames import FrameCodec
 
@@ -76,11 +83,14 @@
         Datagrams that it reads at a wake-up.
     profile : bool
         True runs it under ``cProfile``.
+    agents : int
+        How many agents its view has.
     """
 
     seconds: float
     batch: int = datagrams.BATCH
     profile: bool = False
+    agents: int = AGENTS
 
 
 @attrs.frozen
@@ -123,17 +133,34 @@
     return Endpoint(f'127.70.3.{number + 1}', 7000)
 
 
-def tables_update() -> TablesUpdate:
+def tables_update(agents: int = AGENTS) -> TablesUpdate:
     """Return tables with one pool of a few agents."""
     members = tuple(
-        ViewMember(f'host-{number}', 1, str(agent_endpoint(number)), f'z{number % 2}')
-        for number in range(AGENTS)
+        ViewMember(
+            f'host-{number}',
+            1,
+            str(agent_endpoint(number)),
+            f'z{number % 2}',
+        )
+        for number in range(agents)
     )
     return TablesUpdate(
         since=0,
         revision=1,
         routes=(Route(str(SERVICE), POOL),),
         pools=(Pool(POOL, ('host-*',)),),
+        members=tuple(
+            Member(
+                member.host,
+                Role.AGENT,
+                member.incarnation,
+                1,
+                member.endpoint,
+                member.zone,
+                POOL,
+            )
+            for member in members
+        ),
         views=(PoolView(POOL, 1, members),),
     )
 
@@ -155,7 +182,7 @@
         fabric=FABRIC,
     )
     role = BalancerRole(settings, KEY)
-    role._node.follower.history.take(tables_update())
+    role._node.follower.history.take(tables_update(run.agents))
     role._adopt()
     async with role.opened():
         pipe.send('ready')
@@ -218,7 +245,12 @@
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
         sock.bind((f'127.70.10.{sender + 1}', 0))
         target = FABRIC_SIDE.as_pair()
-        _flood(load, lambda number: _send(sock, packets[number % len(packets)], target))
+
+
+        def send(number: int) -> None:
+            _send(sock, packets[number % len(packets)], target)
+
+        _flood(load, send)
 
 
 def _send_answers(load: Load, sender: int) -> None:
