--- a/asv_bench/plain_hashing.py
+++ b/asv_bench/plain_hashing.py
@@ -59,7 +59,9 @@
         self._fabric = source
         servers = self._servers_by_service.get(str(way.service), [])
         if servers:
-            digest = xxhash.xxh3_64_intdigest(f'{way.caller}|{way.service}')
+            digest = xxhash.xxh3_64_intdigest(
+                f'{way.caller}|{way.service}'.encode()
+            )
             server = servers[digest % len(servers)]
             link = self._link(way, server)
             link.send(payload, parse_endpoint(server).as_pair())
