--- a/asv_bench/handoff.py
+++ b/asv_bench/handoff.py
@@ -27,6 +27,7 @@
 
 MEMBER_SIZES = (4, 8, 16, 32)
 FEEDS_AT_SIZES = 1000
+BUCKET_SIZES = (64, 128, 256, 512)
 STEP = 0.05
 MOST_STEPS = 400
 MILLI = 1000
@@ -62,9 +63,14 @@
     ----------
     members : tuple of ViewMember
         All that will ever be in a view.
+    buckets : int
+        Of the pool.
     """
 
-    def __init__(self, members: tuple[ViewMember, ...]) -> None:
+    def __init__(
+        self, members: tuple[ViewMember, ...], buckets: int = BUCKETS
+    ) -> None:
+        self.buckets = buckets
         self.store_by_endpoint = {
             member.endpoint: AgentStore(member.host, HORIZON)
             for member in members
@@ -76,7 +82,7 @@
                 POOL,
                 self.store_by_endpoint[member.endpoint],
                 HORIZON,
-                BUCKETS,
+                buckets,
             )
             for member in members
         }
@@ -133,10 +139,12 @@
     )
 
 
-def measure(before: int, after: int, feeds: int) -> HandoffCount:
+def measure(
+    before: int, after: int, feeds: int, buckets: int = BUCKETS
+) -> HandoffCount:
     """Change the number of members of a pool that holds feeds."""
     members = members_of(max(before, after))
-    pool = Pool(members)
+    pool = Pool(members, buckets)
     old = PoolView(POOL, 1, members[:before])
     pool.adopt(old)
     settled = attrs.evolve(old, unsettled=())
@@ -148,7 +156,7 @@
     former, latest = PairTable.of_view(old), PairTable.of_view(new)
     pool.count.moved = sum(
         former.pair(bucket).home != latest.pair(bucket).home
-        for bucket in range(BUCKETS)
+        for bucket in range(buckets)
     )
     return pool.count
 
@@ -174,13 +182,18 @@
         for size in (6, 12, 24)
     ]
     report.add('a third of the members leaves at once', rows)
+    rows = [
+        _row('joins', buckets, measure(7, 8, FEEDS_AT_SIZES, buckets))
+        for buckets in BUCKET_SIZES
+    ]
+    report.add('one joins seven, 1000 feeds; buckets of the pool', rows)
     report.finish(flags.json)
 
 
 def _fill(pool: Pool, view: PoolView, feeds: int) -> None:
     pairs = PairTable.of_view(view)
     for number in range(feeds):
-        bucket = number % BUCKETS
+        bucket = number % pool.buckets
         caller = memory.caller(number)
         token = number.to_bytes(4)
         key = FlowKey(caller, memory.SERVICE, token)
