--- a/asv_bench/handoff.py
+++ b/asv_bench/handoff.py
@@ -28,6 +28,11 @@
 MEMBER_SIZES = (4, 8, 16, 32)
 FEEDS_AT_SIZES = 1000
 BUCKET_SIZES = (64, 128, 256, 512)
+STEPS = (
+    ('one joins seven', 7, 8),
+    ('one of eight leaves', 8, 7),
+    ('one of four leaves', 4, 3),
+)
 STEP = 0.05
 MOST_STEPS = 400
 MILLI = 1000
@@ -167,10 +172,10 @@
     flags = output.read_flags('handoff')
     rows = [
         _row(title, size, measure(before, after, size))
-        for title, before, after in (('joins', 7, 8), ('leaves', 8, 7))
+        for title, before, after in STEPS
         for size in SIZES
     ]
-    report.add('one of eight; feeds and ledger entries of the pool', rows)
+    report.add('one host; feeds and ledger entries of the pool', rows)
     report.add('slopes by feeds', _slopes(rows, 'size'))
     rows = [
         _row('leaves', size, measure(size, size - 1, FEEDS_AT_SIZES))
@@ -227,7 +232,7 @@
     rows: list[dict[str, object]], column: str
 ) -> list[dict[str, object]]:
     slopes = []
-    for title in ('joins', 'leaves'):
+    for title, _, _ in STEPS:
         chosen = [row for row in rows if row['change'] == title]
         sizes = [row[column] for row in chosen]
         line = fitting.fit(sizes, [row['bytes'] for row in chosen])
--- a/asv_bench/memory.py
+++ b/asv_bench/memory.py
@@ -13,6 +13,7 @@
 
 from asv_bench import fitting, output
 from asv_bench.fleets import Fleet, FleetShape, pool_row, route_row
+from asv_bench.heartbeats import Leader
 from redwingstream.admission.choice import PeerLoads
 from redwingstream.balancer.forwarder import Forwarder
 from redwingstream.endpoints import Endpoint
@@ -191,6 +192,14 @@
     return FleetHolder(frames)
 
 
+def leader(agents: int) -> Leader:
+    """Return a leader that has heard every member once."""
+    held = Leader(agents)
+    members = held.fleet.machine.state.member_by_host.values()
+    held.take(held.frames(), [member.boot for member in members])
+    return held
+
+
 MAKERS: dict[str, Maker] = {
     'plain placement (FlowTable)': placements,
     'feed (FlowTable)': feeds,
@@ -214,6 +223,7 @@
     rows = [
         _row('tables of a process, one more agent', holder.tables, FLEET_SIZES),
         _row('tables and pairs of a balancer', holder.balancer, FLEET_SIZES),
+        _row('state machine and leases of a leader', leader, FLEET_SIZES),
     ]
     report.add(
         'bytes by agents (a fifth as many balancers, a quarter pools)', rows
