--- a/asv_bench/fleets.py
+++ b/asv_bench/fleets.py
@@ -18,6 +18,7 @@
 from redwingstream.wire import messages
 
 ZONES = ('zone-a', 'zone-b', 'zone-c', 'zone-d', 'zone-e')
+FIRST_ZONE = ZONES[0]
 HOSTS_PER_POOL = 4
 HOSTS_PER_BALANCER = 5
 
@@ -101,9 +102,7 @@
         pools = tuple(SetPool(pool_row(number)) for number in numbers)
         routes = tuple(SetRoute(route_row(number)) for number in numbers)
         zones = tuple(SetZone(ZoneMark(zone, out=False)) for zone in ZONES)
-        self.change(
-            Edits(set_pools=pools, set_routes=routes, set_zones=zones)
-        )
+        self.change(Edits(set_pools=pools, set_routes=routes, set_zones=zones))
 
 
 def pool_row(number: int) -> Pool:
@@ -117,7 +116,7 @@
 
 
 def admission(
-    number: int, pool: str, boot: int = 1, zone: str = ZONES[0]
+    number: int, pool: str, boot: int = 1, zone: str = FIRST_ZONE
 ) -> AdmitMember:
     """Return the command that admits an agent, or a balancer without a pool."""
     role = Role.AGENT if pool else Role.BALANCER
--- a/asv_bench/flow_processes.py
+++ b/asv_bench/flow_processes.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import cProfile
+import functools
 import io
 import pathlib
 import pstats
@@ -35,9 +36,10 @@
 PAUSE = 0.002
 LINGER = 3.0
 HEADER_SIZE = 28
-TYPE_MASK = 0x0F
+TYPE_MASK = 0xF
 ACK_TYPE = 0x60
 CONTENT = b'\x45'
+BODY = b'\xffok'
 
 
 @attrs.frozen
@@ -123,9 +125,9 @@
 
 
 def _drain(sock: socket.socket, count: FabricCount) -> None:
+    receive = functools.partial(sock.recv, datagrams.MAX_DATAGRAM)
     with contextlib.suppress(BlockingIOError):
-        while True:
-            answer = sock.recv(datagrams.MAX_DATAGRAM)
+        for answer in iter(receive, b''):
             count.answers_by_code[answer[HEADER_SIZE + 1]] += 1
 
 
@@ -170,8 +172,8 @@
 
     def answer(request: bytes, source: tuple[str, int]) -> None:
         size = request[0] & TYPE_MASK
-        head = bytes((ACK_TYPE | size,)) + CONTENT
-        reply = head + request[2 : 4 + size] + b'\xffok'
+        head = bytes((ACK_TYPE | size,))
+        reply = b''.join((head, CONTENT, request[2 : 4 + size], BODY))
         opened[0].send(reply, source)
 
     with datagrams.open_datagrams(server_endpoint(number), answer) as sock:
--- a/asv_bench/flow_rate.py
+++ b/asv_bench/flow_rate.py
@@ -92,7 +92,9 @@
     start(run_balancer, BalancerRun(seconds + 1, agents=AGENTS))
     for pipe in pipes:
         pipe.recv()
-    start(run_fabric, Load(int(rate * seconds) + 1, payload, seconds, pace=rate))
+    start(
+        run_fabric, Load(int(rate * seconds) + 1, payload, seconds, pace=rate)
+    )
     *agents, balancer, fabric = [pipe.recv() for pipe in pipes]
     for process in processes:
         process.terminate()
--- a/asv_bench/handoff.py
+++ b/asv_bench/handoff.py
@@ -1,7 +1,8 @@
 """What it costs to hand buckets over when a pool's members change.
 
 Keepers and their real stores, joined by a network that counts frames and loses
-nothing.  Bytes are those of the sealed frames.  ``python -m asv_bench.handoff``.
+nothing.  Bytes are those of the sealed frames.
+``python -m asv_bench.handoff``.
 """
 
 import time
@@ -94,7 +95,7 @@
         self.count = HandoffCount()
         self._codec = FrameCodec(b'k' * 32)
         self._held: deque[tuple[str, Send]] = deque()
-        self._now = 0.0
+        self._now = float()
 
     def adopt(self, view: PoolView) -> None:
         """Let everyone adopt a view, and run until all have settled it."""
--- a/asv_bench/imbalance.py
+++ b/asv_bench/imbalance.py
@@ -1,7 +1,8 @@
 """How evenly buckets divide, by how many buckets a pool has.
 
 The share of the busiest home over the mean, with equal weights: what a pool's
-imbalance comes to when the callers are many.  ``python -m asv_bench.imbalance``.
+imbalance comes to when the callers are many.
+``python -m asv_bench.imbalance``.
 """
 
 from collections import Counter
--- a/asv_bench/measured_run.py
+++ b/asv_bench/measured_run.py
@@ -1,10 +1,11 @@
-"""One run of a deployment: steady, a host restarts, a zone leaves and returns."""
+"""One run: steady, a host restarts, a zone leaves and returns."""
 
 import asyncio
 import contextlib
 import itertools
 import json
 from collections import Counter
+from collections.abc import AsyncIterator
 
 import attrs
 
@@ -152,21 +153,24 @@
     async def run(self) -> Measures:
         """Go through all steps."""
         with self._stack:
-            tasks = [asyncio.create_task(self._call())]
-            try:
-                await asyncio.sleep(WARM_SECONDS)
+            async with self._calling() as tasks:
                 await self._open_feeds(tasks)
                 await self._steady()
                 await self._restart_host()
                 await self._zone()
-                await asyncio.sleep(DEADLINE)
-            finally:
-                for task in tasks:
-                    task.cancel()
-                await asyncio.gather(*tasks, return_exceptions=True)
         self._sum_up()
         return self.found
 
+    @contextlib.asynccontextmanager
+    async def _calling(self) -> AsyncIterator[list[asyncio.Task[None]]]:
+        """Let callers ask; yields the tasks that end with the block."""
+        tasks = [asyncio.create_task(self._call())]
+        await asyncio.sleep(WARM_SECONDS)
+        try:
+            yield tasks
+        finally:
+            await _end(tasks)
+
     async def _open_feeds(self, tasks: list[asyncio.Task[None]]) -> None:
         service = self._deployment.service_at(self._pool)
         path = self._deployment.feed
@@ -178,15 +182,11 @@
         opened = await asyncio.gather(*(open_one() for _ in range(FEEDS)))
         self._feeds = [feed for feed in opened if not feed.observation.ended]
         self.found.feeds = len(self._feeds)
-        tasks.extend(
-            asyncio.create_task(feed.listen()) for feed in self._feeds
-        )
+        tasks.extend(asyncio.create_task(feed.listen()) for feed in self._feeds)
 
     async def _steady(self) -> None:
         hosts = [
-            host
-            for host in self._deployment.hosts()
-            if host.pool == self._pool
+            host for host in self._deployment.hosts() if host.pool == self._pool
         ]
         before = await self._taken(hosts)
         await asyncio.sleep(STEADY_SECONDS)
@@ -302,9 +302,7 @@
             answered[place] += isinstance(each.outcome, Answered)
         timeline.sent_by_bin = dict(sorted(sent.items()))
         timeline.answered_by_bin = dict(sorted(answered.items()))
-        out = [
-            each for each in self._sent if marked_at <= each.at < back_at
-        ]
+        out = [each for each in self._sent if marked_at <= each.at < back_at]
         self.found.out_percent = _answered_percent(out)
 
     def _sum_up(self) -> None:
@@ -327,3 +325,11 @@
 def _answered_percent(sent: list[_Sent]) -> float:
     answered = sum(isinstance(each.outcome, Answered) for each in sent)
     return answered / max(len(sent), 1) * PERCENT
+
+
+async def _end(tasks: list[asyncio.Task[None]]) -> None:
+    # What is under way may still be answered.
+    await asyncio.sleep(DEADLINE)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
--- a/asv_bench/memory.py
+++ b/asv_bench/memory.py
@@ -4,10 +4,11 @@
 each run.  ``python -m asv_bench.memory``.
 """
 
+import contextlib
 import gc
 import random
 import tracemalloc
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import attrs
 
@@ -33,8 +34,8 @@
 FLEET_SIZES = (100, 200, 400, 800)
 BUCKETS = 64
 KEY = b'k' * 32
-REGISTRATION = b'\x44\x01\x12\x34abcd\x60\x54feed' + b'\xff' * 8
-ANSWER = b'\x64\x44\x12\x34abcd\xff' + b'r' * 16
+REGISTRATION = b'\x44\x01\x12\x34abcd\x60\x54feed\xffregister'
+ANSWER = b'\x64\x44\x12\x34abcd\xffplate reading 17'
 SERVICE = '10.9.0.1:5683'
 PROBE = Probe(1)
 WINDOW_SPAN = 4090
@@ -44,17 +45,24 @@
 
 def bytes_of(make: Maker, size: int) -> int:
     """Return the bytes that are held by what is made."""
-    gc.collect()
-    tracemalloc.start()
-    try:
+    with tracing():
         held = make(size)
         gc.collect()
         held_bytes, _ = tracemalloc.get_traced_memory()
         # Keeps the object alive until it has been counted.
-        assert held is not None  # noqa: S101
+        del held  # noqa: WPS420
+    return held_bytes
+
+
+@contextlib.contextmanager
+def tracing() -> Iterator[None]:
+    """Count the memory that is taken in a block."""
+    gc.collect()
+    tracemalloc.start()
+    try:
+        yield
     finally:
         tracemalloc.stop()
-    return held_bytes
 
 
 def placements(size: int) -> FlowTable:
--- a/asv_bench/output.py
+++ b/asv_bench/output.py
@@ -42,7 +42,8 @@
             'commit': commit(),
             'tables': self.rows_by_title,
         }
-        path.write_text(json.dumps(content, indent=1, default=str) + '\n')
+        encoded = json.dumps(content, indent=1, default=str)
+        path.write_text(f'{encoded}\n')
 
 
 def markdown(rows: Sequence[Row]) -> str:
--- a/asv_bench/packet_path.py
+++ b/asv_bench/packet_path.py
@@ -28,8 +28,8 @@
 SENDERS = 2
 SECONDS = 2.0
 SLACK = 3.0
-PAYLOAD = b'\x44\x01\x12\x34abcd\x60\x54feed\xff' + b'p' * 16
-REPLY = b'\x64\x45\x12\x34abcd\x60\xff' + b'r' * 64
+PAYLOAD = b'\x44\x01\x12\x34abcd\x60\x54feed\xffplate reading 17'
+REPLY = bytes.fromhex('6445123461626364 60ff').ljust(74, b'r')
 CALLERS = (500, 5000, 20000, 100000)
 """Callers of one sender; the caches of a balancer hold 65536."""
 
@@ -72,7 +72,8 @@
     answers = Load(CALLERS[0], REPLY, long, answers=True)
     many = [
         Case(
-            f'forward, batches of {datagrams.BATCH}, {SENDERS * callers} callers',
+            f'forward, batches of {datagrams.BATCH}, '
+            f'{SENDERS * callers} callers',
             Load(callers, PAYLOAD, long),
         )
         for callers in CALLERS[1:]
--- a/asv_bench/packet_processes.py
+++ b/asv_bench/packet_processes.py
@@ -230,12 +230,10 @@
     template = bytearray(fabric.wrap_request(way, load.payload))
     made = []
     for number in range(load.callers):
-        template[CALLER_OFFSET : CALLER_OFFSET + 4] = struct.pack(
-            '>BBH', 127, 71 + sender, number & 0xFFFF
-        )
-        template[PORT_OFFSET : PORT_OFFSET + 2] = struct.pack(
-            '>H', 4000 + (number >> 16)
-        )
+        address = (127, 71 + sender, number & 0xFFFF)
+        struct.pack_into('>BBH', template, CALLER_OFFSET, *address)
+        port = 4000 + (number >> 16)
+        struct.pack_into('>H', template, PORT_OFFSET, port)
         made.append(bytes(template))
     return made
 
@@ -246,7 +244,6 @@
         sock.bind((f'127.70.10.{sender + 1}', 0))
         target = FABRIC_SIDE.as_pair()
 
-
         def send(number: int) -> None:
             _send(sock, packets[number % len(packets)], target)
 
--- a/asv_bench/resident.py
+++ b/asv_bench/resident.py
@@ -113,7 +113,9 @@
             }
             for role, pid in pids.items()
         )
-    rows.append({'what': "operators' tool", 'resident KB': tool, 'private KB': ''})
+    rows.append(
+        {'what': "operators' tool", 'resident KB': tool, 'private KB': ''}
+    )
     report.add('at rest', rows)
     report.finish(flags.json)
 
--- a/asv_bench/tests/test_bounds.py
+++ b/asv_bench/tests/test_bounds.py
@@ -8,7 +8,6 @@
 import pytest
 
 from asv_bench import control_changes, fitting, handoff, heartbeats, memory
-from asv_bench.control_changes import Follower
 from asv_bench.fleets import Fleet, FleetShape
 from redwingstream.forwarding.messages import Answer, LoadReport, Packet
 from redwingstream.placement.messages import BucketContents, Record
@@ -35,7 +34,12 @@
 
     def test_a_packet_adds_at_most_190_bytes(self) -> None:
         packet = Packet(
-            'cover-reports', 1 << 20, CALLER, SERVICE, '10.2.0.100:7000', PAYLOAD
+            'cover-reports',
+            1 << 20,
+            CALLER,
+            SERVICE,
+            '10.2.0.100:7000',
+            PAYLOAD,
         )
         assert frame_bytes(packet) - len(PAYLOAD) <= 190
 
@@ -108,7 +112,7 @@
 
     def test_a_process_that_is_up_to_date_fetches_no_row(self) -> None:
         fleet = Fleet(FleetShape.of_agents(20))
-        follower = Follower()
+        follower = control_changes.Follower()
         follower.take(fleet.machine.update_since(0))
         update = fleet.machine.update_since(follower.tables.revision)
         assert frame_bytes(update) <= 120
--- a/redwingstream/wire/fabric.py
+++ b/redwingstream/wire/fabric.py
@@ -36,6 +36,8 @@
 
 _HEADER_ERRORS = (ValueError, struct.error, ProxyProtocolIncompleteError)
 
+_ENDPOINT_ERRORS = (SettingError, OSError, ValueError, struct.error)
+
 _codec = ProxyProtocolV2()
 
 
@@ -100,7 +102,7 @@
     """
     try:
         return _pack_answer(caller, service) + payload
-    except (SettingError, OSError, ValueError, struct.error) as error:
+    except _ENDPOINT_ERRORS as error:
         raise WireError(
             f'answer to {caller!r} from {service!r} names no endpoints'
         ) from error
--- a/redwingstream/wire/tests/test_fabric.py
+++ b/redwingstream/wire/tests/test_fabric.py
@@ -51,9 +51,7 @@
         with pytest.raises(WireError):
             fabric.wrap_answer(caller, '10.0.0.2:5683', b'answer')
 
-    @given(
-        st.ip_addresses(v=4), st.integers(0, 65535), st.integers(0, 65535)
-    )
+    @given(st.ip_addresses(v=4), st.integers(0, 65535), st.integers(0, 65535))
     def test_headers_are_those_of_the_library(
         self, host: ipaddress.IPv4Address, port: int, other_port: int
     ) -> None:
