--- a/demo/checks.py
+++ b/demo/checks.py
@@ -50,12 +50,15 @@
         All fresh states that came.
     longest_gap : float
         Longest time without one, in seconds.
+    patience : float
+        Seconds without a fresh state after which it counts as broken.
     """
 
     observation: Observation
     states: list[State] = attrs.field(factory=list)
     longest_gap: float = 0
     broken: str = ''
+    patience: float = SILENCE
 
     @property
     def host(self) -> str:
@@ -65,7 +68,7 @@
     async def listen(self) -> None:
         """Take states until the feed breaks or the task is cancelled."""
         while not self.broken:
-            state = await self.observation.next_state(SILENCE)
+            state = await self.observation.next_state(self.patience)
             if state is None:
                 self.broken = self.observation.ended or 'silent'
                 return
--- a/demo/layout.py
+++ b/demo/layout.py
@@ -84,10 +84,13 @@
         Second number of every address.
     folder : pathlib.Path
         For data, logs, the key and the counted runs.
+    servers : tuple of Server
+        The backend servers, each with its agent.
     """
 
     network: int
     folder: pathlib.Path
+    servers: tuple[Server, ...] = SERVERS
 
     @property
     def key_file(self) -> pathlib.Path:
@@ -130,7 +133,7 @@
             command_by_name[host] = self._control(number, host)
         for number, host in enumerate(BALANCERS, start=1):
             command_by_name[host] = self._balancer(number, host)
-        for server in SERVERS:
+        for server in self.servers:
             command_by_name[f'{server.host}-server'] = self._server(server)
             command_by_name[server.host] = self._agent(server)
         return command_by_name
@@ -144,12 +147,16 @@
         for caller in range(1, CALLERS + 1):
             yield self.caller_at(caller)
 
+    def is_free(self) -> bool:
+        """Whether every endpoint can be bound."""
+        return all(map(_is_free, self.endpoints()))
+
     def _endpoints_of_servers(self) -> Iterator[Endpoint]:
         for number in (1, 2, 3):
             yield self.control_at(number)
             yield self._at(BALANCER_KIND, number, PEER_PORT)
             yield self._at(BALANCER_KIND, number, FABRIC_PORT)
-        for server in SERVERS:
+        for server in self.servers:
             yield self._at(AGENT_KIND, server.number, PEER_PORT)
             yield self.server_at(server)
 
@@ -233,7 +240,7 @@
     """
     for network in NETWORKS:
         layout = Layout(network, folder)
-        if all(map(_is_free, layout.endpoints())):
+        if layout.is_free():
             return layout
     raise OSError('no network from 127.20 to 127.59 has all ports free')
 
