Name the endpoint that cannot be bound, and end while calls arrive

Cause 1: a taken TCP port raised pynng's own error, which no one caught, so the daemon exited with INTERNAL (1) and 'Address in use'; a taken UDP port gave ADDRESS_IN_USE without the address, and any other OSError of a running role would have had that code too. Both now raise EndpointError with the endpoint.

Cause 2: pynng swallows a cancellation that comes between the end of its operation and the task's wake-up (nng_aio_result is then 0). A serving task went on and the end of the process waited for it for ever. It was met with a cancelled writer of processes/test_control.py, which went on to write. Ruled out: a stale read (the revisions were right; the second writer was the cancelled one). Tasks that are still there are cancelled again.

--- a/redwingstream/agent/core.py
+++ b/redwingstream/agent/core.py
@@ -1,6 +1,5 @@
 """All decisions of an agent behind one door, without I/O and clock."""
 
-
 from redwingstream.agent.assigned import AssignedRequests
 from redwingstream.agent.assignments import Assignments
 from redwingstream.agent.carrier import Carrier
--- a/redwingstream/daemon.py
+++ b/redwingstream/daemon.py
@@ -119,7 +119,7 @@
             return int(error.code)
         except OSError as error:
             self.line_error(f'redwingstreamd: {error}')
-            return int(ResultCode.ADDRESS_IN_USE)
+            return int(ResultCode.INTERNAL)
         return int(ResultCode.OK)
 
 
--- a/redwingstream/errors.py
+++ b/redwingstream/errors.py
@@ -83,6 +83,12 @@
     default_code = ResultCode.BAD_SETTING
 
 
+class EndpointError(RedwingstreamError):
+    """An endpoint of this process that cannot be bound."""
+
+    default_code = ResultCode.ADDRESS_IN_USE
+
+
 class WireError(RedwingstreamError):
     """A frame that cannot be taken: malformed, unauthentic or replayed."""
 
--- a/redwingstream/wire/calls.py
+++ b/redwingstream/wire/calls.py
@@ -17,6 +17,7 @@
 from redwingstream.endpoints import Endpoint
 from redwingstream.errors import (
     CallFailedError,
+    EndpointError,
     RedwingstreamError,
     ResultCode,
     WireError,
@@ -27,6 +28,7 @@
 MAX_CALL_SIZE = 1 << 24
 SERVING_CONTEXTS = 16
 DEFAULT_TIMEOUT = 2.0
+CANCEL_AGAIN_AFTER = 0.1
 
 Handler = Callable[[object], Awaitable[object]]
 AnswerT = TypeVar('AnswerT')
@@ -161,13 +163,18 @@
         a :class:`~redwingstream.errors.RedwingstreamError`; the caller gets
         its code and text.
 
+    Raises
+    ------
+    EndpointError
+        When the endpoint cannot be bound.
+
     Notes
     -----
     At most ``SERVING_CONTEXTS`` calls are in hand at once, so a flood of calls
     waits in the peers and not in this process's memory.
     """
     with pynng.Rep0(recv_max_size=MAX_CALL_SIZE) as sock:
-        sock.listen(f'tcp://{endpoint}')
+        _listen(sock, endpoint)
         tasks = [
             asyncio.create_task(_serve_context(sock, codec, handler))
             for _ in range(SERVING_CONTEXTS)
@@ -178,10 +185,26 @@
             await _cancel_all(tasks)
 
 
+def _listen(sock: pynng.Rep0, endpoint: Endpoint) -> None:
+    try:
+        sock.listen(f'tcp://{endpoint}')
+    except pynng.NNGException as error:
+        raise EndpointError(
+            f'TCP endpoint {endpoint} cannot be bound: {error}; end what uses '
+            'it or choose another endpoint',
+        ) from error
+
+
 async def _cancel_all(tasks: list[asyncio.Task[None]]) -> None:
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
+    # pynng swallows a cancellation that comes after its operation has
+    # completed and before the task has seen that.  The task then takes the
+    # call and waits for the next one, and a process that was told to end
+    # would wait for it for ever.  Who is still there is cancelled again.
+    running = set(tasks)
+    while running:
+        for task in running:
+            task.cancel()
+        _, running = await asyncio.wait(running, timeout=CANCEL_AGAIN_AFTER)
 
 
 async def _serve_context(
--- a/redwingstream/wire/datagrams.py
+++ b/redwingstream/wire/datagrams.py
@@ -13,6 +13,7 @@
 import attrs
 
 from redwingstream.endpoints import Endpoint
+from redwingstream.errors import EndpointError
 
 BATCH = 64
 MAX_DATAGRAM = 65535
@@ -96,16 +97,31 @@
     ------
     DatagramSocket
         The open socket.
+
+    Raises
+    ------
+    EndpointError
+        When the endpoint cannot be bound.
     """
     loop = asyncio.get_running_loop()
     family = socket.AF_INET6 if ':' in endpoint.host else socket.AF_INET
     with socket.socket(family, socket.SOCK_DGRAM) as sock:
         sock.setblocking(False)  # noqa: WPS425
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
-        sock.bind(endpoint.as_pair())
+        _bind(sock, endpoint)
         datagrams = DatagramSocket(sock)
         loop.add_reader(sock, datagrams.read_batch, receiver)
         try:
             yield datagrams
         finally:
             loop.remove_reader(sock)
+
+
+def _bind(sock: socket.socket, endpoint: Endpoint) -> None:
+    try:
+        sock.bind(endpoint.as_pair())
+    except OSError as error:
+        raise EndpointError(
+            f'UDP endpoint {endpoint} cannot be bound: {error.strerror}; end '
+            'what uses it or choose another endpoint',
+        ) from error
