--- a/processes/test_control.py
+++ b/processes/test_control.py
@@ -208,7 +208,7 @@
             await readings.until_answered(20)
             async with listening(cluster, 4) as fresh:
                 await fresh.go_on()
-            refused = await cluster.tool.run('route', 'list')
+            refused = await cluster.tool.run('route', 'list', '--timeout=3')
             assert refused.code == ResultCode.TIMED_OUT
             await cluster.start('c3', 'c1')
             await cluster.leader()
--- /dev/null
+++ b/processes/test_disks.py
@@ -0,0 +1,172 @@
+"""Data folders of control instances are removed or damaged."""
+
+import pathlib
+import shutil
+from collections.abc import AsyncIterator
+
+import pytest
+import pytest_asyncio
+
+from demo.layout import CONTROLS
+from processes.cluster import Cluster, edits_of, open_cluster, until
+from redwingstream.errors import CallFailedError, ResultCode
+from redwingstream.tables.messages import ChangeAnswer, ChangeRequest
+
+JOURNAL = 'journal'
+TORN_BYTES = 5
+
+
+@pytest_asyncio.fixture(scope='module', loop_scope='module')
+async def cluster(tmp_path_factory) -> AsyncIterator[Cluster]:
+    """Three control instances, nothing else."""
+    async with open_cluster(tmp_path_factory.mktemp('disks')) as opened:
+        yield opened
+
+
+@pytest_asyncio.fixture(loop_scope='module')
+async def doomed(tmp_path_factory) -> AsyncIterator[Cluster]:
+    """Three control instances that a test ruins."""
+    async with open_cluster(tmp_path_factory.mktemp('doomed')) as opened:
+        yield opened
+
+
+def _folder(cluster: Cluster, name: str) -> pathlib.Path:
+    return cluster.layout.folder / name
+
+
+async def _add_routes(cluster: Cluster, first: int) -> set[int]:
+    numbers = set(range(first, first + 20))
+    for number in numbers:
+        await cluster.route(number)
+    return numbers
+
+
+async def _counts_again(cluster: Cluster, name: str) -> None:
+    """Wait until an instance is a voter with everything that is accepted."""
+
+    async def is_whole() -> bool:
+        dumped = (await cluster.dump(name)).get('consensus')
+        if not dumped or dumped['role'] not in {'leader', 'follower'}:
+            return False
+        leading = await cluster.dump(await cluster.leader())
+        if not leading:
+            return False
+        accepted = leading['consensus']['accepted_index']
+        return dumped['accepted_index'] >= accepted
+
+    await until(is_whole, f'{name} counts again and has caught up')
+
+
+def _others(name: str) -> list[str]:
+    return [other for other in CONTROLS if other != name]
+
+
+class TestLostFolder:
+    """One data folder is gone."""
+
+    @pytest.mark.parametrize('role', ['follower', 'leader'])
+    async def test_another_one_is_lost_after_the_repair(self, cluster, role):
+        """An instance dies and its disk is replaced by an empty one.
+
+        It comes back as a new replica, catches up and is readmitted.  Then
+        another instance dies, so that the repaired one is needed for every
+        majority.  Nothing that was accepted is lost, and changes go on.
+        """
+        accepted = await _add_routes(cluster, 100 if role == 'leader' else 200)
+        leader = await cluster.leader()
+        lost = leader if role == 'leader' else _others(leader)[0]
+        await cluster.kill(lost)
+        shutil.rmtree(_folder(cluster, lost))
+        accepted |= await _add_routes(cluster, 300)
+        await cluster.start(lost)
+        await _counts_again(cluster, lost)
+        second = _others(lost)[0]
+        await cluster.kill(second)
+        accepted |= await _add_routes(cluster, 400)
+        assert accepted <= await cluster.routes()
+        await cluster.start(second)
+        await _counts_again(cluster, second)
+
+
+class TestDamagedFiles:
+    """Files changed while the instance was down."""
+
+    async def test_a_torn_tail_is_cut(self, cluster):
+        """Power fails in the middle of a write; the last record is torn.
+
+        The instance cuts it with a log line, starts, gets what it lacks from
+        the others, and nothing accepted is lost.
+        """
+        accepted = await _add_routes(cluster, 500)
+        torn = _others(await cluster.leader())[0]
+        await cluster.kill(torn)
+        journal = _folder(cluster, torn) / JOURNAL
+        journal.write_bytes(journal.read_bytes()[:-TORN_BYTES])
+        await cluster.start(torn)
+        await _counts_again(cluster, torn)
+        assert 'damaged bytes from the end of journal' in cluster.log(torn)
+        assert accepted <= await cluster.routes()
+
+    @pytest.mark.parametrize('name', [JOURNAL, 'identity', 'snapshot'])
+    async def test_a_flipped_byte_stops_the_instance(self, cluster, name):
+        """A byte in the middle of a file changes while the instance is down.
+
+        It refuses to start with DATA_DAMAGED and says which file and what to
+        do.  The operator moves the folder away as the text says; the instance
+        comes back as a new replica, and nothing accepted is lost.
+        """
+        accepted = await _add_routes(cluster, 600)
+        hurt = _others(await cluster.leader())[0]
+        await cluster.kill(hurt)
+        path = _folder(cluster, hurt) / name
+        contents = bytearray(path.read_bytes())
+        contents[len(contents) // 2] ^= 1
+        path.write_bytes(contents)
+        await cluster.start(hurt)
+        assert await cluster.exit_code(hurt) == ResultCode.DATA_DAMAGED
+        assert f'{name} is damaged' in cluster.log(hurt)
+        assert 'move the data folder of this replica away' in cluster.log(hurt)
+        shutil.move(_folder(cluster, hurt), _folder(cluster, f'{hurt}-{name}'))
+        await cluster.start(hurt)
+        await _counts_again(cluster, hurt)
+        assert accepted <= await cluster.routes()
+
+
+class TestLostMajority:
+    """Two of three data folders are gone."""
+
+    async def test_no_state_is_invented(self, doomed):
+        """Two disks are lost at once, and the instances start with empty ones.
+
+        The empty ones must not form a group of their own, since they have
+        forgotten what they accepted, and the survivor is no majority.  No
+        change is accepted, the refusal says why, and the survivor's folder
+        still holds what was accepted.
+        """
+        await _add_routes(doomed, 100)
+        await doomed.kill(*CONTROLS)
+        before = (_folder(doomed, 'c1') / JOURNAL).read_bytes()
+        for name in ('c2', 'c3'):
+            shutil.rmtree(_folder(doomed, name))
+        await doomed.start(*CONTROLS)
+
+        async def is_up() -> bool:
+            dumps = [await doomed.dump(name) for name in CONTROLS]
+            return all(dumps)
+
+        await until(is_up, 'all three instances answer')
+        request = ChangeRequest('any', 1, edits_of(999))
+        for name in CONTROLS:
+            with pytest.raises(CallFailedError) as refused:
+                await doomed.new_calls().call(
+                    doomed.endpoint(name), request, ChangeAnswer, timeout=5
+                )
+            assert refused.value.code is ResultCode.NO_QUORUM
+            assert 'no majority' in str(refused.value)
+        assert not await doomed.leaders()
+        for name in ('c2', 'c3'):
+            dumped = await doomed.dump(name)
+            assert dumped['consensus']['role'] == 'fresh'
+            assert not dumped['tables']['routes']
+        after = (_folder(doomed, 'c1') / JOURNAL).read_bytes()
+        assert after.startswith(before)
