--- a/demo/checks.py
+++ b/demo/checks.py
@@ -92,10 +92,13 @@
     ----------
     layout : Layout
         Their addresses.
+    deadline : float, optional
+        Seconds that each waits for the final answer to a request.
     """
 
-    def __init__(self, layout: Layout) -> None:
+    def __init__(self, layout: Layout, deadline: float = DEADLINE) -> None:
         self.layout = layout
+        self._deadline = deadline
         self._used = 0
         self._stack = contextlib.ExitStack()
 
@@ -108,7 +111,7 @@
     def one_more(self) -> Client:
         """Return a caller with an address that nobody used so far."""
         self._used += 1
-        client = Client(self._used, _TIMING, DEADLINE)
+        client = Client(self._used, _TIMING, self._deadline)
         address = self.layout.caller_at(self._used)
         self._stack.enter_context(client.open(address))
         return client
--- a/processes/cluster.py
+++ b/processes/cluster.py
@@ -299,7 +299,7 @@
     cluster = Cluster(
         layout,
         Fleet(folder),
-        Callers(layout),
+        Callers(layout, LIMIT),
         ControlClient(calls, controls, CALL_TIMEOUT),
         flags or {},
     )
