--- a/processes/cluster.py
+++ b/processes/cluster.py
@@ -32,7 +32,13 @@
 from redwingstream.keyfile import read_key_file
 from redwingstream.operators.client import ControlClient
 from redwingstream.operators.overview import tables_of
-from redwingstream.tables.messages import Edits, SetPool, SetRoute
+from redwingstream.tables.messages import (
+    ChangeAnswer,
+    ChangeRequest,
+    Edits,
+    SetPool,
+    SetRoute,
+)
 from redwingstream.tables.rows import Pool, Route
 from redwingstream.tables.snapshot import Tables
 from redwingstream.wire.calls import MAX_CALL_SIZE, CallClient
@@ -147,9 +153,14 @@
         dumped: dict[str, Any] = json.loads(text)
         return dumped
 
-    def new_calls(self) -> CallClient:
-        """Return a client that shares its connections with nobody."""
-        return make_calls(self.layout)
+    async def change_at(
+        self, name: str, request: ChangeRequest, timeout: float
+    ) -> ChangeAnswer:
+        """Send a change to one instance, whether it leads or not."""
+        with make_calls(self.layout).opened() as calls:
+            return await calls.call(
+                self.endpoint(name), request, ChangeAnswer, timeout
+            )
 
     async def leaders(self, *names: str) -> dict[str, int]:
         """Return the terms of those who say that they lead, by host."""
@@ -294,22 +305,17 @@
     """
     layout = make_layout(folder, servers)
     write_key(layout.key_file)
-    calls = make_calls(layout)
     controls = [layout.control_at(number) for number in (1, 2, 3)]
-    cluster = Cluster(
-        layout,
-        Fleet(folder),
-        Callers(layout, LIMIT),
-        ControlClient(calls, controls, CALL_TIMEOUT),
-        flags or {},
-    )
-    try:
-        with cluster.callers.open():
+    fleet = Fleet(folder)
+    callers = Callers(layout, LIMIT)
+    with make_calls(layout).opened() as calls, callers.open():
+        client = ControlClient(calls, controls, CALL_TIMEOUT)
+        cluster = Cluster(layout, fleet, callers, client, flags or {})
+        try:
             await _bring_up(cluster, BALANCERS[:balancers])
             yield cluster
-    finally:
-        calls.close()
-        await cluster.kill(*_running(cluster.fleet))
+        finally:
+            await cluster.kill(*_running(fleet))
 
 
 def _running(fleet: Fleet) -> list[str]:
--- a/processes/traffic.py
+++ b/processes/traffic.py
@@ -151,9 +151,9 @@
 @contextlib.asynccontextmanager
 async def listening(cluster: Cluster, count: int = 8) -> AsyncIterator[Feeds]:
     """Listen to feeds for a block, and check that none broke at its end."""
-    opened = await asyncio.gather(
-        *(cluster.callers.open_feed() for _ in range(count))
-    )
+    # One after the other: a cold server takes few new feeds at once, and the
+    # others would come back after seconds.
+    opened = [await cluster.callers.open_feed() for _ in range(count)]
     feeds = Feeds(opened)
     for feed in opened:
         feed.patience = LIMIT
