--- a/demo/layout.py
+++ b/demo/layout.py
@@ -147,10 +147,6 @@
         for caller in range(1, CALLERS + 1):
             yield self.caller_at(caller)
 
-    def is_free(self) -> bool:
-        """Whether every endpoint can be bound."""
-        return all(map(_is_free, self.endpoints()))
-
     def _endpoints_of_servers(self) -> Iterator[Endpoint]:
         for number in (1, 2, 3):
             yield self.control_at(number)
@@ -240,17 +236,22 @@
     """
     for network in NETWORKS:
         layout = Layout(network, folder)
-        if layout.is_free():
+        if is_free(layout):
             return layout
     raise OSError('no network from 127.20 to 127.59 has all ports free')
 
 
+def is_free(layout: Layout) -> bool:
+    """Return whether every endpoint of a layout can be bound."""
+    return all(map(_can_be_bound, layout.endpoints()))
+
+
 def _daemon(role: str, host: str, zone: str) -> list[str]:
     command = [sys.executable, '-m', 'redwingstream.daemon', role]
     return [*command, f'--host={host}', f'--zone={zone}']
 
 
-def _is_free(endpoint: Endpoint) -> bool:
+def _can_be_bound(endpoint: Endpoint) -> bool:
     with contextlib.ExitStack() as stack:
         for kind in (socket.SOCK_DGRAM, socket.SOCK_STREAM):
             probe = stack.enter_context(socket.socket(socket.AF_INET, kind))
--- a/processes/cluster.py
+++ b/processes/cluster.py
@@ -20,9 +20,10 @@
     BALANCERS,
     CONTROLS,
     FABRIC_KIND,
-    SERVERS,
+    SWARD,
     Layout,
     Server,
+    is_free,
 )
 from demo.operators import Operator
 from demo.processes import Fleet
@@ -188,7 +189,7 @@
         """Return the tables as of now, from the leader."""
         return tables_of(await self.client.read_tables())
 
-    async def route(self, number: int, pool: str = SERVERS[0].pool) -> int:
+    async def route(self, number: int, pool: str = SWARD) -> int:
         """Add one route with a service of its own; return its revision."""
         read = await self.client.read_tables()
         edits = edits_of(number, pool)
@@ -223,7 +224,7 @@
 
     async def until_settled(self, *hosts: str) -> None:
         """Wait until a pool's view is these hosts and all buckets are held."""
-        pool = SERVERS[0].pool
+        pool = SWARD
 
         async def is_settled() -> bool:
             view = (await self.tables()).view_by_pool.get(pool)
@@ -268,7 +269,7 @@
         assert outcome.response.code == aiocoap.CHANGED
 
 
-def edits_of(number: int, pool: str = SERVERS[0].pool) -> Edits:
+def edits_of(number: int, pool: str = SWARD) -> Edits:
     """Return the edits that add one route, named by a number."""
     return Edits(set_routes=(SetRoute(Route(f'10.9.9.9:{number}', pool)),))
 
@@ -286,7 +287,7 @@
     """
     for network in random.SystemRandom().sample(NETWORKS, len(NETWORKS)):
         layout = Layout(network, folder, servers)
-        if layout.is_free():
+        if is_free(layout):
             return layout
     raise OSError('no network is free')
 
--- a/processes/test_agents.py
+++ b/processes/test_agents.py
@@ -13,17 +13,17 @@
 HOSTS = ('sward-1', 'sward-2', 'sward-5')
 THREE = (*SERVERS[:2], Server('sward-5', SWARD, 'carse', 5))
 LONGER_THAN_THE_LEASE = 6.0
-FLAGS = {
-    'sward': ('--drain-seconds=20',),
-    'server': ('--service-time=0.05', '--slots=4', '--backlog=8'),
-}
 
 
 @pytest_asyncio.fixture(scope='module', loop_scope='module')
 async def cluster(tmp_path_factory) -> AsyncIterator[Cluster]:
     """Three control instances, two balancers, three servers of one pool."""
     folder = tmp_path_factory.mktemp('agents')
-    async with open_cluster(folder, THREE, 2, FLAGS) as opened:
+    flags = {
+        'sward': ('--drain-seconds=20',),
+        'server': ('--service-time=0.05', '--slots=4', '--backlog=8'),
+    }
+    async with open_cluster(folder, THREE, 2, flags) as opened:
         yield opened
 
 
@@ -49,7 +49,7 @@
 class TestAgentKilled:
     """The process beside a backend server dies with kill -9."""
 
-    async def test_feeds_go_on_elsewhere_and_nothing_runs_twice(self, cluster):
+    async def test_feeds_move_and_nothing_runs_twice(self, cluster):
         """An agent dies while feeds stream and readings are submitted.
 
         Its lease ends, its buckets are taken over, and its feeds come from
--- a/processes/test_control.py
+++ b/processes/test_control.py
@@ -192,7 +192,7 @@
 class TestAllInstancesGone:
     """Every control instance dies at once."""
 
-    async def test_traffic_goes_on_and_nothing_accepted_is_lost(self, cluster):
+    async def test_traffic_goes_on_and_nothing_is_lost(self, cluster):
         """All three are killed while feeds stream and readings are submitted.
 
         Feeds, new flows and non-idempotent requests go on without them; a
--- a/processes/test_disks.py
+++ b/processes/test_disks.py
@@ -162,9 +162,8 @@
             assert refused.value.code is ResultCode.NO_QUORUM
             assert 'no majority' in str(refused.value)
         assert not await doomed.leaders()
-        for name in ('c2', 'c3'):
-            dumped = await doomed.dump(name)
-            assert dumped['consensus']['role'] == 'fresh'
-            assert not dumped['tables']['routes']
+        dumps = [await doomed.dump(name) for name in ('c2', 'c3')]
+        assert {dumped['consensus']['role'] for dumped in dumps} == {'fresh'}
+        assert not any(dumped['tables']['routes'] for dumped in dumps)
         after = (_folder(doomed, 'c1') / JOURNAL).read_bytes()
         assert after.startswith(before)
--- a/processes/test_starts.py
+++ b/processes/test_starts.py
@@ -27,13 +27,8 @@
         stdout=asyncio.subprocess.PIPE,
         stderr=asyncio.subprocess.STDOUT,
     )
-    try:
-        async with asyncio.timeout(30):
-            output, _ = await process.communicate()
-    finally:
-        if process.returncode is None:
-            process.kill()
-            await process.wait()
+    async with asyncio.timeout(30):
+        output, _ = await process.communicate()
     return process.returncode, ' '.join(output.decode().split())
 
 
--- a/processes/traffic.py
+++ b/processes/traffic.py
@@ -8,6 +8,7 @@
 from collections.abc import AsyncIterator
 
 import attrs
+from absl import logging
 
 from demo.checks import LiveFeed
 from demo.layout import SWARD
@@ -145,7 +146,7 @@
     async with _in_background(*(submissions.go_on() for _ in range(callers))):
         await submissions.until_answered(callers)
         yield submissions
-    print(f'submissions: {submissions.check()}')
+    logging.info('submissions: %s', submissions.check())
 
 
 @contextlib.asynccontextmanager
--- a/redwingstream/wire/tests/test_calls.py
+++ b/redwingstream/wire/tests/test_calls.py
@@ -33,9 +33,9 @@
     async def test_a_taken_endpoint_is_named(self):
         """A daemon is started twice; its TCP port is taken already."""
         with _taken_endpoint() as endpoint:
+            serving = serve_calls(endpoint, FrameCodec(KEY), _echo)
             with pytest.raises(EndpointError, match=str(endpoint)):
-                async with serve_calls(endpoint, FrameCodec(KEY), _echo):
-                    pass
+                await serving.__aenter__()
 
     async def test_a_swallowed_cancellation_does_not_hold_the_end(
         self, monkeypatch
@@ -46,16 +46,15 @@
         swallows it then: the task goes on to wait for the next call.  Nobody
         cancelled it again, so the process never ended.
         """
-        swallowed = 0
+        swallowed: list[pynng.Context] = []
 
         async def receive(context: pynng.Context) -> bytes:
-            nonlocal swallowed
             try:
                 await asyncio.Event().wait()
             except asyncio.CancelledError:
                 if swallowed:
                     raise
-                swallowed += 1
+                swallowed.append(context)
             return b'no frame'
 
         monkeypatch.setattr(pynng.Context, 'arecv', receive)
@@ -63,4 +62,4 @@
         async with asyncio.timeout(5):
             async with serve_calls(endpoint, FrameCodec(KEY), _echo):
                 await asyncio.sleep(0)
-        assert swallowed == 1
+        assert len(swallowed) == 1
