--- a/redwingstream/wire/calls.py
+++ b/redwingstream/wire/calls.py
@@ -10,9 +10,10 @@
 import asyncio
 import contextlib
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
-from typing import TypeVar
+from typing import Any, TypeVar
 
 import pynng
+from absl import logging
 
 from redwingstream.endpoints import Endpoint
 from redwingstream.errors import (
@@ -28,7 +29,8 @@
 MAX_CALL_SIZE = 1 << 24
 SERVING_CONTEXTS = 16
 DEFAULT_TIMEOUT = 2.0
-CANCEL_AGAIN_AFTER = 0.1
+
+_CANCEL_AGAIN = 0.05
 
 Handler = Callable[[object], Awaitable[object]]
 AnswerT = TypeVar('AnswerT')
@@ -95,16 +97,16 @@
             nothing came, ``MALFORMED`` when something else came.
         """
         frame = self._codec.seal(request)
-        try:
-            async with asyncio.timeout(timeout):
-                reply = await self._exchange(endpoint, frame)
-        except (TimeoutError, pynng.NNGException) as error:
+        exchange = asyncio.create_task(self._exchange(endpoint, frame))
+        async with _ended(exchange):
+            await asyncio.wait((exchange,), timeout=timeout)
+        if exchange.cancelled() or exchange.exception():
             self._forget(endpoint)
             raise CallFailedError(
                 f'no answer from {endpoint} within {timeout} s',
                 ResultCode.TIMED_OUT,
-            ) from error
-        return self._read(endpoint, reply, answer_class)
+            )
+        return self._read(endpoint, exchange.result(), answer_class)
 
     @contextlib.contextmanager
     def opened(self) -> Iterator['CallClient']:
@@ -186,10 +188,8 @@
             asyncio.create_task(_serve_context(sock, codec, handler))
             for _ in range(SERVING_CONTEXTS)
         ]
-        try:
+        async with _ended(*tasks):
             yield
-        finally:
-            await _cancel_all(tasks)
 
 
 def _listen(sock: pynng.Rep0, endpoint: Endpoint) -> None:
@@ -202,16 +202,30 @@
         ) from error
 
 
-async def _cancel_all(tasks: list[asyncio.Task[None]]) -> None:
-    # pynng swallows a cancellation that comes after its operation has
-    # completed and before the task has seen that.  The task then takes the
-    # call and waits for the next one, and a process that was told to end
-    # would wait for it for ever.  Who is still there is cancelled again.
-    running = set(tasks)
-    while running:
-        for task in running:
+@contextlib.asynccontextmanager
+async def _ended(*tasks: asyncio.Task[Any]) -> AsyncIterator[None]:
+    """End tasks when the block ends, also when it is cancelled itself."""
+    try:
+        yield
+    finally:
+        await _end(*tasks)
+
+
+async def _end(*tasks: asyncio.Task[Any]) -> None:
+    """Cancel tasks that wait for pynng, until they have ended.
+
+    Notes
+    -----
+    pynng swallows a cancellation when the operation completes at the same
+    moment, and the task then waits in its next operation for ever: a call
+    outlives its timeout, a process does not stop.  So the cancellation is
+    repeated; it cannot be swallowed at every operation.
+    """
+    waiting = {task for task in tasks if not task.done()}
+    while waiting:
+        for task in waiting:
             task.cancel()
-        _, running = await asyncio.wait(running, timeout=CANCEL_AGAIN_AFTER)
+        _, waiting = await asyncio.wait(waiting, timeout=_CANCEL_AGAIN)
 
 
 async def _serve_context(
@@ -219,11 +233,22 @@
 ) -> None:
     with sock.new_context() as context:
         while True:
-            frame = await context.arecv()
-            answer = await _answer(codec, handler, frame)
-            if answer is not None:
-                with contextlib.suppress(pynng.NNGException):
-                    await context.asend(answer)
+            try:
+                await _serve_one(context, codec, handler)
+            except pynng.Closed:
+                return
+            except pynng.NNGException as error:
+                # Such as a peer that has gone before it got its answer.
+                logging.warning('calls: A call was not answered: %s.', error)
+
+
+async def _serve_one(
+    context: pynng.Context, codec: FrameCodec, handler: Handler
+) -> None:
+    frame = await context.arecv()
+    answer = await _answer(codec, handler, frame)
+    if answer is not None:
+        await context.asend(answer)
 
 
 async def _answer(
