--- a/demo/checks.py
+++ b/demo/checks.py
@@ -52,6 +52,8 @@
         All fresh states that came.
     longest_gap : float
         Longest time without one, in seconds.
+    patience : float
+        Seconds without a fresh state after which it counts as broken.
     """
 
     client: Client
@@ -59,6 +61,7 @@
     states: list[State] = attrs.field(factory=list)
     longest_gap: float = 0
     broken: str = ''
+    patience: float = SILENCE
 
     @property
     def host(self) -> str:
@@ -68,7 +71,9 @@
     async def listen(self) -> None:
         """Take states until the feed breaks or the task is cancelled."""
         while not self.broken:
-            state = await self.client.next_state(self.observation, SILENCE)
+            state = await self.client.next_state(
+                self.observation, self.patience
+            )
             if state is None:
                 self.broken = self.observation.ended
                 return
@@ -92,10 +97,13 @@
     ----------
     layout : Layout
         Their addresses.
+    deadline : float, optional
+        Seconds that each waits for the final answer to a request.
     """
 
-    def __init__(self, layout: Layout) -> None:
+    def __init__(self, layout: Layout, deadline: float = DEADLINE) -> None:
         self.layout = layout
+        self._deadline = deadline
         self._used = 0
         self._stack = contextlib.ExitStack()
 
@@ -108,7 +116,7 @@
     def one_more(self) -> Client:
         """Return a caller with an address that nobody used so far."""
         self._used += 1
-        client = Client(self._used, _TIMING, DEADLINE)
+        client = Client(self._used, _TIMING, self._deadline)
         address = self.layout.caller_at(self._used)
         self._stack.enter_context(client.open(address))
         return client
--- /dev/null
+++ b/redwingstream/wire/tests/test_endpoints.py
@@ -0,0 +1,43 @@
+"""Endpoints that cannot be bound are named."""
+
+import socket
+
+import pytest
+
+from redwingstream.endpoints import Endpoint
+from redwingstream.errors import EndpointError, ResultCode
+from redwingstream.wire.calls import serve_calls
+from redwingstream.wire.datagrams import open_datagrams
+from redwingstream.wire.frames import FrameCodec
+
+CODEC = FrameCodec(b'k' * 32)
+
+
+async def answer(request: object) -> object:
+    """Answer with the request."""
+    return request
+
+
+class TestTakenEndpoint:
+    """A daemon is started twice, or beside something else on its port."""
+
+    async def test_calls(self) -> None:
+        """Another process listens at the TCP port; the error names it."""
+        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as taken:
+            taken.bind(('127.0.0.1', 0))
+            taken.listen()
+            endpoint = Endpoint(*taken.getsockname())
+            serving = serve_calls(endpoint, CODEC, answer)
+            with pytest.raises(EndpointError, match=str(endpoint)) as met:
+                await serving.__aenter__()
+        assert met.value.code is ResultCode.ADDRESS_IN_USE
+
+    async def test_datagrams(self) -> None:
+        """Another process has the UDP port; the error names it."""
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as taken:
+            taken.bind(('127.0.0.1', 0))
+            endpoint = Endpoint(*taken.getsockname())
+            opened = open_datagrams(endpoint, print)
+            with pytest.raises(EndpointError, match=str(endpoint)) as met:
+                opened.__enter__()
+        assert met.value.code is ResultCode.ADDRESS_IN_USE
