--- a/redwingstream/agent/reports.py
+++ b/redwingstream/agent/reports.py
@@ -1,6 +1,7 @@
 """What an agent tells the others of its pool without being asked."""
 
 from redwingstream.agent.parts import AgentParts
+from redwingstream.endpoints import parse_endpoint
 from redwingstream.flows.records import FlowRecord
 from redwingstream.forwarding.messages import CarriedFeeds, LoadReport
 from redwingstream.membership.messages import Probe
@@ -11,7 +12,11 @@
 """How many peers hear a load report; in a larger pool they take turns."""
 
 ASSERT_INTERVAL = 10.0
+FIRST_ASSERT_INTERVAL = 2.0
+"""After a change of view, which the new home may hear of later."""
+
 RECORDS_IN_MESSAGE = 64
+HOMES_INTERVAL = 0.5
 
 
 class Reports:
@@ -27,11 +32,14 @@
         self._parts = parts
         self._load_at = float()
         self._assert_at = float()
+        self._homes_at = float()
+        self._is_first_assert = True
         self._turn = 0
 
     def assert_soon(self) -> None:
         """Tell the homes of the feeds carried here: the view changed."""
         self._assert_at = float()
+        self._is_first_assert = True
 
     def tick(self, now: float) -> None:
         """Send what is due."""
@@ -39,12 +47,35 @@
             self._load_at = now + LOAD_INTERVAL
             self._report_load()
         if now >= self._assert_at:
-            self._assert_at = now + ASSERT_INTERVAL
+            interval = ASSERT_INTERVAL
+            if self._is_first_assert:
+                interval = FIRST_ASSERT_INTERVAL
+            self._is_first_assert = False
+            self._assert_at = now + interval
             self._report_feeds()
+        if now >= self._homes_at:
+            self._homes_at = now + HOMES_INTERVAL
+            self._await_homes(now)
         revision = self._parts.tables.revision
         for peer in self._parts.links.due_probes(now):
             self._parts.out.to_peer(str(peer), Probe(revision))
 
+    def _await_homes(self, now: float) -> None:
+        """Expect a sign of life of the homes whose heir this agent is.
+
+        Otherwise the first packets that balancers turn to the heir would still
+        be passed on to the dead home.
+        """
+        parts = self._parts
+        homes = {
+            home.endpoint
+            for bucket in range(parts.me.buckets)
+            if parts.is_me(parts.heir_of(bucket))
+            and (home := parts.home_of(bucket)) is not None
+        }
+        for endpoint in homes:
+            parts.links.sent(parse_endpoint(endpoint), now)
+
     def _report_load(self) -> None:
         parts = self._parts
         takes_work = not (
--- a/redwingstream/wire/calls.py
+++ b/redwingstream/wire/calls.py
@@ -10,9 +10,10 @@
 import asyncio
 import contextlib
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
-from typing import TypeVar
+from typing import Any, TypeVar
 
 import pynng
+from absl import logging
 
 from redwingstream.endpoints import Endpoint
 from redwingstream.errors import (
@@ -30,6 +31,7 @@
 
 Handler = Callable[[object], Awaitable[object]]
 AnswerT = TypeVar('AnswerT')
+OutcomeT = TypeVar('OutcomeT')
 
 
 @message(kind=1)
@@ -119,8 +121,8 @@
             self._socket_by_endpoint[endpoint] = sock
             sock.dial(f'tcp://{endpoint}', block=False)
         with sock.new_context() as context:
-            await context.asend(frame)
-            return await context.arecv()
+            await keep_cancellation(context.asend(frame))
+            return await keep_cancellation(context.arecv())
 
     def _read(
         self, endpoint: Endpoint, reply: bytes, answer_class: type[AnswerT]
@@ -151,6 +153,27 @@
             sock.close()
 
 
+async def keep_cancellation(operation: Awaitable[OutcomeT]) -> OutcomeT:
+    """Await an operation of pynng without losing a cancellation.
+
+    Notes
+    -----
+    pynng drops a cancellation that arrives while its operation completes, and
+    returns as if there had been none.  It shows as a process that never stops
+    and as a call that waits past its timeout, since the task goes on with the
+    next operation.  asyncio counts the requests for cancellation of a task,
+    so a dropped one is seen here and raised again.
+    """
+    before = _cancellations()
+    try:
+        outcome = await operation
+    except pynng.NNGException:
+        _raise_if_cancelled(before)
+        raise
+    _raise_if_cancelled(before)
+    return outcome
+
+
 @contextlib.asynccontextmanager
 async def serve_calls(
     endpoint: Endpoint, codec: FrameCodec, handler: Handler
@@ -179,16 +202,29 @@
             asyncio.create_task(_serve_context(sock, codec, handler))
             for _ in range(SERVING_CONTEXTS)
         ]
-        try:
+        async with _ended(*tasks):
             yield
-        finally:
-            await _cancel_all(tasks)
 
 
-async def _cancel_all(tasks: list[asyncio.Task[None]]) -> None:
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
+@contextlib.asynccontextmanager
+async def _ended(*tasks: asyncio.Task[Any]) -> AsyncIterator[None]:
+    """End tasks when the block ends, also when it is cancelled itself."""
+    try:
+        yield
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def _raise_if_cancelled(before: int) -> None:
+    if _cancellations() > before:
+        raise asyncio.CancelledError
+
+
+def _cancellations() -> int:
+    task = asyncio.current_task()
+    return 0 if task is None else task.cancelling()
 
 
 async def _serve_context(
@@ -196,11 +232,22 @@
 ) -> None:
     with sock.new_context() as context:
         while True:
-            frame = await context.arecv()
-            answer = await _answer(codec, handler, frame)
-            if answer is not None:
-                with contextlib.suppress(pynng.NNGException):
-                    await context.asend(answer)
+            try:
+                await _serve_one(context, codec, handler)
+            except pynng.Closed:
+                return
+            except pynng.NNGException as error:
+                # Such as a peer that has gone before it got its answer.
+                logging.warning('calls: A call was not answered: %s.', error)
+
+
+async def _serve_one(
+    context: pynng.Context, codec: FrameCodec, handler: Handler
+) -> None:
+    frame = await keep_cancellation(context.arecv())
+    answer = await _answer(codec, handler, frame)
+    if answer is not None:
+        await keep_cancellation(context.asend(answer))
 
 
 async def _answer(
