--- a/redwingstream/control/__init__.py
+++ b/redwingstream/control/__init__.py
@@ -10,6 +10,10 @@
     Announcements and heartbeats.
 service
     Calls of operators and other processes.
+instance
+    A replica with its socket, ticking.
+recovery
+    The operators' way out when a majority of the disks is lost.
 role
-    Sockets, files and the loop.
+    Files, sockets and their end.
 """
