--- a/redwingstream/agent/carrier.py
+++ b/redwingstream/agent/carrier.py
@@ -128,6 +128,7 @@
         parts = self._parts
         if parts.is_leaving or parts.is_zone_out() or parts.server_is_silent:
             self.room.clear(now)
+        self._learn_latency(now)
         self.room.serve(now)
         self.room.expire(now)
 
@@ -177,6 +178,15 @@
         answer = self._replies.unknown(request)
         self._on_end(RunEnd(started.run, RequestState.UNKNOWN, answer), now)
 
+    def _learn_latency(self, now: float) -> None:
+        """Take from the peers how long requests take, until it is measured."""
+        limit = self._parts.limit
+        if limit.expected_latency is not None:
+            return
+        latency = self._parts.loads.expected_latency(now)
+        if latency is not None:
+            limit.expect(latency)
+
     def _takes_work(self, now: float) -> bool:
         if self._parts.is_zone_out():
             return False
--- a/redwingstream/agent/reports.py
+++ b/redwingstream/agent/reports.py
@@ -87,10 +87,15 @@
             in_flight=parts.limit.in_flight,
             limit=parts.limit.limit if takes_work else 0,
             flows=len(parts.feeds),
+            latency=self._warm_latency(),
         )
         for peer in self._next_peers():
             parts.out.to_peer(peer.endpoint, report)
 
+    def _warm_latency(self) -> float:
+        limit = self._parts.limit
+        return 0 if limit.is_cold else limit.expected_latency or 0
+
     def _next_peers(self) -> list[ViewMember]:
         view = self._parts.tables.view_by_pool.get(self._parts.me.pool)
         members = () if view is None else view.members
--- a/redwingstream/agent/tests/support.py
+++ b/redwingstream/agent/tests/support.py
@@ -9,6 +9,7 @@
 _FIRST_WARM_UP_CALLER = 100
 _WARM_UP_CALLERS = 20
 _WARM_UP_ROUNDS = 40
+_EXPECTED_LATENCY = 0.025
 
 
 def settled_pool(hosts: int = 3, slots: int = 3) -> FakePool:
@@ -20,6 +21,8 @@
 
 def warm_up(pool: FakePool) -> None:
     """Let every server reach its full limit."""
+    for host in pool.living():
+        pool.agent(host).core.parts.limit.expect(_EXPECTED_LATENCY)
     callers = [
         pool.caller(_FIRST_WARM_UP_CALLER + number)
         for number in range(_WARM_UP_CALLERS)
--- a/redwingstream/agent/tests/test_waiting.py
+++ b/redwingstream/agent/tests/test_waiting.py
@@ -1,6 +1,7 @@
 """Requests that wait a moment for a slot."""
 
 from redwingstream.admission.limit import ConcurrencyLimit, RunResult
+from redwingstream.agent.tests.pool import FakePool
 from redwingstream.agent.tests.support import hold_slots, settled_pool, warm_up
 from redwingstream.agent.waiting import (
     LONGEST_WAIT,
@@ -125,6 +126,21 @@
         assert {each.outcome for each in asked} == {'answered'}
         assert not pool.server_by_host[pool.hosts[0]].falls
 
+    def test_latency_is_learned_from_peers(self) -> None:
+        """Bookings are refused for long at a host that has just started.
+
+        Until its server was warm nobody knew how long requests take there, so
+        none could wait; the other hosts of the pool knew it all the time.
+        """
+        pool = FakePool(hosts=3, started=2)
+        pool.run(3)
+        warm_up(pool)
+        pool.start(pool.hosts[-1])
+        pool.run(2)
+        limit = pool.agent(pool.hosts[-1]).core.parts.limit
+        assert limit.is_cold
+        assert limit.expected_latency is not None
+
     def test_refused_while_it_leaves(self) -> None:
         pool = settled_pool(hosts=1, slots=2)
         warm_up(pool)
