--- a/redwingstream/agent/tests/exchange.py
+++ b/redwingstream/agent/tests/exchange.py
@@ -25,11 +25,8 @@
     payload: object
 
 
-@attrs.frozen(order=True)
-class _Event:
-    due: float
-    serial: int
-    action: Callable[[], None] = attrs.field(order=False)
+# Time, a number that keeps the order of equal times, and what to do.
+_Event = tuple[float, int, Callable[[], None]]
 
 
 class Process(Protocol):
@@ -76,7 +73,7 @@
 
     def call_later(self, delay: float, action: Callable[[], None]) -> None:
         """Run something later."""
-        event = _Event(self.now + delay, next(self._serial), action)
+        event = (self.now + delay, next(self._serial), action)
         heapq.heappush(self._events, event)
 
     def send(self, source: str, target: str, payload: object) -> None:
@@ -101,13 +98,13 @@
         """Let time pass."""
         end = self.now + seconds
         while True:
-            due = self._events[0].due if self._events else end
+            due = self._events[0][0] if self._events else end
             if min(due, self._tick_at) > end:
                 break
             if due <= self._tick_at and self._events:
-                event = heapq.heappop(self._events)
-                self.now = event.due
-                event.action()
+                now, _, action = heapq.heappop(self._events)
+                self.now = now
+                action()
             else:
                 self.now = self._tick_at
                 self._tick_at += TICK
