--- a/redwingstream/tables/rows.py
+++ b/redwingstream/tables/rows.py
@@ -12,7 +12,7 @@
 import attrs
 
 ANY_CALLER = '0.0.0.0/0'
-DEFAULT_BUCKETS = 64
+DEFAULT_BUCKETS = 256
 DEFAULT_WEIGHT = 100
 
 
