--- a/redwingstream/admission/choice.py
+++ b/redwingstream/admission/choice.py
@@ -34,6 +34,10 @@
         """Fraction of its limit that is in use."""
         return 1 - self.room / self.report.limit
 
+    def has_measured(self, now: float) -> bool:
+        """Whether its latency is that of a warm server."""
+        return self.is_warm(now) and self.report.latency > 0
+
     def forget_sent(self, before: float) -> None:
         """Forget what was sent before a time: it has ended."""
         while self.sent_at and self.sent_at[0] < before:
@@ -115,8 +119,8 @@
         str or None
             None when nobody has said that it has room.
         """
-        for peer in self._by_host.values():
-            peer.forget_sent(now - run_time)
+        for known in self._by_host.values():
+            known.forget_sent(now - run_time)
         # Sorted, so that a seed gives one outcome in whatever order reports
         # arrived.
         candidates = sorted(
@@ -139,10 +143,12 @@
         now : float
             Seconds.
         """
-        warm = filter(lambda peer: peer.is_warm(now), self._by_host.values())
-        latencies = [known.report.latency for known in warm]
-        measured = [latency for latency in latencies if latency > 0]
-        return statistics.median(measured) if measured else None
+        latencies = [
+            peer.report.latency
+            for peer in self._by_host.values()
+            if peer.has_measured(now)
+        ]
+        return statistics.median(latencies) if latencies else None
 
     def _load_of(self, host: str) -> tuple[float, int]:
         peer = self._by_host[host]
--- a/redwingstream/admission/tests/test_limit.py
+++ b/redwingstream/admission/tests/test_limit.py
@@ -9,7 +9,7 @@
     RunResult,
 )
 from redwingstream.admission.tests.fake_server import FakeServer, Simulation
-from redwingstream.admission.warmth import JUMPS_TO_RELEARN
+from redwingstream.admission.warmth import JUMPS_TO_RELEARN, Sign, Warmth
 
 LATENCY = 0.05
 
@@ -109,6 +109,34 @@
         driver.end()
         assert driver.fill() == 3
 
+    @pytest.mark.parametrize('warm_up', [20, 38, 60])
+    @pytest.mark.parametrize('cold_factor', [2, 3])
+    def test_known_server_that_restarts(self, warm_up, cold_factor):
+        """A server falls over a second time just after its restart.
+
+        It is nearly as fast as it was long before it bears what it did.
+        Cause: latencies close to the expected ones taken for enough.
+        """
+        server = FakeServer(2, warm_up, cold_factor)
+        simulation = Simulation(server, ConcurrencyLimit(2))
+        simulation.offer(80, until=200)
+        simulation.run(until=60)
+        assert simulation.limit.limit == 2
+        server.completed = 0
+        simulation.limit.server_restarted(simulation.now)
+        simulation.run(until=60 + server.latency)
+        server.most_above = 0
+        simulation.run(until=200)
+        assert server.most_above == 0
+        assert simulation.limit.limit == 2
+
+    def test_end_of_a_run_proves_nothing_since_its_start(self):
+        warmth = Warmth(LATENCY)
+        bound = warmth.reference.bound
+        assert warmth.judge(bound, 10, is_cold=True) is Sign.IN_TIME
+        assert warmth.is_proven(10)
+        assert not warmth.is_proven(10 + LATENCY)
+
     def test_restart_gives_the_least_whatever_was_reached(self):
         driver = warm()
         driver.limit.server_restarted(driver.now)
--- a/redwingstream/requests/ledger.py
+++ b/redwingstream/requests/ledger.py
@@ -30,6 +30,8 @@
 
 # Bytes that an entry costs besides its answer: docs/design/ledger.md.
 ENTRY_COST = 800
+# Entries passed over, for one request, because their buckets' filters are full.
+MOST_DEFERRED = 16
 # Callers that are refused for want of room are asked to wait this many seconds
 # at the most, however long the oldest entry still has to stay.
 MAX_COME_BACK = 30
@@ -106,12 +108,18 @@
             False means: refuse the record or the request.
         """
         self.expire(now)
+        deferred = 0
         while not self.has_room(count):
             slot = self._slots.condensable()
-            if slot is None or not self.condensed.take(slot, now):
+            if slot is None or deferred >= MOST_DEFERRED:
                 return False
-            self._slots.remove(slot)
-            self.counters.condensed += 1
+            if self.condensed.take(slot, now):
+                self._slots.remove(slot)
+                self.counters.condensed += 1
+            else:
+                # Its bucket's filter is full, those of others may not be.
+                self._slots.defer(slot)
+                deferred += 1
         return True
 
     def begin(
--- a/redwingstream/requests/store.py
+++ b/redwingstream/requests/store.py
@@ -59,6 +59,10 @@
         """Return the entry whose details are missed the least."""
         return self._condensing.first()
 
+    def defer(self, slot: Slot) -> None:
+        """Let others of its kind be condensed before an entry."""
+        self._condensing.place(slot)
+
     def add(self, slot: Slot) -> None:
         """Take a new entry."""
         identity = slot.identity
--- a/redwingstream/requests/tests/test_ledger.py
+++ b/redwingstream/requests/tests/test_ledger.py
@@ -172,6 +172,22 @@
         assert begin(ledger, 60001, now=HORIZON + 1) == Fresh()
         assert begin(ledger, 1, now=HORIZON) == OutcomeUnknown(b'')
 
+    def test_full_filter_of_a_bucket_does_not_concern_others(self, ledger):
+        """All reservations are refused because of one busy caller.
+
+        The filter of its bucket is full, and its entries are the next to be
+        condensed.  Cause: giving up at the first entry that cannot go.
+        """
+        for message_id in range(FILTER_CAPACITY + 2):
+            begin(ledger, message_id)
+            finish(ledger, message_id)
+        for message_id in range(9):
+            other = key(message_id, '10.0.0.9:9')
+            begun = ledger.begin(BUCKET + 1, other, SUM, now=1)
+            assert begun == Fresh()
+            answered = RequestState.ANSWERED
+            ledger.finish(other, SUM, answered, ANSWER, now=1)
+
     def test_come_back_when_the_oldest_goes(self, ledger):
         for message_id in range(4):
             begin(ledger, message_id)
