--- a/redwingstream/control/tests/test_role.py
+++ b/redwingstream/control/tests/test_role.py
@@ -110,12 +110,12 @@
     group = Group(folder, size)
     for endpoint in group.endpoints:
         group.start(endpoint)
-    try:
-        yield group
-    finally:
-        for endpoint in list(group.task_by_endpoint):
-            await group.stop(endpoint)
-        group.client.close()
+    with group.client.opened():
+        try:
+            yield group
+        finally:
+            for endpoint in list(group.task_by_endpoint):
+                await group.stop(endpoint)
 
 
 class Agent:
