--- a/properties/test_consensus.py
+++ b/properties/test_consensus.py
@@ -20,6 +20,10 @@
 names = st.sampled_from(NAMES)
 
 
+def _all_count(faults: 'ReplicaFaults') -> bool:
+    return faults.fleet.all_count()
+
+
 class ReplicaFaults(RuleBasedStateMachine):
     """Any faults in any order; accepted entries stay."""
 
@@ -40,14 +44,14 @@
     @rule(name=names, count=st.integers(1, 6), stale=st.integers(0, 2))
     def change(self, name: str, count: int, stale: int) -> None:
         for _ in range(count):
-            replica = self.fleet.node_by_name[name].replica
-            if replica is None:
+            node = self.fleet.node_by_name[name]
+            if node.replica is None:
                 return
             self.requests += 1
             mark = ZoneMark(f'z{self.requests % 5}', bool(self.requests % 2))
             request = ChangeRequest(
                 f'r{self.requests}',
-                max(0, replica.machine.state.config_revision - stale),
+                max(0, node.config_revision() - stale),
                 Edits(set_zones=(SetZone(mark),)),
             )
             for asked in NAMES:
@@ -68,7 +72,7 @@
         if node.replica is None:
             node.start()
 
-    @precondition(lambda self: self.fleet.all_count())
+    @precondition(_all_count)
     @rule(name=names)
     def lose_disk(self, name: str) -> None:
         node = self.fleet.node_by_name[name]
@@ -110,15 +114,15 @@
             return
         fleet = self.fleet
         fleet.calm_down()
-        assert fleet.all_count()
+        assert _all_count(self)
         edits = Edits(set_zones=(SetZone(ZoneMark('last', out=True)),))
-        based_on = fleet.node_by_name['a'].replica.machine.state.config_revision
+        based_on = fleet.node_by_name['a'].config_revision()
         request = ChangeRequest('last', based_on, edits)
         for name in NAMES:
             fleet.propose(name, request)
         fleet.pass_ticks(20)
         assert fleet.witness.answer_by_request['last'].code == ResultCode.OK
-        states = {n.replica.machine.pack() for n in fleet.nodes}
+        states = {node.packed() for node in fleet.nodes}
         assert len(states) == 1
 
 
--- a/redwingstream/consensus/leading.py
+++ b/redwingstream/consensus/leading.py
@@ -118,13 +118,6 @@
         send_next(state, leader, answer.sender.name, now)
 
 
-def _is_taken(state: ReplicaState, name: str) -> bool:
-    return any(
-        voter.name == name and voter.identity != VACANT
-        for voter in state.log.group
-    )
-
-
 def hand_over(state: ReplicaState, leader: Leader) -> None:
     """Take no more commands; tell a replica with the whole log to take over."""
     leader.handing_over = True
@@ -220,6 +213,6 @@
     if state.log.group_change_after(state.commit):
         return
     admitted = voter
-    if _is_taken(state, voter.name):
+    if state.is_taken(voter.name):
         admitted = Voter(voter.name, VACANT)
     _append(state, leader, *messages.encode(ReadmitReplica(admitted)))
--- a/redwingstream/consensus/state.py
+++ b/redwingstream/consensus/state.py
@@ -211,6 +211,13 @@
         """Whether a replica counts under its present identity."""
         return voter.identity != VACANT and voter in self.log.group
 
+    def is_taken(self, name: str) -> bool:
+        """Whether some identity of a replica's name counts."""
+        return any(
+            voter.name == name and voter.identity != VACANT
+            for voter in self.log.group
+        )
+
     def send(self, target: str, message: ReplicaMessage) -> None:
         """Have a message sent once this step is durable."""
         self.effects.outgoing.append(Outgoing(target, message))
--- a/redwingstream/consensus/tests/test_core.py
+++ b/redwingstream/consensus/tests/test_core.py
@@ -79,14 +79,14 @@
         of the leader's own term keeps it from that.
         """
         leader = make_leader(Entry(1, 1, KIND, b''))
-        assert leader.step(answered(1), 2.1).committed == []
+        assert not leader.step(answered(1), 2.1).committed
         committed = leader.step(answered(2), 2.2).committed
         assert [entry.index for entry in committed] == [1, 2]
 
     def test_its_own_copy_counts_once_it_is_synced(self) -> None:
         leader = make_leader(Entry(1, 1, KIND, b''))
         index, _ = leader.propose(Proposed(KIND, b'x'), 2)
-        assert leader.step(answered(index), 2.1).committed != []
+        assert leader.step(answered(index), 2.1).committed
         assert leader.commit == index - 1
         leader.step(Synced(index), 2.2)
         assert leader.commit == index
@@ -152,7 +152,7 @@
         replica.step(Received(both), 5)
         late = AppendEntries(3, SECOND, 0, 0, (one,), 0, 1)
         effects = replica.step(Received(late), 5)
-        assert effects.entries == []
+        assert not effects.entries
         assert replica.log.last_index == 2
 
     def test_entries_of_another_leader_are_replaced(self) -> None:
@@ -185,7 +185,7 @@
         for _ in range(300):
             _, effects = leader.propose(Proposed(KIND, b'x' * 1000), 2.01)
             sent += sent_to(effects, 'c')
-        assert sent == []
+        assert not sent
         resent = sent_to(leader.step(Ticked(), 2.2), 'c')
         assert len(resent) == 1
         size = sum(len(entry.body) for entry in resent[0].entries)
--- a/redwingstream/control/instance.py
+++ b/redwingstream/control/instance.py
@@ -23,11 +23,10 @@
     ProbeAck,
 )
 from redwingstream.storage.folder import Folder
-from redwingstream.storage.store import Store
+from redwingstream.storage.store import IDENTITY_BITS, Store
 from redwingstream.wire.datagrams import DatagramSocket
 from redwingstream.wire.frames import FrameCodec
 
-_IDENTITY_BITS = 63
 _TICKS_PER_HEARTBEAT = 2
 
 
@@ -128,7 +127,7 @@
     settings: ControlSettings, folder: Folder, surroundings: Surroundings
 ) -> Replica:
     store = Store(folder)
-    loaded = store.load(partial(secrets.randbits, _IDENTITY_BITS))
+    loaded = store.load(partial(secrets.randbits, IDENTITY_BITS))
     consensus = Consensus(
         Voter(str(settings.endpoint), loaded.identity),
         tuple(map(str, settings.replicas)),
--- a/redwingstream/control/recovery.py
+++ b/redwingstream/control/recovery.py
@@ -1,5 +1,8 @@
 """The operators' way out when a majority of the disks is lost."""
 
+import secrets
+from functools import partial
+
 import attrs
 from absl import logging
 
@@ -9,7 +12,7 @@
 from redwingstream.errors import ResultCode, StorageError
 from redwingstream.storage.disk import open_folder
 from redwingstream.storage.folder import Folder
-from redwingstream.storage.store import Loaded, Store
+from redwingstream.storage.store import IDENTITY_BITS, Loaded, Store
 from redwingstream.tables.machine.machine import Machine
 
 
@@ -67,7 +70,7 @@
         ``IP:PORT`` of the replica.
     """
     store = Store(folder)
-    loaded = store.load(lambda: 0)
+    loaded = store.load(partial(secrets.randbits, IDENTITY_BITS))
     if loaded.snapshot is None:
         raise StorageError(
             'this data folder holds no replica of a group; recover the '
--- a/redwingstream/control/tests/fakes.py
+++ b/redwingstream/control/tests/fakes.py
@@ -101,6 +101,29 @@
         else:
             self._run_from(store, loaded)
 
+    def run(self, act: Callable[[Replica], None]) -> None:
+        """Do something with the replica, which may lose its power over it."""
+        if self.replica is None:
+            return
+        try:
+            act(self.replica)
+        except PowerCutError:
+            self.crash()
+
+    def crash(self) -> None:
+        """Lose everything that was not synced."""
+        self.replica = None
+        self.frozen = False
+        self.folder.crash()
+
+    def config_revision(self) -> int:
+        """Return the configuration revision that it has applied."""
+        return self.replica.machine.state.config_revision
+
+    def packed(self) -> bytes:
+        """Return the state that it has applied."""
+        return self.replica.machine.pack()
+
     def _run_from(self, store: Store, loaded: Loaded) -> None:
         fleet = self.fleet
         self.identity = loaded.identity
@@ -125,35 +148,20 @@
         machine.state = self.replica.machine.state
         self.replica.machine = machine
 
-    def run(self, act: Callable[[Replica], None]) -> None:
-        """Do something with the replica, which may lose its power over it."""
-        if self.replica is None:
-            return
-        try:
-            act(self.replica)
-        except PowerCutError:
-            self.crash()
-
-    def crash(self) -> None:
-        """Lose everything that was not synced."""
-        self.replica = None
-        self.frozen = False
-        self.folder.crash()
-
 
 class Fleet:
     """Three replicas and the messages between them."""
 
     def __init__(self, seed: int) -> None:
         self.chance = random.Random(seed)
-        self.now = 0.0
+        self.now: float = 0
         self.flying: list[Sent] = []
         self.cut: set[tuple[str, str]] = set()
         self.witness = Witness()
         self.node_by_name = {name: Node(name, self) for name in NAMES}
         for node in self.nodes:
             node.start()
-        self.witness.group = {n.name: n.identity for n in self.nodes}
+        self.witness.group = self.identity_by_name()
 
     @property
     def nodes(self) -> list[Node]:
@@ -165,8 +173,9 @@
         self.now += TICK
         for node in self.nodes:
             if not node.frozen:
-                node.run(lambda replica: replica.step(Ticked()))
-        flying, self.flying = self.flying, []
+                node.run(_tick)
+        flying = self.flying
+        self.flying = []
         self.chance.shuffle(flying)
         for sent in flying:
             if self.chance.random() < loss:
@@ -177,6 +186,10 @@
                 self.flying.append(sent)
         self.see_leaders()
 
+    def identity_by_name(self) -> dict[str, int]:
+        """Return the identities on the disks."""
+        return {node.name: node.identity for node in self.nodes}
+
     def see_leaders(self) -> None:
         """Show all leaders to the witness."""
         for node in self.nodes:
@@ -202,7 +215,7 @@
 
     def all_count(self) -> bool:
         """Whether every disk is one that counts for a majority."""
-        return self.witness.group == {n.name: n.identity for n in self.nodes}
+        return self.witness.group == self.identity_by_name()
 
     def pass_ticks(self, count: int) -> None:
         """Let time pass without any fault of the network."""
@@ -240,7 +253,7 @@
         self.pass_ticks(CALM_TICKS)
 
     def _lose_or_delay(self, sent: Sent) -> None:
-        if self.chance.random() < 0.5:
+        if self.chance.getrandbits(1):
             self.flying.append(sent)
 
     def _deliver(self, sent: Sent) -> None:
@@ -256,5 +269,9 @@
         node.run(lambda replica: replica.step(Received(message)))
 
 
+def _tick(replica: Replica) -> None:
+    replica.step(Ticked())
+
+
 def _term_of(node: Node) -> int:
     return node.replica.consensus.term
--- a/redwingstream/control/tests/test_replica.py
+++ b/redwingstream/control/tests/test_replica.py
@@ -1,12 +1,14 @@
 """Replicas with their disks, in memory: what is accepted stays."""
 
 import random
+from functools import partial
 
 import pytest
 
 from redwingstream.consensus.events import HandOverAsked, Received
 from redwingstream.consensus.messages import AppendAnswer, Voter
 from redwingstream.control.recovery import recover_folder
+from redwingstream.control.replica import Replica
 from redwingstream.control.tests.fakes import Fleet, Node, Sent
 from redwingstream.errors import CallFailedError, ResultCode, StorageError
 from redwingstream.storage.tests.fakes import FakeFolder
@@ -69,7 +71,7 @@
     """Let messages arrive that the network held back."""
     for sent in late:
         event = Received(sent.outgoing.message)
-        node.run(lambda replica, event=event: replica.step(event))
+        node.run(partial(Replica.step, event=event))
 
 
 class TestWrite:
@@ -206,7 +208,8 @@
         second_term = fleet.leader().replica.consensus.term
         fleet.cut.clear()
         fleet.pass_ticks(3 * SECOND)
-        assert fleet.leader().replica.consensus.term == second_term >= term
+        assert fleet.leader().replica.consensus.term == second_term
+        assert second_term >= term
         assert first.replica.consensus.leader == fleet.leader().name
 
     @pytest.mark.parametrize('outward', [True, False])
@@ -221,7 +224,7 @@
         first = fleet.leader()
         for other in followers(fleet):
             pair = (first.name, other.name)
-            fleet.cut.add(pair if outward else pair[::-1])
+            fleet.cut.add(pair if outward else tuple(reversed(pair)))
         fleet.pass_ticks(4 * SECOND)
         assert fleet.leader() is not first
         assert not first.replica.consensus.is_leader
@@ -340,7 +343,7 @@
         answers = propose(new)
         fleet.pass_ticks(SECOND)
         assert answers[0].code == ResultCode.OK
-        lost = next(n for n in fleet.nodes if n not in {old, new})
+        lost = next(node for node in fleet.nodes if node not in {old, new})
         lose_disk(fleet, lost)
         fleet.cut.clear()
         fleet.isolate(new.name)
@@ -401,7 +404,7 @@
             lose_disk(fleet, node)
         fleet.pass_ticks(60 * SECOND)
         assert fleet.leader() is None
-        roles = {n.replica.consensus.role_name for n in fleet.nodes}
+        roles = {node.replica.consensus.role_name for node in fleet.nodes}
         assert 'fresh' in roles
 
 
@@ -425,7 +428,9 @@
         fleet.calm_down()
         assert all(zone_is_out(node) for node in fleet.nodes)
         group = left.replica.consensus.log.group
-        assert group == tuple(Voter(n.name, n.identity) for n in fleet.nodes)
+        assert group == tuple(
+            Voter(node.name, node.identity) for node in fleet.nodes
+        )
         left.crash()
         fleet.pass_ticks(3 * SECOND)
         assert fleet.leader() is not None
--- a/redwingstream/control/tests/test_role.py
+++ b/redwingstream/control/tests/test_role.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import socket
 from collections.abc import AsyncIterator
@@ -89,19 +90,35 @@
         task.cancel()
         await task
 
+    async def stop_all(self) -> None:
+        """Stop all that run, at once."""
+        await asyncio.gather(*map(self.stop, list(self.task_by_endpoint)))
+
     async def ask(self, endpoint: Endpoint, request: object, wanted: type):
         """Call an instance."""
         return await self.client.call(endpoint, request, wanted)
 
+    def other_than(self, endpoint: Endpoint) -> Endpoint:
+        """Return another instance."""
+        return next(other for other in self.endpoints if other != endpoint)
+
     async def leader(self) -> Endpoint:
         """Wait for a leader that is ready."""
         async with asyncio.timeout(PATIENCE):
-            while True:
-                for endpoint in list(self.task_by_endpoint):
-                    with contextlib.suppress(CallFailedError):
-                        await self.ask(endpoint, ReadTables(), TablesRead)
-                        return endpoint
-                await asyncio.sleep(0.05)
+            candidates = itertools.cycle(self.endpoints)
+            endpoint = next(candidates)
+            while not await self._leads(endpoint):
+                await asyncio.sleep(0.02)
+                endpoint = next(candidates)
+            return endpoint
+
+    async def _leads(self, endpoint: Endpoint) -> bool:
+        if endpoint not in self.task_by_endpoint:
+            return False
+        with contextlib.suppress(CallFailedError):
+            await self.ask(endpoint, ReadTables(), TablesRead)
+            return True
+        return False
 
 
 @contextlib.asynccontextmanager
@@ -114,8 +131,7 @@
         try:
             yield group
         finally:
-            for endpoint in list(group.task_by_endpoint):
-                await group.stop(endpoint)
+            await group.stop_all()
 
 
 class Agent:
@@ -169,7 +185,8 @@
                 beat = Heartbeat('sward-1', ack.incarnation, 0)
                 assert await agent.ask(leader, beat) == ack
             update = await group.ask(leader, FetchTables(0), TablesUpdate)
-            assert update.views[0].members[0].host == 'sward-1'
+            assert update.members[0].host == 'sward-1'
+            assert len(update.views[0].members) == 1
 
     async def test_an_accepted_change_survives_a_restart_of_all(
         self, tmp_path: Path
@@ -177,8 +194,7 @@
         async with open_group(tmp_path, 3) as group:
             leader = await group.leader()
             answer = await group.ask(leader, REQUEST, ChangeAnswer)
-            for endpoint in group.endpoints:
-                await group.stop(endpoint)
+            await group.stop_all()
             for endpoint in group.endpoints:
                 group.start(endpoint)
             leader = await group.leader()
@@ -199,7 +215,7 @@
     ) -> None:
         async with open_group(tmp_path, 3) as group:
             leader = await group.leader()
-            follower = next(e for e in group.endpoints if e != leader)
+            follower = group.other_than(leader)
             with pytest.raises(CallFailedError, match=str(leader)) as caught:
                 await group.ask(follower, REQUEST, ChangeAnswer)
             assert caught.value.code is ResultCode.NOT_LEADER
@@ -218,7 +234,7 @@
         async with open_group(tmp_path, 3) as group:
             leader = await group.leader()
             await group.ask(leader, REQUEST, ChangeAnswer)
-            lost = next(e for e in group.endpoints if e != leader)
+            lost = group.other_than(leader)
             await group.stop(lost)
             folder = tmp_path / f'c{group.endpoints.index(lost)}'
             for path in folder.iterdir():
--- a/redwingstream/membership/tests/test_leases.py
+++ b/redwingstream/membership/tests/test_leases.py
@@ -103,7 +103,7 @@
         of its pool there and back.
         """
         leases = Leases(LEASE, random.Random(0), now=0)
-        now = 0.0
+        now: float = 0
         admitted_at = []
         for boot in range(4000):
             if isinstance(announce(leases, boot, now), Admitting):
--- a/redwingstream/storage/store.py
+++ b/redwingstream/storage/store.py
@@ -23,6 +23,7 @@
 IDENTITY_FILE = 'identity'
 SNAPSHOT_FILE = 'snapshot'
 JOURNAL_FILE = 'journal'
+IDENTITY_BITS = 63
 
 
 class RecordKind(enum.IntEnum):
--- a/redwingstream/storage/tests/fakes.py
+++ b/redwingstream/storage/tests/fakes.py
@@ -7,6 +7,9 @@
 from redwingstream.errors import ResultCode, StorageError
 
 
+FLIPPED_BITS = 0xFF
+
+
 class PowerCutError(Exception):
     """The machine stops at this very operation."""
 
@@ -83,7 +86,7 @@
         """Go back to what a power cut leaves."""
         self.operations_left = None
         self.failure = None
-        if self._chance.random() < 0.5:
+        if self._chance.getrandbits(1):
             self._file_by_name = dict(self._synced_by_name)
         self._synced_by_name = dict(self._file_by_name)
         for file in self._file_by_name.values():
@@ -94,7 +97,7 @@
         """Flip the bits of one synced byte."""
         file = self._file_by_name[name]
         broken = bytearray(file.contents)
-        broken[offset] ^= 0xFF
+        broken[offset] ^= FLIPPED_BITS
         file.contents = bytes(broken)
         file.synced = file.contents
 
@@ -118,7 +121,7 @@
             return file.synced
         unsynced = file.contents[len(file.synced) :]
         left = unsynced[: self._chance.randint(0, len(unsynced))]
-        if left and self._chance.random() < 0.5:
+        if left and self._chance.getrandbits(1):
             # Sectors reach the disk in any order: the size has grown, the
             # bytes are not there.
             left = bytes(len(left))
--- a/redwingstream/storage/tests/test_store.py
+++ b/redwingstream/storage/tests/test_store.py
@@ -1,6 +1,7 @@
 """What a replica remembers after crashes, damage and full disks."""
 
 import random
+from collections.abc import Iterator
 
 import pytest
 from hypothesis import given
@@ -37,6 +38,17 @@
     return folder
 
 
+def write_on(store: Store) -> Iterator[int]:
+    """Write more, and yield the index up to which all is saved."""
+    store.save(None, [make_entry(4)])
+    yield 4
+    snapshot = Snapshot(2, 1, GROUP, b'state')
+    rest = [make_entry(3), make_entry(4)]
+    store.save_snapshot(snapshot, HardState(3, 'a'), rest)
+    store.save(HardState(4, ''), [make_entry(5)])
+    yield 5
+
+
 def load(folder: FakeFolder) -> Loaded:
     """Read a folder as a replica does when it starts."""
     return Store(folder).load(lambda: IDENTITY + 1)
@@ -95,13 +107,8 @@
         folder.operations_left = operations
         saved = 3
         try:
-            store.save(None, [make_entry(4)])
-            saved = 4
-            snapshot = Snapshot(2, 1, GROUP, b'state')
-            rest = [make_entry(3), make_entry(4)]
-            store.save_snapshot(snapshot, HardState(3, 'a'), rest)
-            store.save(HardState(4, ''), [make_entry(5)])
-            saved = 5
+            for saved in write_on(store):
+                assert saved > 3
         except PowerCutError:
             folder.crash()
         folder.operations_left = None
@@ -213,7 +220,7 @@
             store.save_snapshot(snapshot, HardState(2, 'b'), [])
             store.save(None, [make_entry(2)])
         with open_folder(tmp_path / 'data') as folder:
-            loaded = Store(folder).load(lambda: 0)
+            loaded = Store(folder).load(lambda: IDENTITY + 1)
         assert loaded.identity == IDENTITY
         assert loaded.snapshot == snapshot
         assert loaded.entries == [make_entry(2)]
--- a/redwingstream/tables/tests/test_machine.py
+++ b/redwingstream/tables/tests/test_machine.py
@@ -25,7 +25,14 @@
     SetZone,
     Table,
 )
-from redwingstream.tables.rows import Pool, Role, Route, ZoneMark
+from redwingstream.tables.rows import (
+    Member,
+    Pool,
+    PoolView,
+    Role,
+    Route,
+    ZoneMark,
+)
 from redwingstream.tables.snapshot import Tables
 from redwingstream.wire import messages
 
@@ -67,15 +74,21 @@
             ),
         )
 
+    def member(self, host: str) -> Member:
+        """Return a member."""
+        return self.machine.tables.member_by_host[host]
+
+    def view(self) -> PoolView:
+        """Return the newest view."""
+        return self.machine.tables.view_by_pool['sward-live']
+
     def hosts(self) -> list[str]:
         """Hosts in the newest view."""
-        view = self.machine.tables.view_by_pool['sward-live']
-        return [member.host for member in view.members]
+        return [member.host for member in self.view().members]
 
     def chain(self) -> list[int]:
         """Numbers of the unsettled views."""
-        view = self.machine.tables.view_by_pool['sward-live']
-        return [earlier.number for earlier in view.unsettled]
+        return [earlier.number for earlier in self.view().unsettled]
 
 
 @pytest.fixture
@@ -231,13 +244,13 @@
     """Runs of processes and the views that follow."""
 
     def test_the_same_run_keeps_its_incarnation(self, bench: Bench) -> None:
-        first = bench.machine.tables.member_by_host['sward-1']
+        first = bench.member('sward-1')
         revision = bench.machine.tables.revision
         assert bench.admit('sward-1') == first
         assert bench.machine.tables.revision == revision
 
     def test_another_run_gets_a_higher_one(self, bench: Bench) -> None:
-        first = bench.machine.tables.member_by_host['sward-1']
+        first = bench.member('sward-1')
         second = bench.admit('sward-1', boot=2)
         assert second.incarnation > first.incarnation
         bench.apply(RemoveMember('sward-1', first.incarnation))
@@ -249,10 +262,10 @@
         assert 'sward-*' in why_kept_out(bench.machine.state, member)
 
     def test_a_draining_member_leaves_views_only(self, bench: Bench) -> None:
-        member = bench.machine.tables.member_by_host['sward-1']
+        member = bench.member('sward-1')
         bench.apply(LeaveMember('sward-1', member.incarnation))
         assert bench.hosts() == ['sward-2']
-        assert bench.machine.tables.member_by_host['sward-1'].draining
+        assert bench.member('sward-1').draining
 
     def test_a_zone_out_leaves_views(self, bench: Bench) -> None:
         bench.change(Edits(set_zones=(ZONE_OUT,)))
@@ -264,14 +277,14 @@
         A view is reported settled while the next one is being committed; the
         chain of the newer view must stay.
         """
-        number = bench.machine.tables.view_by_pool['sward-live'].number
+        number = bench.view().number
         bench.admit('sward-3')
         bench.apply(SettleView('sward-live', number))
         assert bench.chain()[0] == number
-        newest = bench.machine.tables.view_by_pool['sward-live'].number
+        newest = bench.view().number
         bench.apply(SettleView('sward-live', newest))
         assert bench.chain() == []
-        view = bench.machine.tables.view_by_pool['sward-live']
+        view = bench.view()
         assert view.number == newest
 
     def test_a_long_chain_ends_in_a_view_nobody_answers_for(
@@ -285,7 +298,7 @@
         """
         for boot in range(2, 2 * MAX_UNSETTLED):
             bench.admit('sward-1', boot=boot)
-        view = bench.machine.tables.view_by_pool['sward-live']
+        view = bench.view()
         assert len(view.unsettled) == MAX_UNSETTLED
         assert view.unsettled[-1].members == ()
         assert all(earlier.members for earlier in view.unsettled[:-1])
@@ -298,7 +311,7 @@
         copy = Tables().updated(bench.machine.update_since(0))
         bench.change(Edits(set_zones=(ZONE_OUT,)))
         bench.admit('sward-3')
-        member = bench.machine.tables.member_by_host['sward-2']
+        member = bench.member('sward-2')
         bench.apply(RemoveMember('sward-2', member.incarnation))
         update = bench.machine.update_since(copy.revision)
         assert update.since == copy.revision
