--- a/properties/test_consensus.py
+++ b/properties/test_consensus.py
@@ -64,7 +64,8 @@
 
     @rule(name=names, operations=st.integers(0, 12))
     def crash_within_a_write(self, name: str, operations: int) -> None:
-        self.fleet.node_by_name[name].folder.operations_left = operations
+        node = self.fleet.node_by_name[name]
+        node.folder.operations_left = operations
 
     @rule(name=names)
     def restart(self, name: str) -> None:
--- /dev/null
+++ b/redwingstream/control/tests/test_members.py
@@ -0,0 +1,186 @@
+"""Members at a control instance: admitted, kept, drained, removed."""
+
+import random
+
+import attrs
+import pytest
+
+from redwingstream.control.members import MemberDesk
+from redwingstream.control.tests.fakes import Fleet
+from redwingstream.membership.leases import DEFAULT_LEASE
+from redwingstream.membership.messages import (
+    Announce,
+    Challenge,
+    Heartbeat,
+    HeartbeatAck,
+)
+from redwingstream.tables.machine.state import MachineState
+from redwingstream.tables.messages import ChangeRequest, Edits, SetPool
+from redwingstream.tables.rows import Pool, Role
+
+MANY = 300
+POOL = SetPool(Pool('sward-live', ('sward-*',)))
+
+
+class Site:
+    """A fleet with a desk at its leader, and agents that it answers."""
+
+    def __init__(self) -> None:
+        self.fleet = Fleet(seed=5).begin()
+        self.leader = self.fleet.leader()
+        request = ChangeRequest('r', 0, Edits(set_pools=(POOL,)))
+        self.fleet.propose(self.leader.name, request)
+        self.fleet.pass_ticks(5)
+        self.desk = self.make_desk(self.leader)
+
+    def make_desk(self, node) -> MemberDesk:
+        """Return a desk at a replica."""
+        return MemberDesk(
+            node.replica,
+            DEFAULT_LEASE,
+            random.Random(0),
+            lambda: self.fleet.now,
+        )
+
+    def ask(self, announce: Announce, boot: int) -> list[object]:
+        """Announce once; return the answers, also those that come later."""
+        answers: list[object] = []
+        self.desk.on_announce(announce, boot, answers.append)
+        return answers
+
+    def admit(self, host: str, boot: int = 1) -> HeartbeatAck:
+        """Announce in two steps and wait for the acceptance."""
+        announce = Announce(
+            host, Role.AGENT, '127.0.0.1:1', 'carse', 'sward-live', 100
+        )
+        challenge = self.ask(announce, boot)[0]
+        assert isinstance(challenge, Challenge)
+        again = attrs.evolve(announce, challenge=challenge.challenge)
+        answers = self.ask(again, boot)
+        self.fleet.pass_ticks(4)
+        return answers[0]
+
+    def beat(self, beat: Heartbeat, boot: int = 1) -> HeartbeatAck:
+        """Send a heartbeat."""
+        answers: list[HeartbeatAck] = []
+        self.desk.on_heartbeat(beat, boot, answers.append)
+        return answers[0]
+
+    def live(self, seconds: float, *beats: Heartbeat) -> None:
+        """Let time pass while some members send heartbeats."""
+        end = self.fleet.now + seconds
+        while self.fleet.now < end:
+            for beat in beats:
+                self.beat(beat)
+            self.desk.on_tick()
+            self.fleet.pass_ticks(2)
+
+    def state(self) -> MachineState:
+        """Return what the leader has applied."""
+        return self.leader.replica.machine.state
+
+    def last_index(self) -> int:
+        """Return the index of the leader's last entry."""
+        return self.leader.replica.consensus.log.last_index
+
+    @property
+    def members(self) -> set[str]:
+        """Hosts that are members."""
+        return set(self.state().member_by_host)
+
+
+@pytest.fixture
+def site() -> Site:
+    """A site whose pool admits sward-*."""
+    return Site()
+
+
+class TestMemberDesk:
+    """What members are told, and what is committed of them."""
+
+    def test_a_silent_member_is_removed(self, site: Site) -> None:
+        first = site.admit('sward-1')
+        site.admit('sward-2')
+        beat = Heartbeat('sward-1', first.incarnation, 0)
+        site.live(DEFAULT_LEASE + 1, beat)
+        assert site.members == {'sward-1'}
+
+    def test_a_leaving_member_drains(self, site: Site) -> None:
+        ack = site.admit('sward-1')
+        beat = Heartbeat('sward-1', ack.incarnation, 0, leaving=True)
+        site.live(1, beat)
+        state = site.state()
+        assert state.member_by_host['sward-1'].draining
+        assert state.view_by_pool['sward-live'].members == ()
+
+    def test_views_settle(self, site: Site) -> None:
+        one, two = site.admit('sward-1'), site.admit('sward-2')
+        state = site.state()
+        number = state.view_by_pool['sward-live'].number
+        assert state.view_by_pool['sward-live'].unsettled
+        site.live(
+            1,
+            Heartbeat('sward-1', one.incarnation, 0, settled_view=number),
+            Heartbeat('sward-2', two.incarnation, 0, settled_view=number),
+        )
+        assert not state.view_by_pool['sward-live'].unsettled
+
+    def test_a_host_that_is_not_admitted_is_told_why(self, site: Site) -> None:
+        ack = site.admit('cover-1')
+        assert ack.incarnation > 0
+        assert 'sward-*' in ack.reason
+
+    def test_an_unknown_run_has_to_announce_itself(self, site: Site) -> None:
+        ack = site.admit('sward-1')
+        beat = Heartbeat('sward-1', ack.incarnation, 0)
+        assert site.beat(beat, boot=2).incarnation == 0
+        assert site.beat(Heartbeat('sward-9', 3, 0)).incarnation == 0
+
+    def test_a_follower_names_the_leader(self, site: Site) -> None:
+        ack = site.admit('sward-1')
+        site.fleet.pass_ticks(4)
+        follower = next(
+            node for node in site.fleet.nodes if node is not site.leader
+        )
+        site.desk = site.make_desk(follower)
+        answer = site.beat(Heartbeat('sward-1', ack.incarnation, 0))
+        assert answer.leader == site.leader.name
+        assert answer.incarnation == ack.incarnation
+
+    def test_a_new_leader_keeps_hundreds_of_members(self, site: Site) -> None:
+        """Each change of leader would drop or admit all servers anew.
+
+        Hundreds of members send heartbeats to a leader that has just been
+        elected.  They keep their incarnations, and nothing is committed.
+        """
+        acks = [site.admit(f'sward-{number}') for number in range(MANY)]
+        site.leader.crash()
+        site.fleet.pass_ticks(60)
+        site.leader = site.fleet.leader()
+        site.desk = site.make_desk(site.leader)
+        before = site.last_index()
+        for number, ack in enumerate(acks):
+            beat = Heartbeat(f'sward-{number}', ack.incarnation, 0)
+            assert site.beat(beat).incarnation == ack.incarnation
+        site.desk.on_tick()
+        assert site.last_index() == before
+        assert len(site.members) == MANY
+
+    def test_without_a_majority_commands_do_not_pile_up(
+        self, site: Site
+    ) -> None:
+        """A leader without followers fills its disk with removals.
+
+        It has lost its followers and not yet noticed, and a member is
+        silent: its removal is proposed once, not at each tick.
+        """
+        first = site.admit('sward-1')
+        site.admit('sward-2')
+        beat = Heartbeat('sward-1', first.incarnation, 0)
+        site.live(DEFAULT_LEASE - 0.5, beat)
+        before = site.last_index()
+        for _ in range(30):
+            site.fleet.now += 0.05
+            site.beat(beat)
+            site.desk.on_tick()
+        assert site.last_index() == before + 1
