--- a/redwingstream/control/tests/test_members.py
+++ b/redwingstream/control/tests/test_members.py
@@ -81,7 +81,8 @@
 
     def last_index(self) -> int:
         """Return the index of the leader's last entry."""
-        return self.leader.replica.consensus.log.last_index
+        consensus = self.leader.replica.consensus
+        return consensus.log.last_index
 
     @property
     def members(self) -> set[str]:
