Refuse names that no frame or no replica could carry

A port of 5000 digits in a route raised an error that no replica handles, in an entry that each of them applies again at every start: found by reading, a test of it failed before with ValueError. A host name of 50000 characters made an entry that fits no frame to the other replicas.

--- a/redwingstream/control/members.py
+++ b/redwingstream/control/members.py
@@ -7,6 +7,7 @@
 
 from redwingstream.control.replica import Replica
 from redwingstream.errors import CallFailedError, RedwingstreamError
+from redwingstream.membership.checks import why_malformed
 from redwingstream.membership.leases import (
     Admitted,
     Admitting,
@@ -59,6 +60,10 @@
 
     def on_announce(self, announce: Announce, boot: int, reply: Reply) -> None:
         """Answer an announcement."""
+        fault = why_malformed(announce)
+        if fault:
+            reply(self._refusal(fault))
+            return
         leases = self._current_leases()
         known = self._member(announce.host)
         if leases is None:
--- a/redwingstream/control/tests/test_members.py
+++ b/redwingstream/control/tests/test_members.py
@@ -131,6 +131,30 @@
         assert ack.incarnation > 0
         assert 'sward-*' in ack.reason
 
+    @pytest.mark.parametrize(
+        ('field', 'met'),
+        [
+            ({'host': 'h' * 50000}, '50000'),
+            ({'weight': 0}, '0'),
+            ({'endpoint': 'nowhere:1'}, 'nowhere'),
+        ],
+    )
+    def test_a_malformed_announcement_is_no_entry(
+        self, site: Site, field: dict[str, object], met: str
+    ) -> None:
+        """No change is accepted any more after one wrong setting.
+
+        A process announces itself with a name that fits its own frame, but
+        not the one in which the entry goes to the other replicas.
+        """
+        announce = attrs.evolve(
+            Announce('h', Role.AGENT, '127.0.0.1:1', 'carse', 'p', 100),
+            **field,
+        )
+        answers = site.ask(announce, boot=1)
+        assert answers[0].incarnation == 0
+        assert met in answers[0].reason
+
     def test_an_unknown_run_has_to_announce_itself(self, site: Site) -> None:
         ack = site.admit('sward-1')
         beat = Heartbeat('sward-1', ack.incarnation, 0)
--- /dev/null
+++ b/redwingstream/membership/checks.py
@@ -0,0 +1,32 @@
+"""What is wrong with an announcement that no pool could make right."""
+
+from redwingstream.endpoints import parse_endpoint
+from redwingstream.errors import SettingError
+from redwingstream.membership.messages import Announce
+
+MAX_NAME = 255
+MAX_WEIGHT = 10000
+
+
+def why_malformed(announce: Announce) -> str:
+    """Return why an announcement cannot be taken; empty when it can.
+
+    Notes
+    -----
+    Checked before it becomes an entry: one that fits no frame could never be
+    sent to the other replicas, and would hold up all that follow it.
+    """
+    texts = (announce.host, announce.endpoint, announce.zone, announce.pool)
+    longest = max(map(len, texts))
+    if longest > MAX_NAME or not announce.host:
+        return (
+            f'a name has {longest} characters; {MAX_NAME} are allowed, and '
+            'the host needs one'
+        )
+    if not 0 < announce.weight <= MAX_WEIGHT:
+        return f'the weight is {announce.weight}; 1 to {MAX_WEIGHT} are allowed'
+    try:
+        parse_endpoint(announce.endpoint)
+    except SettingError as error:
+        return str(error)
+    return ''
--- a/redwingstream/tables/machine/checks.py
+++ b/redwingstream/tables/machine/checks.py
@@ -78,6 +78,11 @@
 
 
 def _check_route(row: Route) -> None:
+    # An entry that no replica can apply would stop them all, and again at
+    # each start.  Texts of unlimited length get there: Python refuses to read
+    # a number of more than 4300 digits.
+    _check_name('service', row.service)
+    _check_name('callers', row.callers)
     try:
         parse_endpoint(row.service)
     except SettingError as error:
@@ -95,6 +100,8 @@
 
 def _check_pool(row: Pool, present: Pool | None) -> None:
     _check_name('pool', row.name)
+    for glob in row.admits:
+        _check_name('host pattern', glob)
     is_power = row.buckets > 0 and not row.buckets & (row.buckets - 1)
     if not is_power or row.buckets > MAX_BUCKETS:
         raise _bad_row(
@@ -122,7 +129,7 @@
 def _check_name(what: str, name: str) -> None:
     if not 0 < len(name) <= MAX_NAME or not name.isprintable():
         raise _bad_row(
-            f'{what} name {name!r} is not allowed; give it 1 to {MAX_NAME} '
+            f'{what} {name[:MAX_NAME]!r} is not allowed; give it 1 to {MAX_NAME} '
             'printable characters',
         )
 
--- a/redwingstream/tables/tests/test_machine.py
+++ b/redwingstream/tables/tests/test_machine.py
@@ -172,6 +172,15 @@
                 ),
                 '10.0.0.1/8',
             ),
+            (
+                Edits(
+                    set_routes=(
+                        SetRoute(Route(f'10.0.0.1:{"1" * 5000}', 'sward-live')),
+                    ),
+                ),
+                '255',
+            ),
+            (Edits(set_pools=(SetPool(Pool('p', ('h' * 300,))),)), '255'),
             (Edits(set_pools=(SetPool(Pool('p', (), 48)),)), '48'),
             (Edits(set_pools=(SetPool(Pool('p', (), 0)),)), '0'),
             (Edits(set_pools=(SetPool(Pool('sward-live', (), 32)),)), '32'),
