--- a/redwingstream/tables/machine/checks.py
+++ b/redwingstream/tables/machine/checks.py
@@ -129,8 +129,8 @@
 def _check_name(what: str, name: str) -> None:
     if not 0 < len(name) <= MAX_NAME or not name.isprintable():
         raise _bad_row(
-            f'{what} {name[:MAX_NAME]!r} is not allowed; give it 1 to {MAX_NAME} '
-            'printable characters',
+            f'{what} {name[:MAX_NAME]!r} is not allowed; give it 1 to '
+            f'{MAX_NAME} printable characters',
         )
 
 
