--- a/demo/checks.py
+++ b/demo/checks.py
@@ -44,18 +44,24 @@
 
     Parameters
     ----------
+    client : Client
+        Its caller.
     observation : Observation
         The feed.
     states : list of State
         All fresh states that came.
     longest_gap : float
         Longest time without one, in seconds.
+    patience : float
+        Seconds without a fresh state after which it counts as broken.
     """
 
+    client: Client
     observation: Observation
     states: list[State] = attrs.field(factory=list)
     longest_gap: float = 0
     broken: str = ''
+    patience: float = SILENCE
 
     @property
     def host(self) -> str:
@@ -65,9 +71,11 @@
     async def listen(self) -> None:
         """Take states until the feed breaks or the task is cancelled."""
         while not self.broken:
-            state = await self.observation.next_state(SILENCE)
+            state = await self.client.next_state(
+                self.observation, self.patience
+            )
             if state is None:
-                self.broken = self.observation.ended or 'silent'
+                self.broken = self.observation.ended
                 return
             if self.states:
                 gap = state.at - self.states[-1].at
@@ -89,10 +97,13 @@
     ----------
     layout : Layout
         Their addresses.
+    deadline : float, optional
+        Seconds that each waits for the final answer to a request.
     """
 
-    def __init__(self, layout: Layout) -> None:
+    def __init__(self, layout: Layout, deadline: float = DEADLINE) -> None:
         self.layout = layout
+        self._deadline = deadline
         self._used = 0
         self._stack = contextlib.ExitStack()
 
@@ -105,7 +116,7 @@
     def one_more(self) -> Client:
         """Return a caller with an address that nobody used so far."""
         self._used += 1
-        client = Client(self._used, _TIMING, DEADLINE)
+        client = Client(self._used, _TIMING, self._deadline)
         address = self.layout.caller_at(self._used)
         self._stack.enter_context(client.open(address))
         return client
@@ -115,14 +126,15 @@
         service = self.layout.services[SWARD]
         client = self.one_more()
         feed = await client.observe(service, FEED_PATH, ATTEMPTS)
-        return LiveFeed(feed)
+        return LiveFeed(client, feed)
 
     async def ask_host(self) -> str:
-        """Ask from a fresh address; return the server that answered."""
-        outcome = await self.one_more().request(
-            self.layout.services[SWARD],
-            request_for(FEED_PATH),
-            PROBE_DEADLINE,
+        """Ask from a fresh address; return the server that answered.
+
+        A caller that is told *not run* comes back when it was told to.
+        """
+        outcome = await self.one_more().request_patiently(
+            self.layout.services[SWARD], request_for(FEED_PATH), ATTEMPTS
         )
         if isinstance(outcome, Answered):
             return host_of(outcome.payload)
--- a/demo/layout.py
+++ b/demo/layout.py
@@ -84,10 +84,13 @@
         Second number of every address.
     folder : pathlib.Path
         For data, logs, the key and the counted runs.
+    servers : tuple of Server
+        The backend servers, each with its agent.
     """
 
     network: int
     folder: pathlib.Path
+    servers: tuple[Server, ...] = SERVERS
 
     @property
     def key_file(self) -> pathlib.Path:
@@ -130,7 +133,7 @@
             command_by_name[host] = self._control(number, host)
         for number, host in enumerate(BALANCERS, start=1):
             command_by_name[host] = self._balancer(number, host)
-        for server in SERVERS:
+        for server in self.servers:
             command_by_name[f'{server.host}-server'] = self._server(server)
             command_by_name[server.host] = self._agent(server)
         return command_by_name
@@ -149,7 +152,7 @@
             yield self.control_at(number)
             yield self._at(BALANCER_KIND, number, PEER_PORT)
             yield self._at(BALANCER_KIND, number, FABRIC_PORT)
-        for server in SERVERS:
+        for server in self.servers:
             yield self._at(AGENT_KIND, server.number, PEER_PORT)
             yield self.server_at(server)
 
@@ -233,17 +236,22 @@
     """
     for network in NETWORKS:
         layout = Layout(network, folder)
-        if all(map(_is_free, layout.endpoints())):
+        if is_free(layout):
             return layout
     raise OSError('no network from 127.20 to 127.59 has all ports free')
 
 
+def is_free(layout: Layout) -> bool:
+    """Return whether every endpoint of a layout can be bound."""
+    return all(map(_can_be_bound, layout.endpoints()))
+
+
 def _daemon(role: str, host: str, zone: str) -> list[str]:
     command = [sys.executable, '-m', 'redwingstream.daemon', role]
     return [*command, f'--host={host}', f'--zone={zone}']
 
 
-def _is_free(endpoint: Endpoint) -> bool:
+def _can_be_bound(endpoint: Endpoint) -> bool:
     with contextlib.ExitStack() as stack:
         for kind in (socket.SOCK_DGRAM, socket.SOCK_STREAM):
             probe = stack.enter_context(socket.socket(socket.AF_INET, kind))
--- a/redwingstream/agent/carrier.py
+++ b/redwingstream/agent/carrier.py
@@ -1,23 +1,22 @@
 """Runs requests on the server beside this agent."""
 
 import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Hashable
 
 import attrs
 from aiocoap.message import Message
 
 from redwingstream.admission.limit import RunResult
+from redwingstream.agent.effects import Perform
 from redwingstream.agent.parts import AgentParts
 from redwingstream.agent.replies import Replies
 from redwingstream.agent.runs import Run, RunEnd, answer_with
+from redwingstream.agent.waiting import WaitingRoom
 from redwingstream.errors import ResultCode
-from redwingstream.flows.effects import UpstreamEffect
 from redwingstream.flows.records import FlowKey
 from redwingstream.requests.records import RequestState
 from redwingstream.wire import coap
 
-Perform = Callable[[list[UpstreamEffect], float], None]
-
 _TRIAL_INTERVAL = 1.0
 
 
@@ -55,6 +54,11 @@
     perform : callable
         Carries out what the server's side asks for; see
         :class:`~redwingstream.agent.server_side.ServerSide`.
+
+    Attributes
+    ----------
+    room : WaitingRoom
+        Requests that wait a moment for a place.
     """
 
     def __init__(
@@ -64,20 +68,32 @@
         on_end: Callable[[RunEnd, float], None],
         perform: Perform,
     ) -> None:
+        self.room = WaitingRoom(parts.limit)
         self._parts = parts
         self._perform = perform
         self._replies = replies
         self._on_end = on_end
         self._serial = itertools.count(1)
-        self._started_by_owner: dict[int, _Started] = {}
+        self._started_by_owner: dict[Hashable, _Started] = {}
         self._trial_at = float()
 
     def __len__(self) -> int:
         """Return how many requests are running."""
         return len(self._started_by_owner)
 
-    def reserve(self, now: float) -> Slot | None:
-        """Take a place on the server, if it can bear one more request."""
+    def reserve(self, now: float, *, goes_on: bool = False) -> Slot | None:
+        """Take a place on the server, if it can bear one more request.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        goes_on : bool
+            True for a later block of an answer: a server that leaves finishes
+            what it has begun.
+        """
+        if self._parts.is_leaving and not goes_on:
+            return None
         if not self._takes_work(now) or not self._parts.limit.try_start(now):
             return None
         self._parts.gauge.served(now)
@@ -88,6 +104,7 @@
         self._parts.limit.finished(
             now - slot.taken_at, RunResult.CANCELLED, now
         )
+        self.room.serve(now)
 
     def start(self, run: Run, slot: Slot, now: float) -> None:
         """Hand a request to the server in a place that was reserved."""
@@ -106,13 +123,23 @@
         self._started_by_owner[owner] = _Started(run, slot, number)
         self._perform(effects, now)
 
+    def tick(self, now: float) -> None:
+        """Admit who waits, or refuse those who have waited long enough."""
+        parts = self._parts
+        if parts.is_leaving or parts.is_zone_out() or parts.server_is_silent:
+            self.room.clear(now)
+        self._learn_latency(now)
+        self.room.serve(now)
+        self.room.expire(now)
+
     def cancel_all(self, now: float) -> None:
         """Give up all that runs: cancelled at the server, told truthfully."""
+        self.room.clear(now)
         for started in list(self._started_by_owner.values()):
             effects = self._parts.upstream.cancel(started.exchange, now)
             self._perform(effects, now)
 
-    def responded(self, owner: object, response: Message, now: float) -> None:
+    def responded(self, owner: Hashable, response: Message, now: float) -> None:
         """Take the server's answer."""
         started = self._started_by_owner.pop(owner, None)
         if started is None:
@@ -132,7 +159,7 @@
         self._on_end(RunEnd(run, RequestState.ANSWERED, answer), now)
 
     def failed(
-        self, owner: object, state: RequestState, why: ResultCode, now: float
+        self, owner: Hashable, state: RequestState, why: ResultCode, now: float
     ) -> None:
         """Take the end of a run without an answer."""
         started = self._started_by_owner.pop(owner, None)
@@ -151,8 +178,17 @@
         answer = self._replies.unknown(request)
         self._on_end(RunEnd(started.run, RequestState.UNKNOWN, answer), now)
 
+    def _learn_latency(self, now: float) -> None:
+        """Take from the peers how long requests take, until it is measured."""
+        limit = self._parts.limit
+        if limit.expected_latency is not None:
+            return
+        latency = self._parts.loads.expected_latency(now)
+        if latency is not None:
+            limit.expect(latency)
+
     def _takes_work(self, now: float) -> bool:
-        if self._parts.is_leaving or self._parts.is_zone_out():
+        if self._parts.is_zone_out():
             return False
         if not self._parts.server_is_silent:
             return True
@@ -167,3 +203,4 @@
     ) -> None:
         latency = now - started.slot.taken_at
         self._parts.limit.finished(latency, run_result, now)
+        self.room.serve(now)
--- a/redwingstream/placement/parts.py
+++ b/redwingstream/placement/parts.py
@@ -71,7 +71,9 @@
 def split(contents: BucketContents) -> tuple[BucketContents, ...]:
     """Cut contents into parts of at most 48000 bytes, at least one."""
     waiting = items_of(contents)
-    parts = [contents_of(take_part(waiting, PART_BYTES))]
+    first = contents_of(take_part(waiting, PART_BYTES))
+    # Two filters of 4096 bytes, beside the part: still within a datagram.
+    parts = [attrs.evolve(first, condensed=contents.condensed)]
     while waiting:
         parts.append(contents_of(take_part(waiting, PART_BYTES)))
     return tuple(parts)
