--- a/redwingstream/agent/once.py
+++ b/redwingstream/agent/once.py
@@ -171,12 +171,14 @@
         given_up.extend(self._elsewhere.take_hopeless(now))
         for run in given_up:
             self._endings.end_unknown(run, now)
-        for waiting in self._waiting_by_ticket.values():
+        # A copy: a slot given back lets in a request, which then waits too.
+        for waiting in list(self._waiting_by_ticket.values()):
             is_slow = now - waiting.since > SLOT_PATIENCE
             if waiting.slot is not None and is_slow:
                 # A dead heir would otherwise keep the server idle.
-                self._carrier.release(waiting.slot, now)
+                slot = waiting.slot
                 waiting.slot = None
+                self._carrier.release(slot, now)
 
     def give_up(self, now: float) -> None:
         """End all that has no outcome: the process stops."""
--- /dev/null
+++ b/redwingstream/agent/tests/soak.py
@@ -0,0 +1,209 @@
+"""Random faults, several at once, under steady requests and feeds."""
+
+import random
+from collections import Counter
+
+import attrs
+
+from redwingstream.agent.tests.exchange import Frame
+from redwingstream.agent.tests.fake_caller import Asked, FakeCaller, Watched
+from redwingstream.agent.tests.fake_server import ServerPacket
+from redwingstream.agent.tests.pool import FakePool
+from redwingstream.agent.tests.support import warm_up
+
+HOSTS = 5
+CALLERS = 6
+ROUNDS = 24
+LOSS = 0.01
+REPEATED = 0.01
+LATE = 0.02
+LONGEST_DELAY = 0.4
+SHORTEST_FAULT = 0.3
+LONGEST_FAULT = 6.0
+CALM = 75
+"""Seconds after the last fault in which callers repeat what has no answer."""
+
+
+@attrs.define(eq=False)
+class Soak:
+    """One run under random faults.
+
+    Parameters
+    ----------
+    seed : int
+        Everything random is drawn from it.
+    faults_at_once : int
+        How many agents may be at fault at the same time.
+    """
+
+    seed: int
+    faults_at_once: int
+    pool: FakePool = attrs.field(init=False)
+    asked: list[Asked] = attrs.Factory(list)
+    watched: list[Watched] = attrs.Factory(list)
+    callers: list[FakeCaller] = attrs.Factory(list)
+    _faulty: set[str] = attrs.Factory(set)
+    _rng: random.Random = attrs.field(init=False)
+
+    def run(self) -> None:
+        """Run until every request has its outcome."""
+        self._rng = random.Random(self.seed)
+        self.pool = FakePool(HOSTS, 3)
+        self.pool.run(3)
+        warm_up(self.pool)
+        self.callers = [self.pool.caller(each + 1) for each in range(CALLERS)]
+        self.watched = [caller.watch() for caller in self.callers]
+        self.pool.run(2)
+        self.pool.exchange.inspect = self._inspect
+        for _ in range(ROUNDS):
+            self._round()
+        self.pool.exchange.inspect = None
+        self.pool.run(CALM)
+
+    def broken(self) -> list[str]:
+        """Return the promises to requests that were broken."""
+        found = []
+        for asked in self.asked:
+            runs = self.pool.runs(asked.body)
+            told = (asked.outcome, runs)
+            is_true = told in {
+                ('answered', 1),
+                ('not run', 0),
+                ('unknown', 0),
+                ('unknown', 1),
+            }
+            if not is_true:
+                found.append(f'{asked.body!r}: {asked.outcome}, {runs} runs')
+        wrong = sum(caller.wrong_answers for caller in self.callers)
+        if wrong:
+            found.append(f'{wrong} answers to other requests')
+        return found
+
+    def silent_feeds(self) -> int:
+        """Return how many feeds do not go on."""
+        now = self.pool.exchange.now
+        return sum(
+            watched.ended or now - watched.seen_at[-1] > 3
+            for watched in self.watched
+        )
+
+    def told(self) -> Counter[str]:
+        """Return how many requests ended in which way."""
+        return Counter(asked.outcome for asked in self.asked)
+
+    def _round(self) -> None:
+        rng = self._rng
+        for caller in self.callers:
+            if rng.random() < 1 / 2:
+                body = f'bay {len(self.asked)}'.encode()
+                self.asked.append(caller.post(body))
+        if rng.random() < 1 / 2:
+            self._do_fault()
+        self.pool.run(rng.random() * 2)
+
+    def _do_fault(self) -> None:
+        rng = self._rng
+        seconds = rng.uniform(SHORTEST_FAULT, LONGEST_FAULT)
+        fault = rng.choice(
+            (
+                self._restart_server,
+                self._restart_balancer,
+                self._kill,
+                self._freeze,
+                self._cut,
+                self._drain,
+            )
+        )
+        fault(seconds)
+
+    def _restart_server(self, seconds: float) -> None:
+        host = self._rng.choice(self.pool.hosts)
+        self.pool.server_by_host[host].restart()
+
+    def _restart_balancer(self, seconds: float) -> None:
+        endpoint = self._rng.choice(self.pool.balancers)
+        if len(self._living_balancers()) < 3:
+            return
+        self.pool.kill(endpoint)
+        self.pool.exchange.call_later(
+            seconds, lambda: self.pool.start_balancer(endpoint)
+        )
+
+    def _kill(self, seconds: float) -> None:
+        host = self._choose_host(seconds)
+        if host is not None:
+            self.pool.kill(self.pool.endpoint_by_host[host])
+            self.pool.exchange.call_later(
+                seconds, lambda: self.pool.start(host)
+            )
+
+    def _freeze(self, seconds: float) -> None:
+        host = self._choose_host(seconds)
+        if host is not None:
+            exchange = self.pool.exchange
+            endpoint = self.pool.endpoint_by_host[host]
+            exchange.frozen.add(endpoint)
+            exchange.call_later(seconds, lambda: exchange.thaw(endpoint))
+
+    def _cut(self, seconds: float) -> None:
+        host = self._choose_host(seconds)
+        if host is None:
+            return
+        exchange = self.pool.exchange
+        endpoint = self.pool.endpoint_by_host[host]
+        others = [
+            each
+            for each in exchange.process_by_address
+            if not each.startswith('server of') and each != endpoint
+        ]
+        chosen = self._rng.sample(others, self._rng.randint(1, len(others)))
+        pairs = {(endpoint, each) for each in chosen}
+        if self._rng.random() < 1 / 2:
+            pairs |= {(each, endpoint) for each in chosen}
+        exchange.cuts |= pairs
+        exchange.call_later(
+            seconds, lambda: exchange.cuts.difference_update(pairs)
+        )
+
+    def _drain(self, seconds: float) -> None:
+        host = self._choose_host(seconds)
+        control = self.pool.control
+        if host not in control.tables.member_by_host:
+            return
+        control.mark_draining(host)
+        self.pool.exchange.call_later(
+            seconds, lambda: self._take_mark_back(host)
+        )
+
+    def _take_mark_back(self, host: str) -> None:
+        control = self.pool.control
+        if host in control.tables.member_by_host:
+            control.mark_draining(host, is_draining=False)
+
+    def _choose_host(self, seconds: float) -> str | None:
+        if len(self._faulty) >= self.faults_at_once:
+            return None
+        host = self._rng.choice(sorted(set(self.pool.hosts) - self._faulty))
+        self._faulty.add(host)
+        # The next one comes when control has noticed and the view is settled.
+        healed_at = seconds + LONGEST_FAULT
+        self.pool.exchange.call_later(
+            healed_at, lambda: self._faulty.discard(host)
+        )
+        return host
+
+    def _living_balancers(self) -> list[str]:
+        living = self.pool.exchange.process_by_address
+        return [each for each in self.pool.balancers if each in living]
+
+    def _inspect(self, frame: Frame) -> tuple[float, ...] | None:
+        if isinstance(frame.payload, ServerPacket):
+            return None
+        drawn = self._rng.random()
+        if drawn < LOSS:
+            return ()
+        if drawn < LOSS + REPEATED:
+            return (0, self._rng.random() * LONGEST_DELAY)
+        if drawn < LOSS + REPEATED + LATE:
+            return (self._rng.random() * LONGEST_DELAY,)
+        return None
