--- a/asv_bench/deployments.py
+++ b/asv_bench/deployments.py
@@ -17,6 +17,7 @@
 FABRIC_PORT = 7001
 COAP_PORT = 5683
 CONTROLS = 3
+COLD_SECONDS = 3.0
 BALANCERS = 3
 
 
@@ -148,10 +149,13 @@
         Which.
     folder : pathlib.Path
         For keys, data and logs.
+    cold_seconds : float
+        How long a backend server is cold after its start.
     """
 
     deployment: Deployment
     folder: pathlib.Path
+    cold_seconds: float = COLD_SECONDS
 
     @property
     def key_file(self) -> pathlib.Path:
@@ -189,7 +193,7 @@
             '--feed-period=0.5',
             '--report-size=32',
             '--drain-seconds=0.5',
-            '--cold-seconds=3',
+            f'--cold-seconds={self.cold_seconds}',
         ]
 
     def agent(self, host: Host) -> list[str]:
--- a/asv_bench/measures.py
+++ b/asv_bench/measures.py
@@ -2,9 +2,10 @@
 
 Broken flows, imbalance across backend servers, and service while an
 availability zone leaves and returns.  Real processes with small stand-ins on
-loopback; each deployment once with the system and once with plain hashing,
-which has neither handoff nor admission.  ``python -m asv_bench.measures`` takes
-about four minutes; ``--plots FOLDER`` writes the plots.
+loopback; each deployment once with the system and twice with plain hashing,
+which has neither handoff nor admission: over servers that start cold, and over
+servers that never do.  ``python -m asv_bench.measures`` takes about five
+minutes; ``--plots FOLDER`` writes the plots.
 """
 
 import argparse
@@ -19,10 +20,15 @@
 from asv_bench.deployments import CUYO, TAYSIDE, Commands, Deployment
 from asv_bench.measured_run import MeasuredRun, Measures
 from asv_bench.plots import save_plots
-from asv_bench.targets import PlainTarget, SystemTarget
+from asv_bench.targets import (
+    PlainTarget,
+    SystemTarget,
+    WarmPlainTarget,
+)
 from demo.processes import running
 
 KEY_MODE = 0o600
+TARGETS = (SystemTarget, PlainTarget, WarmPlainTarget)
 
 
 async def measure(
@@ -51,7 +57,7 @@
     found: list[Measures] = []
     for deployment in (TAYSIDE, CUYO):
         if flags.only in {None, deployment.name}:
-            for kind in (SystemTarget, PlainTarget):
+            for kind in TARGETS:
                 found.append(asyncio.run(measure(deployment, kind)))
     report.add('measures', [row_of(each) for each in found])
     report.rows_by_title['service by half second'] = [
--- a/asv_bench/targets.py
+++ b/asv_bench/targets.py
@@ -5,6 +5,8 @@
 import json
 from collections.abc import AsyncIterator
 
+import attrs
+
 from asv_bench.deployments import Commands, Host
 from demo.processes import Fleet
 from redwingstream.operators.client import ControlClient
@@ -148,3 +150,21 @@
             servers.setdefault(service, []).append(endpoint)
         path = self._commands.folder / 'servers.json'
         path.write_text(json.dumps(servers))
+
+
+class WarmPlainTarget(PlainTarget):
+    """Plain hashing over servers that are never cold.
+
+    Without admission cold servers fall over, and their feeds with them; this
+    one shows what is missing without handoff alone.
+
+    Parameters
+    ----------
+    commands : Commands
+        Its processes.
+    """
+
+    name = 'plain hashing, servers never cold'
+
+    def __init__(self, commands: Commands) -> None:
+        super().__init__(attrs.evolve(commands, cold_seconds=0))
