--- a/redwingstream/forwarding/messages.py
+++ b/redwingstream/forwarding/messages.py
@@ -96,11 +96,14 @@
         ``ANSWERED``, ``NOT_RUN`` or ``UNKNOWN``.
     answer : bytes
         The packet for the caller.
+    checksum : bytes
+        Of the request: its key alone may have been used for another one.
     """
 
     key: RequestKey
     state: RequestState
     answer: bytes
+    checksum: bytes = b''
 
 
 @message(kind=52)
@@ -119,6 +122,9 @@
         Requests that it may run at once; 0 takes no new work.
     flows : int
         Feeds that it carries.
+    latency : float
+        Seconds that a request takes on it, as the agent has measured; 0 when
+        it is cold or nothing is known.
     """
 
     host: str
@@ -126,6 +132,7 @@
     in_flight: int
     limit: int
     flows: int
+    latency: float = 0
 
 
 @message(kind=53)
