--- a/asv_bench/handoff.py
+++ b/asv_bench/handoff.py
@@ -17,11 +17,16 @@
 from redwingstream.placement.keeper import BucketKeeper
 from redwingstream.placement.rendezvous import PairTable
 from redwingstream.requests.records import RequestKey, RequestState
-from redwingstream.tables.rows import EarlierView, PoolView, ViewMember
+from redwingstream.tables.rows import (
+    DEFAULT_BUCKETS,
+    EarlierView,
+    PoolView,
+    ViewMember,
+)
 from redwingstream.wire.frames import FrameCodec
 
 POOL = 'sward-live'
-BUCKETS = 64
+BUCKETS = DEFAULT_BUCKETS
 HORIZON = 300.0
 SIZES = (250, 500, 1000, 2000)
 """Feeds, and as many ledger entries, of the whole pool."""
--- a/asv_bench/memory.py
+++ b/asv_bench/memory.py
@@ -26,13 +26,14 @@
 from redwingstream.placement.rendezvous import PairTable
 from redwingstream.requests.ledger import Ledger
 from redwingstream.requests.records import RequestKey, RequestState
+from redwingstream.tables.rows import DEFAULT_BUCKETS
 from redwingstream.tables.snapshot import Tables
 from redwingstream.wire import fabric, messages
 from redwingstream.wire.frames import FrameCodec
 
 SIZES = (1000, 2000, 4000)
 FLEET_SIZES = (100, 200, 400, 800)
-BUCKETS = 64
+BUCKETS = DEFAULT_BUCKETS
 KEY = b'k' * 32
 REGISTRATION = b'\x44\x01\x12\x34abcd\x60\x54feed\xffregister'
 ANSWER = b'\x64\x44\x12\x34abcd\xffplate reading 17'
