--- a/processes/test_agents.py
+++ b/processes/test_agents.py
@@ -21,7 +21,16 @@
     folder = tmp_path_factory.mktemp('agents')
     flags = {
         'sward': ('--drain-seconds=20',),
-        'server': ('--service-time=0.05', '--slots=4', '--backlog=8'),
+        'server': (
+            '--service-time=0.05',
+            '--slots=4',
+            '--backlog=8',
+            # Cold for two seconds after each start; one request more than it
+            # bears then, and the process ends.
+            '--cold-seconds=2',
+            '--cold-slots=1',
+            '--exit-on-fall',
+        ),
     }
     async with open_cluster(folder, THREE, 2, flags) as opened:
         yield opened
@@ -115,7 +124,8 @@
         """A backend server dies with feeds and comes back with none of them.
 
         The feeds go on, from it or from other servers, and readings run at
-        most once.
+        most once.  It is cold, and falls over when it is given more than one
+        request at once; it does not.
         """
         async with listening(cluster) as feeds, submitting(cluster) as readings:
             host = _busiest(feeds)
@@ -124,6 +134,7 @@
             await cluster.start(f'{host}-server')
             await feeds.go_on()
             await readings.until_answered(20)
+        assert not cluster.fleet.ended()
 
     async def test_frozen_and_thawed(self, cluster):
         """A backend server answers nothing for a while, and then goes on.
