--- a/redwingstream/agent/parts.py
+++ b/redwingstream/agent/parts.py
@@ -1,7 +1,5 @@
 """The decision objects of one agent, put together."""
 
-import random
-
 import attrs
 
 from redwingstream.admission.choice import PeerLoads
@@ -11,6 +9,7 @@
 from redwingstream.admission.retry_budget import RetryBudget
 from redwingstream.agent.outlets import Outlets
 from redwingstream.agent.store import AgentStore
+from redwingstream.endpoints import parse_endpoint
 from redwingstream.flows.feeds import FeedCarrier
 from redwingstream.flows.paths import ReturnPaths
 from redwingstream.flows.upstream import Upstream
@@ -19,7 +18,7 @@
 from redwingstream.placement.keeper import BucketKeeper
 from redwingstream.placement.rendezvous import PairTable, bucket_of
 from redwingstream.tables.routing import Routing
-from redwingstream.tables.rows import ViewMember
+from redwingstream.tables.rows import Role, ViewMember
 from redwingstream.tables.snapshot import Tables
 
 REPLAY_HORIZON = 247.0
@@ -118,16 +117,21 @@
     tables: Tables = attrs.field(factory=Tables)
     routing: Routing = attrs.field(factory=lambda: Routing({}))
     pairs: PairTable | None = None
+    former_pairs: PairTable | None = None
     is_leaving: bool = False
     server_is_silent: bool = False
 
-    def follow(self, tables: Tables) -> None:
+    def follow(self, tables: Tables, now: float) -> None:
         """Go by newer tables from now on."""
         if tables.route_by_key != self.tables.route_by_key:
             self.routing = Routing(tables.route_by_key)
         view = tables.view_by_pool.get(self.me.pool)
-        self.pairs = None if view is None else PairTable.of_view(view)
+        former = self.tables.view_by_pool.get(self.me.pool)
+        if view is None or former is None or view.number != former.number:
+            self.former_pairs = self.pairs
+            self.pairs = None if view is None else PairTable.of_view(view)
         self.tables = tables
+        self._follow_balancers(now)
 
     def bucket_of(self, caller: str, service: str) -> int:
         """Return the bucket of a flow in this agent's pool."""
@@ -141,6 +145,15 @@
         """Return the heir of a bucket in the newest view known here."""
         return None if self.pairs is None else self.pairs.pair(bucket).heir
 
+    def former_home_of(self, bucket: int) -> str:
+        """Return the run that was home of a bucket before; empty if none."""
+        if self.former_pairs is None:
+            return ''
+        home = self.former_pairs.pair(bucket).home
+        if home is None or self.is_me(home):
+            return ''
+        return carrier_name(home.host, home.incarnation)
+
     def is_me(self, member: ViewMember | None) -> bool:
         """Whether a member of a view is this run of this agent."""
         if member is None:
@@ -156,6 +169,23 @@
         member = self.tables.member_by_host.get(carrier.rpartition('#')[0])
         return member is not None and self.tables.is_zone_out(member.zone)
 
+    def is_former_run(self) -> bool:
+        """Whether control has removed this run of the agent."""
+        member = self.tables.member_by_host.get(self.me.host)
+        return member is None or member.incarnation != self.me.incarnation
+
+    def is_carrier_silent(self, carrier: str, now: float) -> bool:
+        """Whether a carrier is gone, or has not reacted for a second.
+
+        Guards against a carrier that has died without a word: it stays in the
+        tables until its lease ends, and for ever while control is gone too.
+        It shows as frames to it that nothing follows.
+        """
+        endpoint = self.endpoint_of_carrier(carrier)
+        if endpoint is None:
+            return True
+        return self.links.is_silent(parse_endpoint(endpoint), now)
+
     def endpoint_of_carrier(self, carrier: str) -> str | None:
         """Return where a carrier is reached; None when that run is gone."""
         host, _, incarnation = carrier.rpartition('#')
@@ -164,6 +194,17 @@
             return None
         return member.endpoint
 
+    def _follow_balancers(self, now: float) -> None:
+        # When all balancers are replaced while callers send nothing, none of
+        # the new ones has been heard from: feeds would have no way back.
+        balancers = [
+            member.endpoint
+            for member in self.tables.member_by_host.values()
+            if member.role is Role.BALANCER
+        ]
+        if balancers:
+            self.paths.set_members(balancers, now)
+
 
 def carrier_name(host: str, incarnation: int) -> str:
     """Return how flow records name a run of an agent.
@@ -172,53 +213,3 @@
     pass for the one that carried the flow.
     """
     return f'{host}#{incarnation}'
-
-
-def make_parts(
-    me: AgentIdentity,
-    capacity: ServerCapacity,
-    out: Outlets,
-    metrics: Metrics,
-    rng: random.Random,
-) -> AgentParts:
-    """Return the parts of an agent that has just been admitted.
-
-    Parameters
-    ----------
-    me : AgentIdentity
-        Who it is.
-    capacity : ServerCapacity
-        What its server bears.
-    out : Outlets
-        What it can do.
-    metrics : Metrics
-        What it counts.
-    rng : random.Random
-        Where tokens, delays and choices are drawn from.
-    """
-    paths = ReturnPaths()
-    store = AgentStore(me.carrier, REPLAY_HORIZON)
-    keeper = BucketKeeper(
-        host=me.host,
-        incarnation=me.incarnation,
-        pool=me.pool,
-        store=store,
-        replay_horizon=REPLAY_HORIZON,
-        buckets=me.buckets,
-    )
-    return AgentParts(
-        me=me,
-        out=out,
-        metrics=metrics,
-        store=store,
-        keeper=keeper,
-        upstream=Upstream(rng),
-        feeds=FeedCarrier(me.carrier, me.pool, paths, rng),
-        paths=paths,
-        limit=ConcurrencyLimit(capacity.slots),
-        feed_limit=FeedLimit(capacity.connections),
-        loads=PeerLoads(rng),
-        come_back=ComeBack(rng),
-        gauge=OverloadGauge(),
-        budget=RetryBudget(),
-    )
