Recover a lost majority by a command, from revisions far above

redwingstreamd recover says first what is lost and wants the revision back as confirmation.

Cause of the fault met: the recovered replica went on with its own index. Balancers and agents that had taken up revisions which only the lost replicas held took its tables for older ones and kept lost routes; by the code its view numbers would also be fenced by agents that had seen later views, and records under lost views be missed. Ruled out: readmission of the empty instances (they came back and counted). Now revisions, view numbers and the index jump by a million, and an earlier view without members stands for the unknown ones.

Before: processes/test_disks.py::TestLostMajority:: test_operators_go_on_from_the_survivor failed (balancers lacked the routes accepted after the recovery). After: it passes.

--- a/processes/test_disks.py
+++ b/processes/test_disks.py
@@ -1,14 +1,16 @@
 """Data folders of control instances are removed or damaged."""
 
 import pathlib
+import re
 import shutil
 from collections.abc import AsyncIterator
 
 import pytest
 import pytest_asyncio
 
-from demo.layout import CONTROLS
+from demo.layout import BALANCERS, CONTROLS, SERVERS
 from processes.cluster import Cluster, edits_of, open_cluster, until
+from processes.traffic import listening
 from redwingstream.errors import CallFailedError, ResultCode
 from redwingstream.tables.messages import ChangeRequest
 
@@ -23,6 +25,14 @@
         yield opened
 
 
+@pytest_asyncio.fixture(loop_scope='module')
+async def serving(tmp_path_factory) -> AsyncIterator[Cluster]:
+    """Three control instances that a test ruins while traffic runs."""
+    folder = tmp_path_factory.mktemp('serving')
+    async with open_cluster(folder, SERVERS[:2], balancers=2) as opened:
+        yield opened
+
+
 @pytest_asyncio.fixture(loop_scope='module')
 async def doomed(tmp_path_factory) -> AsyncIterator[Cluster]:
     """Three control instances that a test ruins."""
@@ -170,3 +180,65 @@
         assert told == [('fresh', []), ('fresh', [])]
         after = (_folder(doomed, 'c1') / JOURNAL).read_bytes()
         assert after.startswith(before)
+
+    async def test_operators_go_on_from_the_survivor(self, serving):
+        """The disks of two instances are lost; the third one lagged behind.
+
+        The operators recover it: the command first says what would be lost and
+        wants that confirmed.  Balancers and agents that have taken up changes
+        which are lost now must go by the recovered tables as well.  Feeds go
+        on all the while, the lost instances come back with empty folders, and
+        from then on any of the three may be lost.
+        """
+        accepted = await _add_routes(serving, 100)
+        left = _others(await serving.leader())[0]
+        lost = _others(left)
+        async with listening(serving, 4) as feeds:
+            await serving.kill(left)
+            gone = await _add_routes(serving, 200)
+            await serving.until_in_force(*BALANCERS[:2])
+            await serving.kill(*lost)
+            for name in lost:
+                shutil.rmtree(_folder(serving, name))
+            await _recover(serving, left)
+            await serving.start(*CONTROLS)
+            for name in CONTROLS:
+                await _counts_again(serving, name)
+            accepted |= await _add_routes(serving, 300)
+            await serving.until_in_force(*BALANCERS[:2])
+            for name in BALANCERS[:2]:
+                numbers = await _routes_at(serving, name)
+                assert numbers >= accepted
+                assert not numbers & gone
+            await serving.kill(left)
+            assert await serving.routes() >= accepted
+            await feeds.go_on()
+
+
+async def _recover(cluster: Cluster, name: str) -> None:
+    """Recover an instance as an operator does, in two steps."""
+    command = cluster.command(name)
+    command[command.index('control')] = 'recover'
+    await cluster.fleet.start(f'{name}-asks', command)
+    code = await cluster.exit_code(f'{name}-asks')
+    assert code == ResultCode.BAD_SETTING, cluster.log(f'{name}-asks')
+    found = re.search(
+        r'--lose-changes-after\s+\d+', cluster.log(f'{name}-asks')
+    )
+    await cluster.fleet.start(
+        f'{name}-recovers', [*command, *found.group().split()]
+    )
+    code = await cluster.exit_code(f'{name}-recovers')
+    assert code == ResultCode.OK, cluster.log(f'{name}-recovers')
+
+
+async def _routes_at(cluster: Cluster, name: str) -> set[int]:
+    """Return the numbers of the test's routes that a process goes by."""
+    dumped = await cluster.dump(name)
+    keys = dumped['tables']['route_by_key']
+    services = [key.split('|')[0] for key in keys]
+    return {
+        int(service.split(':')[1])
+        for service in services
+        if service.startswith('10.')
+    }
--- a/redwingstream/control/recovery.py
+++ b/redwingstream/control/recovery.py
@@ -6,11 +6,17 @@
 from redwingstream.consensus.events import HardState
 from redwingstream.consensus.messages import Snapshot, Voter
 from redwingstream.control.settings import ControlSettings
-from redwingstream.errors import ResultCode, StorageError
+from redwingstream.errors import ResultCode, SettingError, StorageError
 from redwingstream.storage.disk import open_folder
 from redwingstream.storage.folder import Folder
 from redwingstream.storage.store import Loaded, Store
 from redwingstream.tables.machine.machine import Machine
+from redwingstream.tables.machine.state import MachineState
+from redwingstream.tables.machine.views import MAX_UNSETTLED
+from redwingstream.tables.rows import EarlierView, PoolView
+
+MOVED_AHEAD = 1000000
+"""By how much revisions jump; the lost replicas held fewer entries more."""
 
 
 @attrs.frozen
@@ -30,16 +36,24 @@
     config_revision: int
 
 
-def recover_alone(settings: ControlSettings) -> Recovered:
+def recover_alone(
+    settings: ControlSettings, confirmed: int | None
+) -> Recovered:
     """Make the replica of a data folder the only one that counts.
 
     Parameters
     ----------
     settings : ControlSettings
         Of the replica; it must not run.
+    confirmed : int or None
+        Revision of the configuration after which the operator accepts that
+        changes are lost.
 
     Raises
     ------
+    SettingError
+        When that is not the revision that the folder holds; nothing is
+        changed, and the text says what may be lost.
     StorageError
         ``DATA_MISSING`` when the folder holds no replica of a group.
 
@@ -53,6 +67,8 @@
     folders; they are admitted one after the other.
     """
     with open_folder(settings.data_folder) as folder:
+        _, machine = _load(folder)
+        _check_confirmed(machine.state, confirmed)
         return recover_folder(folder, str(settings.endpoint))
 
 
@@ -66,18 +82,10 @@
     name : str
         ``IP:PORT`` of the replica.
     """
-    store = Store(folder)
-    loaded = store.load(lambda: 0)
-    if loaded.snapshot is None:
-        raise StorageError(
-            'this data folder holds no replica of a group; recover the '
-            'surviving replica with the highest last_index in its dump',
-            ResultCode.DATA_MISSING,
-        )
-    machine = _apply_all(loaded)
+    loaded, machine = _load(folder)
     snapshot = _last_snapshot(loaded, machine, Voter(name, loaded.identity))
     hard_state = HardState(loaded.hard_state.term + 1, '')
-    store.save_snapshot(snapshot, hard_state, ())
+    Store(folder).save_snapshot(snapshot, hard_state, ())
     logging.warning(
         'control: recovered alone at index %d by operators.', snapshot.index
     )
@@ -85,6 +93,34 @@
     return Recovered(snapshot.index, state.revision, state.config_revision)
 
 
+def _load(folder: Folder) -> tuple[Loaded, Machine]:
+    loaded = Store(folder).load(int)
+    if loaded.snapshot is None:
+        raise StorageError(
+            'this data folder holds no replica of a group; recover the '
+            'surviving replica with the highest last_index in its dump',
+            ResultCode.DATA_MISSING,
+        )
+    return loaded, _apply_all(loaded)
+
+
+def _check_confirmed(state: MachineState, confirmed: int | None) -> None:
+    if confirmed == state.config_revision:
+        return
+    zones_out = [mark.zone for mark in state.zone_by_name.values() if mark.out]
+    raise SettingError(
+        'every other control instance is given up with what only they hold. '
+        f'This data folder ends at configuration revision '
+        f'{state.config_revision}, with {len(state.route_by_key)} routes, '
+        f'{len(state.pool_by_name)} pools and zones out of service: '
+        f'{", ".join(sorted(zones_out)) or "none"}. Later changes are lost, a '
+        'zone taken out since then is in service again, and a change that '
+        'nobody was told of may be in force. If that is accepted, repeat with '
+        f'--lose-changes-after {state.config_revision}; else change nothing '
+        'and bring back the folders of the others',
+    )
+
+
 def _apply_all(loaded: Loaded) -> Machine:
     machine = Machine()
     machine.load(loaded.snapshot.state)
@@ -97,4 +133,29 @@
     loaded: Loaded, machine: Machine, survivor: Voter
 ) -> Snapshot:
     last = loaded.entries[-1] if loaded.entries else loaded.snapshot
-    return Snapshot(last.index, last.term, (survivor,), machine.pack())
+    index = last.index + MOVED_AHEAD
+    _move_ahead(machine.state, index)
+    term = loaded.hard_state.term + 1
+    return Snapshot(index, term, (survivor,), machine.pack())
+
+
+def _move_ahead(state: MachineState, index: int) -> None:
+    # Other processes may have taken up revisions that this replica has never
+    # seen.  They would take its tables for older ones and keep what is lost,
+    # their view numbers would fence its views, and a lost incarnation could
+    # be given to another run.  So everything goes on from far above.
+    state.revision = index
+    state.config_revision = index
+    for pool, view in state.view_by_pool.items():
+        state.view_by_pool[pool] = _view_after_unknown(view, index)
+
+
+def _view_after_unknown(view: PoolView, index: int) -> PoolView:
+    # Buckets may have moved under views that are lost, with request records
+    # that nobody here can name.  It would show as a replay that runs a second
+    # time.  An earlier view without members has no pair that could answer, so
+    # homes treat their buckets as recovering for the longest replay time.
+    unknown = EarlierView(index - 1, ())
+    latest = EarlierView(view.number, view.members)
+    chain = (unknown, latest, *view.unsettled)
+    return PoolView(view.pool, index, view.members, chain[:MAX_UNSETTLED])
--- /dev/null
+++ b/redwingstream/control/tests/test_recovery.py
@@ -0,0 +1,112 @@
+"""What a recovered replica goes on from."""
+
+import pathlib
+
+import pytest
+
+from redwingstream.consensus.events import HardState
+from redwingstream.consensus.messages import Entry, Snapshot, Voter
+from redwingstream.control.recovery import MOVED_AHEAD, recover_alone
+from redwingstream.control.settings import ControlSettings
+from redwingstream.endpoints import Endpoint
+from redwingstream.errors import SettingError
+from redwingstream.storage.disk import open_folder
+from redwingstream.storage.store import Loaded, Store
+from redwingstream.tables.machine.machine import Machine
+from redwingstream.tables.machine.messages import AdmitMember
+from redwingstream.tables.messages import (
+    ChangeRequest,
+    Edits,
+    SetPool,
+    SetZone,
+)
+from redwingstream.tables.rows import Pool, Role, ZoneMark
+from redwingstream.wire import messages
+
+ENDPOINT = Endpoint('10.0.1.1', 7000)
+COMMANDS = (
+    ChangeRequest(
+        'r1',
+        0,
+        Edits(
+            set_pools=(SetPool(Pool('sward-live', ('sward-*',))),),
+            set_zones=(SetZone(ZoneMark('maipu', out=True)),),
+        ),
+    ),
+    AdmitMember(
+        'sward-1', Role.AGENT, '10.0.3.1:7000', 'carse', 'sward-live', 100, 7
+    ),
+)
+
+
+@pytest.fixture
+def settings(tmp_path: pathlib.Path) -> ControlSettings:
+    """Settings of a replica whose folder holds two entries of term 3."""
+    entries = [
+        Entry(index, 3, *messages.encode(command))
+        for index, command in enumerate(COMMANDS, start=1)
+    ]
+    group = tuple(Voter(f'10.0.1.{number}:7000', number) for number in (1, 2))
+    with open_folder(tmp_path) as folder:
+        store = Store(folder)
+        store.load(lambda: 1)
+        hard_state = HardState(3, '')
+        store.save_snapshot(Snapshot(0, 0, group, b''), hard_state, entries)
+    return ControlSettings('c1', ENDPOINT, 'carse', tmp_path, (ENDPOINT,), b'')
+
+
+def load(settings: ControlSettings) -> Loaded:
+    """Return what the folder holds now."""
+    with open_folder(settings.data_folder) as folder:
+        return Store(folder).load(int)
+
+
+class TestRecoverAlone:
+    """Operators go on from one data folder."""
+
+    @pytest.mark.parametrize('confirmed', [None, 0, 2])
+    def test_says_first_what_is_lost(self, settings, confirmed) -> None:
+        """An operator runs the command without a word on what may be lost.
+
+        It changes nothing, names the revision that the folder ends at and the
+        zones out of service, and how to confirm.
+        """
+        before = load(settings)
+        with pytest.raises(SettingError, match='maipu') as caught:
+            recover_alone(settings, confirmed)
+        assert '--lose-changes-after 1;' in str(caught.value)
+        assert load(settings) == before
+
+    def test_goes_on_from_far_above(self, settings) -> None:
+        """Balancers kept lost tables after a recovery, and for good.
+
+        They had taken up revisions that the survivor had never seen, so its
+        tables looked older to them, and agents fenced its views.
+        """
+        recovered = recover_alone(settings, 1)
+        assert (
+            recovered.revision == recovered.config_revision == recovered.index
+        )
+        assert recovered.index == 2 + MOVED_AHEAD
+        loaded = load(settings)
+        assert loaded.hard_state == HardState(4, '')
+        assert loaded.snapshot.group == (Voter(str(ENDPOINT), 1),)
+        assert not loaded.entries
+
+    def test_views_follow_one_that_nobody_knows(self, settings) -> None:
+        """A replayed reading ran again after a recovery.
+
+        Its bucket had moved under a view that was lost; the new home heard
+        from the pair of the last view that was known and thought that it had
+        every record.  An earlier view without members stands for the lost
+        ones, so that homes treat what may be a replay as one.
+        """
+        recover_alone(settings, 1)
+        machine = Machine()
+        machine.load(load(settings).snapshot.state)
+        view = machine.state.view_by_pool['sward-live']
+        assert view.number == 2 + MOVED_AHEAD
+        unknown, latest = view.unsettled[:2]
+        assert not unknown.members
+        assert latest.number == 2
+        assert latest.members == view.members
--- a/redwingstream/daemon.py
+++ b/redwingstream/daemon.py
@@ -31,6 +31,7 @@
     BalancerSettings,
     CommonSettings,
     ControlRoleSettings,
+    RecoverySettings,
 )
 
 RoleRunner = Callable[[Any, bytes, asyncio.Event], Awaitable[None]]
@@ -58,6 +59,31 @@
         await agent.drain()
 
 
+def _as_control_settings(
+    control_class: type[Any], settings: ControlRoleSettings, key: bytes
+) -> Any:
+    return control_class(
+        host=settings.host,
+        endpoint=settings.endpoint,
+        zone=settings.zone,
+        data_folder=settings.data_folder,
+        replicas=tuple(settings.replicas.values()),
+        key=key,
+    )
+
+
+async def _recover(
+    settings: RecoverySettings, key: bytes, stopping: asyncio.Event
+) -> None:
+    from redwingstream.control.recovery import (  # noqa: WPS433
+        ControlSettings,
+        recover_alone,
+    )
+
+    control_settings = _as_control_settings(ControlSettings, settings, key)
+    recover_alone(control_settings, settings.lose_changes_after)
+
+
 async def _run_control(
     settings: ControlRoleSettings, key: bytes, stopping: asyncio.Event
 ) -> None:
@@ -66,14 +92,7 @@
         run_control,
     )
 
-    control_settings = ControlSettings(
-        host=settings.host,
-        endpoint=settings.endpoint,
-        zone=settings.zone,
-        data_folder=settings.data_folder,
-        replicas=tuple(settings.replicas.values()),
-        key=key,
-    )
+    control_settings = _as_control_settings(ControlSettings, settings, key)
     running = asyncio.create_task(run_control(control_settings))
     waiting = asyncio.create_task(stopping.wait())
     await asyncio.wait((running, waiting), return_when='FIRST_COMPLETED')
@@ -165,12 +184,23 @@
     options = options_of(ControlRoleSettings)
 
 
+class RecoverCommand(_RoleCommand):
+    """Go on from one data folder when a majority of them is lost."""
+
+    name = 'recover'
+    description = 'Go on from one data folder when a majority of them is lost.'
+    settings_class = RecoverySettings
+    run_role = _recover
+    options = options_of(RecoverySettings)
+
+
 def main() -> None:
     """Run ``redwingstreamd`` and exit with a result code."""
     application = Application('redwingstreamd')
     application.add(BalancerCommand())
     application.add(AgentCommand())
     application.add(ControlCommand())
+    application.add(RecoverCommand())
     sys.exit(application.run())
 
 
--- a/redwingstream/settings/roles.py
+++ b/redwingstream/settings/roles.py
@@ -150,3 +150,15 @@
         'comma-separated NAME=IP:PORT, this instance included',
         'All control instances.',
     )
+
+
+@attrs.frozen(kw_only=True)
+class RecoverySettings(ControlRoleSettings):
+    """Settings of the recovery of a control instance."""
+
+    lose_changes_after: int | None = setting(
+        int,
+        'the revision that the command names without this setting',
+        'Confirms that later changes are lost.',
+        default=None,
+    )
