Mend the merge; let a recovered view really wait

Cause: two files were committed with conflict marks (a merge that was added unread). Beside that: the recovery command put an earlier view without members before the known ones, so that homes treat replays as such, but placement counts an empty view as heard at once, since nothing can have taken effect under it. So the guard guarded nothing. The test looked at the empty members only; it is replaced by one that asks a keeper: Recovering for the replay horizon, then in effect. It failed before (in effect at once).

--- a/redwingstream/control/recovery.py
+++ b/redwingstream/control/recovery.py
@@ -1,8 +1,5 @@
 """The operators' way out when a majority of the disks is lost."""
 
-import secrets
-from functools import partial
-
 import attrs
 from absl import logging
 
@@ -12,15 +9,18 @@
 from redwingstream.errors import ResultCode, SettingError, StorageError
 from redwingstream.storage.disk import open_folder
 from redwingstream.storage.folder import Folder
-from redwingstream.storage.store import IDENTITY_BITS, Loaded, Store
+from redwingstream.storage.store import Loaded, Store
 from redwingstream.tables.machine.machine import Machine
 from redwingstream.tables.machine.state import MachineState
 from redwingstream.tables.machine.views import MAX_UNSETTLED
-from redwingstream.tables.rows import EarlierView, PoolView
+from redwingstream.tables.rows import EarlierView, PoolView, ViewMember
 
 MOVED_AHEAD = 1000000
 """By how much revisions jump; the lost replicas held fewer entries more."""
 
+_UNREACHABLE = ViewMember('', incarnation=-1, endpoint='0.0.0.0:0', zone='')
+"""Stands for the unknown; its incarnation is below all, so nobody asks it."""
+
 
 @attrs.frozen
 class Recovered:
@@ -85,10 +85,6 @@
     name : str
         ``IP:PORT`` of the replica.
     """
-<<<<<<< HEAD
-    store = Store(folder)
-    loaded = store.load(partial(secrets.randbits, IDENTITY_BITS))
-=======
     loaded, machine = _load(folder)
     snapshot = _last_snapshot(loaded, machine, Voter(name, loaded.identity))
     hard_state = HardState(loaded.hard_state.term + 1, '')
@@ -102,7 +98,6 @@
 
 def _load(folder: Folder) -> tuple[Loaded, Machine]:
     loaded = Store(folder).load(int)
->>>>>>> lane-processes
     if loaded.snapshot is None:
         raise StorageError(
             'this data folder holds no replica of a group; recover the '
@@ -161,9 +156,11 @@
 def _view_after_unknown(view: PoolView, index: int) -> PoolView:
     # Buckets may have moved under views that are lost, with request records
     # that nobody here can name.  It would show as a replay that runs a second
-    # time.  An earlier view without members has no pair that could answer, so
-    # homes treat their buckets as recovering for the longest replay time.
-    unknown = EarlierView(index - 1, ())
+    # time.  An earlier view of one member that cannot be reached has no pair
+    # that answers, so homes treat their buckets as recovering for the longest
+    # replay time.  A view without members would count as heard at once, since
+    # nothing can have taken effect under it.
+    unknown = EarlierView(index - 1, (_UNREACHABLE,))
     latest = EarlierView(view.number, view.members)
     chain = (unknown, latest, *view.unsettled)
     return PoolView(view.pool, index, view.members, chain[:MAX_UNSETTLED])
--- a/redwingstream/control/tests/test_recovery.py
+++ b/redwingstream/control/tests/test_recovery.py
@@ -10,6 +10,9 @@
 from redwingstream.control.settings import ControlSettings
 from redwingstream.endpoints import Endpoint
 from redwingstream.errors import SettingError
+from redwingstream.placement.effects import InEffect, Recovering
+from redwingstream.placement.keeper import BucketKeeper
+from redwingstream.placement.tests.fakes import MemoryStore
 from redwingstream.storage.disk import open_folder
 from redwingstream.storage.store import Loaded, Store
 from redwingstream.tables.machine.machine import Machine
@@ -98,15 +101,22 @@
 
         Its bucket had moved under a view that was lost; the new home heard
         from the pair of the last view that was known and thought that it had
-        every record.  An earlier view without members stands for the lost
-        ones, so that homes treat what may be a replay as one.
+        every record.  An earlier view that nobody can be asked about stands
+        for the lost ones, so that homes treat what may be a replay as one.
         """
         recover_alone(settings, 1)
         machine = Machine()
         machine.load(load(settings).snapshot.state)
         view = machine.state.view_by_pool['sward-live']
         assert view.number == 2 + MOVED_AHEAD
-        unknown, latest = view.unsettled[:2]
-        assert not unknown.members
+        keeper = BucketKeeper('sward-1', 2, view.pool, MemoryStore(), 247)
+        keeper.adopt(view, 0)
+        for second in range(247):
+            keeper.tick(second)
+        assert isinstance(keeper.status(0), Recovering)
+        for second in range(247, 250):
+            keeper.tick(second)
+        assert isinstance(keeper.status(0), InEffect)
+        latest = view.unsettled[1]
         assert latest.number == 2
         assert latest.members == view.members
