Group members by pool once for each entry; let a cut chain really wait

Cause 1: an entry that may change a view looked at all members for each pool. Cause 2: the earlier view that stands for a cut chain had no members, which placement counts as heard at once; its test looked at the members only and is replaced by one that asks a keeper. Ruled out: making empty views count as unheard, since the first view of each new pool would then wait 247 s.

--- a/redwingstream/control/recovery.py
+++ b/redwingstream/control/recovery.py
@@ -12,15 +12,12 @@
 from redwingstream.storage.store import Loaded, Store
 from redwingstream.tables.machine.machine import Machine
 from redwingstream.tables.machine.state import MachineState
-from redwingstream.tables.machine.views import MAX_UNSETTLED
-from redwingstream.tables.rows import EarlierView, PoolView, ViewMember
+from redwingstream.tables.machine.views import MAX_UNSETTLED, unknown_view
+from redwingstream.tables.rows import EarlierView, PoolView
 
 MOVED_AHEAD = 1000000
 """By how much revisions jump; the lost replicas held fewer entries more."""
 
-_UNREACHABLE = ViewMember('', incarnation=-1, endpoint='0.0.0.0:0', zone='')
-"""Stands for the unknown; its incarnation is below all, so nobody asks it."""
-
 
 @attrs.frozen
 class Recovered:
@@ -158,9 +155,8 @@
     # that nobody here can name.  It would show as a replay that runs a second
     # time.  An earlier view of one member that cannot be reached has no pair
     # that answers, so homes treat their buckets as recovering for the longest
-    # replay time.  A view without members would count as heard at once, since
-    # nothing can have taken effect under it.
-    unknown = EarlierView(index - 1, (_UNREACHABLE,))
+    # replay time.
+    unknown = unknown_view(index - 1)
     latest = EarlierView(view.number, view.members)
     chain = (unknown, latest, *view.unsettled)
     return PoolView(view.pool, index, view.members, chain[:MAX_UNSETTLED])
--- a/redwingstream/tables/machine/views.py
+++ b/redwingstream/tables/machine/views.py
@@ -8,7 +8,6 @@
 from redwingstream.tables.rows import (
     EarlierView,
     Member,
-    Pool,
     PoolView,
     Role,
     ViewMember,
@@ -26,8 +25,9 @@
     of the same name could later be served without asking those who hold its
     request records.
     """
+    serving_by_pool = _serving_by_pool(state)
     for name in sorted(state.pool_by_name.keys() | state.view_by_pool.keys()):
-        members = _members_of(state, state.pool_by_name.get(name))
+        members = tuple(sorted(serving_by_pool.get(name, ()), key=_host_of))
         current = state.view_by_pool.get(name)
         if current is None or current.members != members:
             fresh = PoolView(name, index, members, _unsettled(current))
@@ -59,17 +59,30 @@
     return 'it drains' if member.draining else ''
 
 
-def _members_of(
-    state: MachineState, pool: Pool | None
-) -> tuple[ViewMember, ...]:
-    if pool is None:
-        return ()
-    serving = [
-        _view_member(member)
-        for member in state.member_by_host.values()
-        if member.pool == pool.name and _serves(state, member)
-    ]
-    return tuple(sorted(serving, key=_host_of))
+def unknown_view(number: int) -> EarlierView:
+    """Return an earlier view of which nobody can be asked.
+
+    It stands for views that are not known any more.  Its one member cannot be
+    reached, so that a new home treats its buckets as recovering for the
+    longest replay time.  A view without members would not do: nothing can have
+    taken effect under it, so it counts as heard at once.
+
+    Parameters
+    ----------
+    number : int
+        Number of the view.
+    """
+    nobody = ViewMember('', incarnation=-1, endpoint='0.0.0.0:0', zone='')
+    return EarlierView(number, (nobody,))
+
+
+def _serving_by_pool(state: MachineState) -> dict[str, list[ViewMember]]:
+    serving_by_pool: dict[str, list[ViewMember]] = {}
+    for member in state.member_by_host.values():
+        if _serves(state, member):
+            serving = serving_by_pool.setdefault(member.pool, [])
+            serving.append(_view_member(member))
+    return serving_by_pool
 
 
 def _serves(state: MachineState, member: Member) -> bool:
@@ -103,7 +116,6 @@
         return chain
     # A chain without limit would grow with each flapping member.  What is cut
     # off cannot be asked any more, and must not be taken for settled either:
-    # an earlier view without members stays in its place.  It has no pair that
-    # could answer, so a new home treats its buckets as recovering.
-    marker = EarlierView(chain[MAX_UNSETTLED - 1].number, ())
+    # a replay of a request recorded there would run a second time.
+    marker = unknown_view(chain[MAX_UNSETTLED - 1].number)
     return (*chain[: MAX_UNSETTLED - 1], marker)
--- a/redwingstream/tables/tests/test_machine.py
+++ b/redwingstream/tables/tests/test_machine.py
@@ -4,6 +4,9 @@
 
 from redwingstream.consensus.messages import Entry
 from redwingstream.errors import ResultCode
+from redwingstream.placement.effects import Recovering
+from redwingstream.placement.keeper import BucketKeeper
+from redwingstream.placement.tests.fakes import MemoryStore
 from redwingstream.tables.machine.machine import Machine
 from redwingstream.tables.machine.messages import (
     AdmitMember,
@@ -309,7 +312,10 @@
             bench.admit('sward-1', boot=boot)
         view = bench.view()
         assert len(view.unsettled) == MAX_UNSETTLED
-        assert view.unsettled[-1].members == ()
+        latest = view.members[0].incarnation
+        keeper = BucketKeeper('sward-1', latest, view.pool, MemoryStore(), 247)
+        keeper.adopt(view, 0)
+        assert isinstance(keeper.status(0), Recovering)
         assert all(earlier.members for earlier in view.unsettled[:-1])
 
 
