--- a/properties/test_consensus.py
+++ b/properties/test_consensus.py
@@ -128,6 +128,6 @@
 
 
 ReplicaFaults.TestCase.settings = settings(
-    max_examples=60, stateful_step_count=40
+    max_examples=90, stateful_step_count=40
 )
 TestReplicaFaults = ReplicaFaults.TestCase
