--- a/redwingstream/agent/once.py
+++ b/redwingstream/agent/once.py
@@ -171,14 +171,9 @@
         given_up.extend(self._elsewhere.take_hopeless(now))
         for run in given_up:
             self._endings.end_unknown(run, now)
-        # A copy: a slot given back lets in a request, which then waits too.
-        for waiting in list(self._waiting_by_ticket.values()):
-            is_slow = now - waiting.since > SLOT_PATIENCE
-            if waiting.slot is not None and is_slow:
-                # A dead heir would otherwise keep the server idle.
-                slot = waiting.slot
-                waiting.slot = None
-                self._carrier.release(slot, now)
+        # A slot given back lets in a request that waits, which may end others.
+        for ticket in list(self._waiting_by_ticket):
+            self._give_slot_back(ticket, now)
 
     def give_up(self, now: float) -> None:
         """End all that has no outcome: the process stops."""
@@ -232,6 +227,16 @@
         self._waiting_by_ticket[ticket] = waiting
         self._perform(effects, now)
 
+    def _give_slot_back(self, ticket: int, now: float) -> None:
+        """Let others have a slot while a heir is silent, perhaps dead."""
+        waiting = self._waiting_by_ticket.get(ticket)
+        if waiting is None or waiting.slot is None:
+            return
+        if now - waiting.since > SLOT_PATIENCE:
+            slot = waiting.slot
+            waiting.slot = None
+            self._carrier.release(slot, now)
+
     def _launch(self, waiting: _Waiting, now: float) -> None:
         run = waiting.run
         slot = waiting.slot
