--- a/redwingstream/wire/calls.py
+++ b/redwingstream/wire/calls.py
@@ -18,6 +18,7 @@
 from redwingstream.endpoints import Endpoint
 from redwingstream.errors import (
     CallFailedError,
+    EndpointError,
     RedwingstreamError,
     ResultCode,
     WireError,
@@ -191,13 +192,18 @@
         a :class:`~redwingstream.errors.RedwingstreamError`; the caller gets
         its code and text.
 
+    Raises
+    ------
+    EndpointError
+        When the endpoint cannot be bound.
+
     Notes
     -----
     At most ``SERVING_CONTEXTS`` calls are in hand at once, so a flood of calls
     waits in the peers and not in this process's memory.
     """
     with pynng.Rep0(recv_max_size=MAX_CALL_SIZE) as sock:
-        sock.listen(f'tcp://{endpoint}')
+        _listen(sock, endpoint)
         tasks = [
             asyncio.create_task(_serve_context(sock, codec, handler))
             for _ in range(SERVING_CONTEXTS)
@@ -206,6 +212,16 @@
             yield
 
 
+def _listen(sock: pynng.Rep0, endpoint: Endpoint) -> None:
+    try:
+        sock.listen(f'tcp://{endpoint}')
+    except pynng.NNGException as error:
+        raise EndpointError(
+            f'TCP endpoint {endpoint} cannot be bound: {error}; end what uses '
+            'it or choose another endpoint',
+        ) from error
+
+
 @contextlib.asynccontextmanager
 async def _ended(*tasks: asyncio.Task[Any]) -> AsyncIterator[None]:
     """End tasks when the block ends, also when it is cancelled itself."""
