--- a/redwingstream/agent/tests/pool.py
+++ b/redwingstream/agent/tests/pool.py
@@ -19,7 +19,12 @@
 from redwingstream.errors import ResultCode
 from redwingstream.forwarding.messages import Answer
 from redwingstream.membership.messages import Probe, ProbeAck
-from redwingstream.balancer.forwarder import Forward, Forwarder, Refuse
+from redwingstream.balancer.forwarder import (
+    Forward,
+    Forwarder,
+    Refuse,
+    final_answer,
+)
 from redwingstream.node.metrics import Metrics
 from redwingstream.placement.rendezvous import bucket_of, pair_of
 from redwingstream.tables.rows import (
@@ -209,7 +214,7 @@
     def _refuse(self, packet: CallerPacket, reason: ResultCode) -> None:
         request = coap.decode(packet.payload)
         if coap.is_request(request):
-            payload = coap.encode(coap.refusal(request, reason, 1))
+            payload = coap.encode(final_answer(request, reason))
             answer = attrs.evolve(packet, payload=payload)
             self._exchange.send(self.endpoint, packet.caller, answer)
 
--- a/redwingstream/agent/tests/test_requests.py
+++ b/redwingstream/agent/tests/test_requests.py
@@ -72,6 +72,25 @@
         assert asked.outcome == outcome
         assert pool.runs(b'bay 7') <= 1
 
+    def test_at_a_balancer_without_tables(self) -> None:
+        """The caller is told *not run* of a booking that is running.
+
+        The first packet reached its home.  The replay goes to a balancer that
+        has just started and has no tables: it knew no route and said so.
+        """
+        pool = settled_pool()
+        caller = pool.caller()
+        home, _ = pool.pair(caller)
+        pool.server_by_host[home].run_time = 3.0
+        asked = caller.post(b'bay 7')
+        pool.run(1)
+        lose(pool, Tables)
+        for balancer in pool.balancers:
+            pool.start_balancer(balancer)
+        pool.run(2)
+        assert asked.outcome == 'unknown'
+        assert pool.runs(b'bay 7') == 1
+
     def test_no_place_while_recovering(self) -> None:
         """The caller is told *not run* of a booking that has run.
 
--- a/redwingstream/balancer/forwarder.py
+++ b/redwingstream/balancer/forwarder.py
@@ -5,6 +5,7 @@
 """
 
 import attrs
+from aiocoap.message import Message
 
 from redwingstream.endpoints import Endpoint, parse_endpoint
 from redwingstream.errors import ResultCode
@@ -13,6 +14,7 @@
 from redwingstream.placement.rendezvous import PairTable, bucket_of
 from redwingstream.tables.routing import Routing
 from redwingstream.tables.snapshot import Tables
+from redwingstream.wire import coap
 from redwingstream.wire.fabric import Way
 
 
@@ -33,6 +35,9 @@
 
 Decision = Forward | Refuse
 
+COME_BACK = 2
+"""Seconds after which a refused caller is asked to come back."""
+
 
 class Forwarder:
     """Decides on callers' packets by the tables that it was given last.
@@ -117,3 +122,19 @@
         if pair.heir is not None and self.links.is_silent(home, now):
             return parse_endpoint(pair.heir.endpoint)
         return home
+
+
+def final_answer(request: Message, reason: ResultCode) -> Message:
+    """Return what a caller is told whose request no agent is found for.
+
+    Notes
+    -----
+    Guards against a false *not run*: the request may be the replay of one that
+    another balancer has passed on, or that this one did before its tables
+    changed, and it may have run.  It shows when a balancer has just started
+    and has no tables yet.  Of an idempotent one the answer concerns the copy
+    in hand, and to run it once more does no harm.
+    """
+    if coap.is_idempotent(request):
+        return coap.refusal(request, reason, COME_BACK)
+    return coap.unknown_outcome(request, reason)
--- a/redwingstream/balancer/role.py
+++ b/redwingstream/balancer/role.py
@@ -6,7 +6,12 @@
 
 from absl import logging
 
-from redwingstream.balancer.forwarder import Forward, Forwarder, Refuse
+from redwingstream.balancer.forwarder import (
+    Forward,
+    Forwarder,
+    Refuse,
+    final_answer,
+)
 from redwingstream.endpoints import Endpoint
 from redwingstream.errors import ResultCode, WireError
 from redwingstream.forwarding.messages import Answer
@@ -23,7 +28,6 @@
 """A fabric that hands in nothing for so long has stopped to."""
 
 _PROBE_TICK = 0.1
-_COME_BACK = 2
 
 
 class BalancerRole:
@@ -116,7 +120,7 @@
             self.metrics.count('caller_malformed')
             return
         if coap.is_request(request):
-            refusal = coap.refusal(request, reason, _COME_BACK)
+            refusal = final_answer(request, reason)
             self._to_fabric(fabric.wrap(way, coap.encode(refusal)))
 
     def _on_answer(self, answer: Answer, source: Endpoint) -> None:
