Take an earlier view without members for unknown, not for empty

Control puts such a view in the place of those that it has cut off its chain of unsettled views (after 16), and a recovery in the place of those that are lost. Placement counted it as heard, since 'nothing can have taken effect' there, so a bucket came into effect without the records of the views that are gone, and a replay of one of them would have run again. Views that really had no members never come into the chain (tables/machine/views.py).

Before: test_a_view_without_members_stands_for_unknown_ones failed, and a reading after a recovery was answered; after: told unknown until the replay horizon has passed.

--- a/processes/test_disks.py
+++ b/processes/test_disks.py
@@ -10,9 +10,10 @@
 
 from demo.layout import BALANCERS, CONTROLS, SERVERS
 from processes.cluster import Cluster, edits_of, open_cluster, until
-from processes.traffic import listening
+from processes.traffic import Submissions, listening
 from redwingstream.errors import CallFailedError, ResultCode
 from redwingstream.tables.messages import ChangeRequest
+from standins.outcomes import Unknown
 
 JOURNAL = 'journal'
 TORN_BYTES = 5
@@ -205,7 +206,8 @@
             for name in CONTROLS:
                 await _counts_again(serving, name)
             accepted |= await _add_routes(serving, 300)
-            await serving.until_in_force(*BALANCERS[:2])
+            await serving.until_in_force(*BALANCERS[:2], 'sward-1', 'sward-2')
+            await _is_told_unknown(serving)
             for name in BALANCERS[:2]:
                 numbers = await _routes_at(serving, name)
                 assert numbers >= accepted
@@ -215,6 +217,15 @@
             await feeds.go_on()
 
 
+async def _is_told_unknown(cluster: Cluster) -> None:
+    """Submit a reading: it may be a replay of one that the lost views ran."""
+    readings = Submissions(cluster)
+    await readings.submit(cluster.callers.one_more(), 1)
+    outcomes = list(readings.outcome_by_digest.values())
+    assert isinstance(outcomes[0], Unknown)
+    assert not readings.runs()
+
+
 async def _recover(cluster: Cluster, name: str) -> None:
     """Recover an instance as an operator does, in two steps."""
     command = cluster.command(name)
--- a/redwingstream/placement/fence.py
+++ b/redwingstream/placement/fence.py
@@ -96,7 +96,7 @@
         self.heard.intersection_update(pairs.earlier_numbers())
         # Nothing took effect under those views without this run of the agent,
         # and its fence is above them now.
-        self.heard.update(mine, pairs.empty_numbers())
+        self.heard.update(mine)
 
     def settle(self, pairs: ViewPairs) -> None:
         """Let go of what the adopted view, now settled, no longer needs."""
--- a/redwingstream/placement/tests/test_takeover.py
+++ b/redwingstream/placement/tests/test_takeover.py
@@ -1,5 +1,7 @@
 """A bucket changes hands: fences, earlier pairs, loss of both."""
 
+import attrs
+
 from redwingstream.errors import ResultCode
 from redwingstream.placement.effects import (
     BucketInEffect,
@@ -27,6 +29,7 @@
     placed,
     started,
 )
+from redwingstream.tables.rows import EarlierView
 
 HOST_A, HOST_B, HOST_C, HOST_D = (
     member(*each) for each in zip('abcd', (1, 2, 3, 4), strict=True)
@@ -156,6 +159,23 @@
         assert isinstance(net.status('c'), Recovering)
         assert given_by(net, 'b') == 0
 
+    def test_a_view_without_members_stands_for_unknown_ones(self) -> None:
+        """A replayed reading would run a second time.
+
+        Agents flap until control has cut off the oldest unsettled views, or
+        operators have recovered a lost majority.  What took effect under the
+        views that are gone nobody can name; an earlier view without members
+        stands in their place.  The new home hears from all others.
+        """
+        net = network()
+        view = placed(3, HOST_A, HOST_C, after=FIRST)
+        unknown = EarlierView(2, ())
+        net.adopt(attrs.evolve(view, unsettled=(unknown, *view.unsettled)))
+        net.run(3)
+        assert isinstance(net.status('a'), Recovering)
+        net.run(HORIZON)
+        assert net.status('a') == InEffect()
+
     def test_record_of_a_later_view_survives_a_late_table(self) -> None:
         """A feed would be forgotten although its heir lives on.
 
--- a/redwingstream/placement/views.py
+++ b/redwingstream/placement/views.py
@@ -54,9 +54,6 @@
             or PairTable(earlier.members, view.pool)
             for earlier in view.unsettled
         }
-        self._empty_numbers = frozenset(
-            earlier.number for earlier in view.unsettled if not earlier.members
-        )
         self._run_by_host = {
             member.host: member.incarnation for member in view.members
         }
@@ -88,13 +85,6 @@
         """Return the numbers of the unsettled views."""
         return frozenset(self._earlier_by_number)
 
-    def empty_numbers(self) -> frozenset[int]:
-        """Return the unsettled views in which nothing can have taken effect.
-
-        They had no members.
-        """
-        return self._empty_numbers
-
     def living(self, pair: Pair) -> tuple[ViewMember, ...]:
         """Return those of a pair whose run is not known to have ended.
 
