--- a/redwingstream/flows/feed_state.py
+++ b/redwingstream/flows/feed_state.py
@@ -18,6 +18,9 @@
     ack_timeout : float
         How long the first copy of a notification waits for its ACK; each
         repeat waits twice as long.
+    max_ack_timeout : float
+        Longest wait of a repeat.  Without it one unlucky notification keeps a
+        live feed silent for as long as all its repeats took together.
     max_repeats : int
         Repeats without an ACK after which the caller counts as gone.
     come_back : int
@@ -28,8 +31,9 @@
     """
 
     capacity: int = 8192
-    ack_timeout: float = 1.0
-    max_repeats: int = 4
+    ack_timeout: float = 0.4
+    max_ack_timeout: float = 2.0
+    max_repeats: int = 12
     come_back: int = 5
     first_backoff: float = 0.25
     max_backoff: float = 30.0
--- a/redwingstream/flows/notifications.py
+++ b/redwingstream/flows/notifications.py
@@ -177,7 +177,9 @@
     def _transmit(self, feed: Feed, now: float) -> list[FeedEffect]:
         delivery = feed.delivery
         balancer = self._paths.pick(delivery.tried)
-        wait = self._limits.ack_timeout * 2 ** len(delivery.tried)
+        limits = self._limits
+        doubled = limits.ack_timeout * 2 ** len(delivery.tried)
+        wait = min(doubled, limits.max_ack_timeout)
         self.timers.start(feed.key, now + wait)
         if balancer is None:
             # No way to any caller says nothing about this one: not counted.
