Take test ports that the system does not give out by itself

A test of three instances failed once with an address in use: its port had been probed for TCP only, and another socket of the busy machine had been given the UDP port of that number. Now both are probed, below the range that the system gives out.

--- a/redwingstream/control/tests/test_role.py
+++ b/redwingstream/control/tests/test_role.py
@@ -4,6 +4,7 @@
 import contextlib
 import itertools
 import json
+import os
 import socket
 from collections.abc import AsyncIterator
 from pathlib import Path
@@ -53,11 +54,38 @@
 )
 
 
+FIRST_PORT = 20000
+PORTS_OF_A_RUN = 100
+RUNS = 120
+_next_ports = itertools.count(FIRST_PORT + os.getpid() % RUNS * PORTS_OF_A_RUN)
+
+
 def free_endpoint() -> Endpoint:
-    """Return an endpoint that nobody uses just now."""
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return Endpoint(*sock.getsockname())
+    """Return an endpoint whose UDP and TCP ports nobody uses.
+
+    Notes
+    -----
+    Below the ports that the system gives out by itself: one of these could
+    be taken by any other socket before the instance binds it.
+    """
+    endpoint = Endpoint('127.0.0.1', next(_next_ports))
+    while not is_free(endpoint):
+        endpoint = Endpoint('127.0.0.1', next(_next_ports))
+    return endpoint
+
+
+def is_free(endpoint: Endpoint) -> bool:
+    """Whether both ports of an endpoint can be bound now."""
+    with (
+        socket.socket(socket.AF_INET, socket.SOCK_STREAM) as stream,
+        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams,
+    ):
+        try:
+            stream.bind(endpoint.as_pair())
+            datagrams.bind(endpoint.as_pair())
+        except OSError:
+            return False
+    return True
 
 
 class Group:
