--- a/redwingstream/agent/tests/pool.py
+++ b/redwingstream/agent/tests/pool.py
@@ -248,7 +248,7 @@
     def tick(self, now: float) -> None:
         """Remove silent members, settle views, send tables."""
         for member in list(self.tables.member_by_host.values()):
-            heard_at = self._heard_at.get(member.host, now)
+            heard_at = self._heard_at.setdefault(member.host, now)
             if member.role is Role.AGENT and now - heard_at > LEASE:
                 self.remove(member.host)
         self._settle()
@@ -258,6 +258,11 @@
                 if process.tables.revision < revision:
                     self._exchange.send(CONTROL, endpoint, self.tables)
 
+    def come_back(self) -> None:
+        """Be there again, as a new leader that waits for a lease's time."""
+        self._heard_at.clear()
+        self._exchange.process_by_address[CONTROL] = self
+
     def remove(self, host: str) -> None:
         """Remove a member."""
         members = dict(self.tables.member_by_host)
@@ -267,6 +272,8 @@
     def mark_draining(self, host: str, *, is_draining: bool = True) -> None:
         """Take a member out of the view, or in; it stays a member."""
         members = dict(self.tables.member_by_host)
+        if host not in members:
+            return
         members[host] = attrs.evolve(members[host], draining=is_draining)
         self._commit(members)
 
--- a/redwingstream/agent/tests/soak.py
+++ b/redwingstream/agent/tests/soak.py
@@ -8,7 +8,7 @@
 from redwingstream.agent.tests.exchange import Frame
 from redwingstream.agent.tests.fake_caller import Asked, FakeCaller, Watched
 from redwingstream.agent.tests.fake_server import ServerPacket
-from redwingstream.agent.tests.pool import FakePool
+from redwingstream.agent.tests.pool import CONTROL, FakePool
 from redwingstream.agent.tests.support import warm_up
 
 HOSTS = 5
@@ -105,17 +105,17 @@
     def _do_fault(self) -> None:
         rng = self._rng
         seconds = rng.uniform(SHORTEST_FAULT, LONGEST_FAULT)
-        fault = rng.choice(
-            (
-                self._restart_server,
-                self._restart_balancer,
-                self._kill,
-                self._freeze,
-                self._cut,
-                self._drain,
-            )
-        )
-        fault(seconds)
+        faults = [
+            self._restart_server,
+            self._restart_balancer,
+            self._kill,
+            self._freeze,
+            self._cut,
+            self._drain,
+        ]
+        if self.faults_at_once > 1:
+            faults.extend((self._take_zone_out, self._lose_control))
+        rng.choice(faults)(seconds)
 
     def _restart_server(self, seconds: float) -> None:
         host = self._rng.choice(self.pool.hosts)
@@ -169,6 +169,18 @@
             seconds, lambda: exchange.cuts.difference_update(pairs)
         )
 
+    def _take_zone_out(self, seconds: float) -> None:
+        control = self.pool.control
+        zone = self._rng.choice(sorted(set(self.pool.zone_by_host.values())))
+        control.mark_zone(zone, is_out=True)
+        self.pool.exchange.call_later(
+            seconds, lambda: control.mark_zone(zone, is_out=False)
+        )
+
+    def _lose_control(self, seconds: float) -> None:
+        self.pool.kill(CONTROL)
+        self.pool.exchange.call_later(seconds, self.pool.control.come_back)
+
     def _drain(self, seconds: float) -> None:
         host = self._choose_host(seconds)
         control = self.pool.control
@@ -176,14 +188,9 @@
             return
         control.mark_draining(host)
         self.pool.exchange.call_later(
-            seconds, lambda: self._take_mark_back(host)
+            seconds, lambda: control.mark_draining(host, is_draining=False)
         )
 
-    def _take_mark_back(self, host: str) -> None:
-        control = self.pool.control
-        if host in control.tables.member_by_host:
-            control.mark_draining(host, is_draining=False)
-
     def _choose_host(self, seconds: float) -> str | None:
         if len(self._faulty) >= self.faults_at_once:
             return None
