Do not refuse the registration of a feed that is established

With its carrier and control dead and no room elsewhere the home took a repeated registration for a new feed, and 5.03 ended it at the caller. What a home says 'unknown' of travels with its bucket again.

--- a/redwingstream/agent/endings.py
+++ b/redwingstream/agent/endings.py
@@ -55,6 +55,7 @@
 
     def end_unknown(self, run: Run, now: float) -> None:
         """Tell that a request may have run, and remember it so."""
+        self._parts.store.release(run.identity)
         answer = self._replies.unknown(run.request)
         self.ended(RunEnd(run, RequestState.UNKNOWN, answer), now)
 
--- a/redwingstream/agent/home.py
+++ b/redwingstream/agent/home.py
@@ -98,7 +98,15 @@
         key = FlowKey(packet.caller, packet.service, request.token)
         if key in self._waiting_keys or self.known_feed(packet, request, now):
             return
-        carrier = self._choose_for_feed(now)
+        if self.is_established(packet, request, now):
+            # Its carrier is gone: the check of the feeds places it anew, also
+            # beyond the limits.  Refused as a new feed it would end here.
+            self._parts.metrics.count('registration_awaits_carrier')
+            return
+        has_room = self._feeds.has_room(now)
+        carrier = self._parts.me.carrier
+        if not has_room:
+            carrier = self._assignments.choose(now)
         if not carrier:
             self._replies.refuse(packet, request, ResultCode.OVERLOADED, now)
             return
@@ -117,6 +125,13 @@
             return False
         return self._go_on(record, packet, request, now)
 
+    def is_established(
+        self, packet: Packet, request: Message, now: float
+    ) -> bool:
+        """Whether a registration repeats that of a feed known here."""
+        record = self._record_of(packet, request.token, now)
+        return record is not None and bool(record.registration)
+
     def recorded(self, ticket: int, now: float) -> bool:
         """Start a feed that home and heir hold; False if it is none."""
         waiting = self._take_waiting(ticket)
@@ -181,11 +196,6 @@
         self._parts.out.to_peer(endpoint, assigned)
         return True
 
-    def _choose_for_feed(self, now: float) -> str:
-        if self._feeds.has_room(now):
-            return self._parts.me.carrier
-        return self._assignments.choose(now)
-
     def _start_now(self, run: Run, now: float) -> bool:
         goes_on = is_later_block(run.request)
         slot = self._carrier.reserve(now, goes_on=goes_on)
--- a/redwingstream/agent/intake.py
+++ b/redwingstream/agent/intake.py
@@ -215,14 +215,17 @@
         Notes
         -----
         A non-idempotent one may be the replay of one that has run, at a home
-        that this agent knows nothing of.
+        that this agent knows nothing of.  The registration of a feed that is
+        established gets no answer: 5.03 would end it.
         """
-        if coap.is_idempotent(request):
+        packet = held.packet
+        if not coap.is_idempotent(request):
+            self._replies.send(packet, self._replies.unknown(request))
+        elif _is_plain(request) or not self._to.home.is_established(
+            packet, request, now
+        ):
             reason = ResultCode.RECOVERING
-            self._replies.refuse(held.packet, request, reason, now)
-        else:
-            answer = self._replies.unknown(request)
-            self._replies.send(held.packet, answer)
+            self._replies.refuse(packet, request, reason, now)
 
 
 def _is_plain(request: Message) -> bool:
--- a/redwingstream/agent/tests/test_feeds.py
+++ b/redwingstream/agent/tests/test_feeds.py
@@ -32,6 +32,20 @@
     return caller, watched
 
 
+def registration_of(
+    pool: FakePool, caller: FakeCaller, watched: Watched
+) -> Packet:
+    """Return the registration of a feed as a balancer sends it."""
+    return Packet(
+        pool='lot-desk',
+        revision=1,
+        caller=caller.address,
+        service=pool.service,
+        balancer=pool.balancers[0],
+        payload=watched.request.packet,
+    )
+
+
 def cut_off(pool: FakePool, endpoint: str) -> set[tuple[str, str]]:
     """Cut an agent off from all but its server."""
     others = [
@@ -137,20 +151,37 @@
         caller.get(b'map')
         pool.run(2)
         for _ in range(3):
-            packet = Packet(
-                pool='lot-desk',
-                revision=1,
-                caller=caller.address,
-                service=pool.service,
-                balancer=pool.balancers[0],
-                payload=watched.request.packet,
-            )
             pool.exchange.send(
-                pool.balancers[0], pool.endpoint_by_host[heir], packet
+                pool.balancers[0],
+                pool.endpoint_by_host[heir],
+                registration_of(pool, caller, watched),
             )
             pool.run(2)
         assert not watched.ended
 
+    def test_registration_while_nobody_has_room(self) -> None:
+        """A board ends because its caller registered again at a bad moment.
+
+        The carrier has just died, control too, and the other server is full.  The home
+        took the registration for a new feed and refused it with 5.03.
+        """
+        pool = settled_pool(hosts=2)
+        caller, watched = feed_elsewhere(pool)
+        home, _ = pool.pair(caller)
+        pool.kill(CONTROL)
+        for host in carriers(pool):
+            pool.kill(pool.endpoint_by_host[host])
+        for _ in range(40):
+            pool.exchange.send(
+                pool.balancers[0],
+                pool.endpoint_by_host[home],
+                registration_of(pool, caller, watched),
+            )
+            pool.run(0.1)
+        pool.run(10)
+        assert not watched.ended
+        assert carriers(pool)
+
 
 class TestReturnPaths:
     """The way back to a caller that sends nothing."""
