--- a/redwingstream/agent/tests/soak.py
+++ b/redwingstream/agent/tests/soak.py
@@ -8,7 +8,7 @@
 from redwingstream.agent.tests.exchange import Frame
 from redwingstream.agent.tests.fake_caller import Asked, FakeCaller, Watched
 from redwingstream.agent.tests.fake_server import ServerPacket
-from redwingstream.agent.tests.pool import FakePool
+from redwingstream.agent.tests.pool import CONTROL, FakePool
 from redwingstream.agent.tests.support import warm_up
 
 HOSTS = 5
@@ -43,6 +43,7 @@
     watched: list[Watched] = attrs.Factory(list)
     callers: list[FakeCaller] = attrs.Factory(list)
     _faulty: set[str] = attrs.Factory(set)
+    _balancer_at: float = 0
     _rng: random.Random = attrs.field(init=False)
 
     def run(self) -> None:
@@ -104,26 +105,29 @@
     def _do_fault(self) -> None:
         rng = self._rng
         seconds = rng.uniform(SHORTEST_FAULT, LONGEST_FAULT)
-        fault = rng.choice(
-            (
-                self._restart_server,
-                self._restart_balancer,
-                self._kill,
-                self._freeze,
-                self._cut,
-                self._drain,
-            )
-        )
-        fault(seconds)
+        faults = [
+            self._restart_server,
+            self._restart_balancer,
+            self._kill,
+            self._freeze,
+            self._cut,
+            self._drain,
+        ]
+        if self.faults_at_once > 1:
+            faults.extend((self._take_zone_out, self._lose_control))
+        rng.choice(faults)(seconds)
 
     def _restart_server(self, seconds: float) -> None:
         host = self._rng.choice(self.pool.hosts)
         self.pool.server_by_host[host].restart()
 
     def _restart_balancer(self, seconds: float) -> None:
-        endpoint = self._rng.choice(self.pool.balancers)
-        if len(self._living_balancers()) < 3:
+        now = self.pool.exchange.now
+        if now < self._balancer_at:
             return
+        # One after the other, as when all of them are replaced.
+        self._balancer_at = now + seconds + SHORTEST_FAULT
+        endpoint = self._rng.choice(self.pool.balancers)
         self.pool.kill(endpoint)
         self.pool.exchange.call_later(
             seconds, lambda: self.pool.start_balancer(endpoint)
@@ -165,6 +169,18 @@
             seconds, lambda: exchange.cuts.difference_update(pairs)
         )
 
+    def _take_zone_out(self, seconds: float) -> None:
+        control = self.pool.control
+        zone = self._rng.choice(sorted(set(self.pool.zone_by_host.values())))
+        control.mark_zone(zone, is_out=True)
+        self.pool.exchange.call_later(
+            seconds, lambda: control.mark_zone(zone, is_out=False)
+        )
+
+    def _lose_control(self, seconds: float) -> None:
+        self.pool.kill(CONTROL)
+        self.pool.exchange.call_later(seconds, self.pool.control.come_back)
+
     def _drain(self, seconds: float) -> None:
         host = self._choose_host(seconds)
         control = self.pool.control
@@ -172,14 +188,9 @@
             return
         control.mark_draining(host)
         self.pool.exchange.call_later(
-            seconds, lambda: self._take_mark_back(host)
+            seconds, lambda: control.mark_draining(host, is_draining=False)
         )
 
-    def _take_mark_back(self, host: str) -> None:
-        control = self.pool.control
-        if host in control.tables.member_by_host:
-            control.mark_draining(host, is_draining=False)
-
     def _choose_host(self, seconds: float) -> str | None:
         if len(self._faulty) >= self.faults_at_once:
             return None
@@ -192,10 +203,6 @@
         )
         return host
 
-    def _living_balancers(self) -> list[str]:
-        living = self.pool.exchange.process_by_address
-        return [each for each in self.pool.balancers if each in living]
-
     def _inspect(self, frame: Frame) -> tuple[float, ...] | None:
         if isinstance(frame.payload, ServerPacket):
             return None
