--- a/asv_bench/measured_run.py
+++ b/asv_bench/measured_run.py
@@ -177,7 +177,8 @@
 
         async def open_one() -> LiveFeed:
             client = self._client()
-            return LiveFeed(await client.observe(service, path, ATTEMPTS))
+            observation = await client.observe(service, path, ATTEMPTS)
+            return LiveFeed(client, observation)
 
         opened = await asyncio.gather(*(open_one() for _ in range(FEEDS)))
         self._feeds = [feed for feed in opened if not feed.observation.ended]
