Speak to every control instance when the leader is silent

Cause: a member kept to a silent leader for 2.5 s (found at a tick, so up to 3.5 s) and then asked the next instance in turn, which could be the silent one again, or a follower that still named it. The new leader's lease is 3 s from its election, so a member that was well was removed and admitted anew, and its buckets and feeds moved. Ruled out: the lease of the new leader starts at its election, as it should.

Now only the leader's own answer counts, and after 1.5 s without it each heartbeat goes to all instances. Before: the two tests of the announcer failed; after: they pass.

--- a/redwingstream/membership/announcer.py
+++ b/redwingstream/membership/announcer.py
@@ -12,6 +12,7 @@
 
 HEARTBEAT_INTERVAL = 1.0
 SILENCE_LIMIT = 2.5
+LEADER_SILENCE = 1.5
 
 
 @attrs.frozen
@@ -45,10 +46,12 @@
 
     Notes
     -----
-    A control instance that is silent for ``SILENCE_LIMIT`` seconds is replaced
-    by the next one of the settings.  This guards against a leader that was cut
-    off without a word: heartbeats to it would be lost for as long as the cut
-    lasts, and this process would drop out of the view although it is well.
+    A leader that is silent for ``LEADER_SILENCE`` seconds is no longer
+    believed: until one answers, every message goes to all control instances.
+    This guards against a leader that was cut off or frozen without a word:
+    heartbeats to it are lost, and this process would drop out of the view
+    although it is well.  Asking the others in turn would take longer than a
+    lease, and a follower may name the silent leader for a while.
     """
 
     def __init__(
@@ -56,9 +59,8 @@
     ) -> None:
         self._announcement = announcement
         self._control = control
-        self._target = 0
         self._leader: Endpoint | None = None
-        self._heard_at: float | None = None
+        self._led_at: float | None = None
         self._answered_at: float | None = None
         self.incarnation = 0
         self.leaving = False
@@ -67,7 +69,7 @@
     @property
     def target(self) -> Endpoint:
         """The control instance that is spoken to now."""
-        return self._leader or self._control[self._target]
+        return self._leader or self._control[0]
 
     @property
     def is_member(self) -> bool:
@@ -82,19 +84,23 @@
 
     def tick(self, now: float, vitals: Vitals) -> list[SendToControl]:
         """Return what to send now; called every ``HEARTBEAT_INTERVAL``."""
-        if self._heard_at is None:
-            self._heard(now)
-        elif now - self._heard_at > SILENCE_LIMIT:
-            self._try_next(now)
+        if self._led_at is None:
+            self._led_at = now
+            self._answered_at = now
+        said: Announce | Heartbeat = self._announcement
         if self.incarnation:
-            return [SendToControl(self.target, self._heartbeat(vitals))]
-        return [SendToControl(self.target, self._announcement)]
+            said = self._heartbeat(vitals)
+        targets = (self.target,)
+        if now - self._led_at > LEADER_SILENCE:
+            targets = self._control
+        return [SendToControl(target, said) for target in targets]
 
     def on_challenge(
         self, challenge: Challenge, now: float
     ) -> list[SendToControl]:
         """Repeat the announcement with the leader's challenge."""
-        self._heard(now)
+        self._led_at = now
+        self._answered_at = now
         answer = attrs.evolve(self._announcement, challenge=challenge.challenge)
         return [SendToControl(self.target, answer)]
 
@@ -106,9 +112,10 @@
         Only the leader's word on the incarnation counts: a replica that is
         behind may not have heard of this run yet.
         """
-        self._heard(now)
+        self._answered_at = now
         self._leader = parse_endpoint(ack.leader) if ack.leader else None
         if self._leader == source:
+            self._led_at = now
             self.refusal = ack.reason
             self.incarnation = ack.incarnation
             return []
@@ -116,15 +123,6 @@
             return []
         return [SendToControl(self._leader, self._announcement)]
 
-    def _heard(self, now: float) -> None:
-        self._heard_at = now
-        self._answered_at = now
-
-    def _try_next(self, now: float) -> None:
-        self._heard_at = now
-        self._leader = None
-        self._target = (self._target + 1) % len(self._control)
-
     def _heartbeat(self, vitals: Vitals) -> Heartbeat:
         return Heartbeat(
             host=self._announcement.host,
--- a/redwingstream/membership/tests/test_announcer.py
+++ b/redwingstream/membership/tests/test_announcer.py
@@ -5,7 +5,6 @@
 
 from redwingstream.endpoints import Endpoint
 from redwingstream.membership.announcer import (
-    SILENCE_LIMIT,
     Announcer,
     SendToControl,
     Vitals,
@@ -102,8 +101,27 @@
         """
         announcer.tick(0, Vitals(0))
         announcer.on_ack(ack(7, CONTROL[0]), CONTROL[0], 0)
-        sends = announcer.tick(SILENCE_LIMIT + 1, Vitals(0))
-        assert_sends(sends, CONTROL[1], Heartbeat)
+        sends = announcer.tick(2, Vitals(0))
+        assert [send.endpoint for send in sends] == list(CONTROL)
+        assert all(isinstance(send.message, Heartbeat) for send in sends)
+        announcer.on_ack(ack(7, CONTROL[2]), CONTROL[2], 2)
+        assert_sends(announcer.tick(3, Vitals(0)), CONTROL[2], Heartbeat)
+
+    def test_a_follower_that_names_a_dead_leader_is_no_sign_of_life(
+        self, announcer: Announcer
+    ) -> None:
+        """A member drops out of the view when the leader is frozen.
+
+        The followers answer its heartbeats and still name the frozen leader.
+        Taken for a sign of life that sent it back there, again and again,
+        until the new leader had removed it.
+        """
+        announcer.tick(0, Vitals(0))
+        announcer.on_ack(ack(7, CONTROL[0]), CONTROL[0], 0)
+        announcer.tick(2, Vitals(0))
+        announcer.on_ack(ack(7, CONTROL[0]), CONTROL[1], 2)
+        sends = announcer.tick(3, Vitals(0))
+        assert [send.endpoint for send in sends] == list(CONTROL)
 
     def test_heartbeat_carries_the_vitals(self, announcer: Announcer) -> None:
         announcer.on_ack(ack(7, CONTROL[0]), CONTROL[0], 0)
