End all feeds of a server that answers no probe

Cause: the feeds of a frozen backend server were found one after the other, by the check that registers the longest silent one again every two seconds; an unanswered probe told the agent that the server is silent, and left its feeds registered there. Ruled out: the home's choice of another carrier (none was asked).

Before: test_a_silent_server_has_lost_all_its_feeds failed; after: passes.

--- a/redwingstream/flows/tests/test_upstream.py
+++ b/redwingstream/flows/tests/test_upstream.py
@@ -359,6 +359,24 @@
         silent = of_type(found + verdict, effects.ServerSilent)
         assert [told.probe_answered for told in silent] == [answered]
 
+    def test_a_silent_server_has_lost_all_its_feeds(
+        self, upstream: Upstream
+    ) -> None:
+        """Feeds stay silent for minutes after their server has frozen.
+
+        Their registrations are checked one every two seconds; each one that
+        is not answered moved a single feed, although the server had not
+        answered the probe either.
+        """
+        owners = {f'feed {number}' for number in range(20)}
+        for owner in owners:
+            TestFeedsAtServer().open(upstream, owner)
+        found = poll_until(upstream, 30)
+        silent = of_type(found, effects.ServerSilent)
+        assert not any(told.probe_answered for told in silent)
+        ended = of_type(found, effects.FeedEnded)
+        assert {end.owner for end in ended} == owners
+
     def test_avoids_a_link_that_times_out(self) -> None:
         links = ServerLinks(2, random.Random(1))
         links.timed_out(0, 1, 2)
--- a/redwingstream/flows/upstream.py
+++ b/redwingstream/flows/upstream.py
@@ -154,7 +154,10 @@
 
     def poll(self, now: float) -> Effects:
         """Do what is due: repeats, deadlines, refreshes, probes."""
-        effects: Effects = list(self._sending.links.poll(now))
+        effects: Effects = []
+        for silent in self._sending.links.poll(now):
+            effects.append(silent)
+            effects.extend(self._end_feeds(now))
         for number in self._sending.timers.pop_due(now):
             exchange = self._exchanges.by_number(number)
             if exchange is not None:
@@ -173,6 +176,20 @@
             dues.append(self._next_check)
         return min((due for due in dues if due is not None), default=None)
 
+    def _end_feeds(self, now: float) -> Effects:
+        """End every feed: the server does not answer a probe either.
+
+        Notes
+        -----
+        Found one after the other by their checks, the feeds of a frozen server
+        would stay silent for seconds each.
+        """
+        effects: Effects = []
+        for feed in self._exchanges.feeds():
+            ended = self._sending.end_feed(feed, now, ResultCode.TIMED_OUT)
+            effects.extend(ended)
+        return effects
+
     def _check_feed(self, now: float) -> Effects:
         """Register the longest silent feed again, as a sign of a restart.
 
