Leave a control instance that knows no leader

A control instance cut off from the others steps down and goes on answering heartbeats, without a leader. Any answer counted as a sign of life, so members whose settings name it first stayed with it for as long as the cut lasted: the new leader heard nothing of them and their leases ended. They did not count as cut off either and asked no peer for newer tables.

Such an answer now leads to the next control instance at the next heartbeat, within the lease, and does not count against being cut off. Ruled out: waiting SILENCE_LIMIT first, which with the heartbeat interval exceeds the lease of 3 s.

Before: both new tests fail (the heartbeat goes to the same instance; not cut off after 4 s). After: both pass, with the rest of membership and control's members, role and processes tests.

--- a/redwingstream/membership/announcer.py
+++ b/redwingstream/membership/announcer.py
@@ -75,7 +75,7 @@
         return self.incarnation > 0
 
     def is_cut_off(self, now: float) -> bool:
-        """Whether no control instance has answered for a while."""
+        """Whether no control instance that has a leader answered lately."""
         if self._answered_at is None:
             return False
         return now - self._answered_at > SILENCE_LIMIT
@@ -106,13 +106,17 @@
         Only the leader's word on the incarnation counts: a replica that is
         behind may not have heard of this run yet.
         """
+        if not ack.leader:
+            if source == self.target:
+                self._try_next(now)
+            return []
         self._heard(now)
-        self._leader = parse_endpoint(ack.leader) if ack.leader else None
+        self._leader = parse_endpoint(ack.leader)
         if self._leader == source:
             self.refusal = ack.reason
             self.incarnation = ack.incarnation
             return []
-        if self._leader is None or self.incarnation:
+        if self.incarnation:
             return []
         return [SendToControl(self._leader, self._announcement)]
 
--- a/redwingstream/membership/tests/test_announcer.py
+++ b/redwingstream/membership/tests/test_announcer.py
@@ -105,6 +105,42 @@
         sends = announcer.tick(SILENCE_LIMIT + 1, Vitals(0))
         assert_sends(sends, CONTROL[1], Heartbeat)
 
+    def test_leaves_a_control_instance_that_knows_no_leader(
+        self, announcer: Announcer
+    ) -> None:
+        """Every server drops out of its pool while one instance is cut off.
+
+        A partition cuts the first control instance off from the other two,
+        but not from the members.  It steps down and answers each heartbeat
+        without a leader; the others elect one, which hears of no member, as
+        an answer of any kind counted as a sign of a working control group.
+        """
+        announcer.tick(0, Vitals(0))
+        announcer.on_ack(ack(7, CONTROL[0]), CONTROL[0], 0)
+        announcer.tick(1, Vitals(0))
+        assert not announcer.on_ack(ack(7, None), CONTROL[0], 1)
+        sends = announcer.tick(2, Vitals(0))
+        assert_sends(sends, CONTROL[1], Heartbeat)
+        announcer.on_ack(ack(7, CONTROL[2]), CONTROL[1], 2)
+        assert announcer.target == CONTROL[2]
+
+    def test_is_cut_off_while_nobody_knows_a_leader(
+        self, announcer: Announcer
+    ) -> None:
+        """A zone taken out goes on being served by a balancer.
+
+        The only control instance that it reaches is cut off from the others.
+        It answers, so that the balancer does not ask its peers, which know
+        of the zone.
+        """
+        announcer.on_ack(ack(7, CONTROL[0]), CONTROL[0], 0)
+        now = float()
+        while now <= SILENCE_LIMIT + 1:
+            now += 1
+            announcer.tick(now, Vitals(0))
+            announcer.on_ack(ack(7, None), announcer.target, now)
+        assert announcer.is_cut_off(now)
+
     def test_heartbeat_carries_the_vitals(self, announcer: Announcer) -> None:
         announcer.on_ack(ack(7, CONTROL[0]), CONTROL[0], 0)
         announcer.leaving = True
