Keep an operators' drain mark over restarts of its host

The mark stood in the member's row, which a new run of the host replaces and the end of a lease removes. A host drained for repair came back into the view with its next announcement, although the change had been accepted and nobody had taken it back.

A run that leaves by itself (SIGTERM) leaves no mark, so a rolling restart is as before. Ruled out: to copy the mark from the former row, which does not help once the lease has ended and the row is gone.

Before: three of the new tests fail (member not draining; undrain refused with UNKNOWN_ROW). After: they pass, with all of tables, operators and control.

--- a/redwingstream/tables/machine/changes.py
+++ b/redwingstream/tables/machine/changes.py
@@ -114,9 +114,18 @@
         case RemoveRow(row=name):
             state.drop(name.table, name.key)
         case DrainMember(host=host, draining=draining):
-            member = state.member_by_host[host]
-            changed = attrs.evolve(member, draining=draining)
-            state.put(Table.MEMBER, host, changed)
+            _mark_drained(state, host, draining=draining)
+
+
+def _mark_drained(state: MachineState, host: str, *, draining: bool) -> None:
+    if draining:
+        state.drained_hosts.add(host)
+    else:
+        state.drained_hosts.discard(host)
+    member = state.member_by_host.get(host)
+    if member is not None:
+        changed = attrs.evolve(member, draining=draining)
+        state.put(Table.MEMBER, host, changed)
 
 
 def _copy_of(state: MachineState) -> MachineState:
@@ -126,6 +135,7 @@
     trial.zone_by_name = dict(state.zone_by_name)
     trial.member_by_host = dict(state.member_by_host)
     trial.view_by_pool = dict(state.view_by_pool)
+    trial.drained_hosts = set(state.drained_hosts)
     trial.touched = list(state.touched)
     return trial
 
@@ -136,6 +146,7 @@
     state.zone_by_name = trial.zone_by_name
     state.member_by_host = trial.member_by_host
     state.view_by_pool = trial.view_by_pool
+    state.drained_hosts = trial.drained_hosts
     state.touched = trial.touched
     state.config_revision = index
 
--- a/redwingstream/tables/machine/checks.py
+++ b/redwingstream/tables/machine/checks.py
@@ -46,7 +46,8 @@
         case RemoveRow(row=name):
             _check_removal(state, name)
         case DrainMember(host=host):
-            if host not in state.member_by_host:
+            is_known = host in state.member_by_host
+            if not is_known and host not in state.drained_hosts:
                 raise _unknown(Table.MEMBER.value, host)
 
 
--- a/redwingstream/tables/machine/members.py
+++ b/redwingstream/tables/machine/members.py
@@ -22,6 +22,10 @@
     The same run gets the same incarnation again, since its announcement may
     be repeated after a lost answer.  Another run of the host always gets a
     higher one, so that late messages of the former run are told apart.
+
+    A host that operators drain goes on draining in its next run.  Were the
+    mark part of the run, a restart or a lease that ends would undo a change
+    that was accepted.
     """
     known = state.member_by_host.get(command.host)
     if known is not None and known.boot == command.boot:
@@ -35,6 +39,7 @@
         zone=command.zone,
         pool=command.pool,
         weight=command.weight,
+        draining=command.host in state.drained_hosts,
     )
     state.put(Table.MEMBER, command.host, member)
     return member
--- a/redwingstream/tables/machine/state.py
+++ b/redwingstream/tables/machine/state.py
@@ -51,6 +51,7 @@
     config_revision: int
     tables: TablesUpdate
     answers: tuple[RememberedAnswer, ...]
+    drained_hosts: tuple[str, ...] = ()
 
 
 @attrs.define
@@ -67,6 +68,8 @@
         The tables.
     answer_by_request : OrderedDict
         Operators' answers by request id, oldest first.
+    drained_hosts : set of str
+        Hosts that operators drain, whether they are members now or not.
     touched : list of RowName
         Rows that the entry under way has changed.
     """
@@ -81,6 +84,7 @@
     answer_by_request: OrderedDict[str, RememberedAnswer] = attrs.field(
         factory=OrderedDict
     )
+    drained_hosts: set[str] = attrs.field(factory=set)
     touched: list[RowName] = attrs.field(factory=list)
 
     def rows_of(self, table: Table) -> dict[str, Row]:
@@ -146,6 +150,7 @@
             state.config_revision,
             state.tables().as_update(),
             tuple(state.answer_by_request.values()),
+            tuple(sorted(state.drained_hosts)),
         ),
     )
 
@@ -167,4 +172,5 @@
         answer_by_request=OrderedDict(
             (answer.request_id, answer) for answer in stored.answers
         ),
+        drained_hosts=set(stored.drained_hosts),
     )
--- a/redwingstream/tables/messages.py
+++ b/redwingstream/tables/messages.py
@@ -101,7 +101,7 @@
 
 @attrs.frozen
 class DrainMember:
-    """Ask a member to leave, or take the request back."""
+    """Let a host drain, in this run and later ones, or take that back."""
 
     host: str
     draining: bool
--- a/redwingstream/tables/tests/test_machine.py
+++ b/redwingstream/tables/tests/test_machine.py
@@ -319,6 +319,59 @@
         assert all(earlier.members for earlier in view.unsettled[:-1])
 
 
+class TestDrainMarks:
+    """What operators decided about a host outlives its runs."""
+
+    @pytest.mark.parametrize('is_removed', [False, True])
+    def test_a_new_run_of_a_drained_host_drains(
+        self, bench: Bench, is_removed: bool
+    ) -> None:
+        """A server under repair gets feeds and bookings again.
+
+        Operators drain a host.  Its agent restarts, or is silent for a lease
+        and is removed; then it announces itself.  The mark stood in the row
+        of the former run only, so the accepted change was undone.
+        """
+        mark = DrainMember('sward-1', draining=True)
+        bench.change(Edits(drain=(mark,)))
+        if is_removed:
+            incarnation = bench.member('sward-1').incarnation
+            bench.apply(RemoveMember('sward-1', incarnation))
+        bench.machine.load(bench.machine.pack())
+        bench.admit('sward-1', boot=2)
+        assert bench.member('sward-1').draining
+        assert bench.hosts() == ['sward-2']
+
+    def test_a_mark_can_be_taken_back_while_its_host_is_away(
+        self, bench: Bench
+    ) -> None:
+        bench.change(Edits(drain=(DrainMember('sward-1', draining=True),)))
+        incarnation = bench.member('sward-1').incarnation
+        bench.apply(RemoveMember('sward-1', incarnation))
+        taken_back = DrainMember('sward-1', draining=False)
+        answer = bench.change(Edits(drain=(taken_back,)))
+        assert answer.code == ResultCode.OK
+        bench.admit('sward-1', boot=2)
+        assert bench.hosts() == ['sward-1', 'sward-2']
+
+    def test_a_refused_change_leaves_no_mark(self, bench: Bench) -> None:
+        marks = tuple(
+            DrainMember(host, draining=True) for host in bench.hosts()
+        )
+        answer = bench.change(Edits(drain=marks))
+        assert answer.code == ResultCode.POOL_IN_USE
+        bench.admit('sward-1', boot=2)
+        assert not bench.member('sward-1').draining
+
+    def test_a_run_that_left_by_itself_leaves_no_mark(
+        self, bench: Bench
+    ) -> None:
+        incarnation = bench.member('sward-1').incarnation
+        bench.apply(LeaveMember('sward-1', incarnation))
+        bench.admit('sward-1', boot=2)
+        assert not bench.member('sward-1').draining
+
+
 class TestDeltas:
     """What a process gets that asks for news."""
 
