Ask a peer for newer tables while another source does not answer

A process fetched from one source at a time and did not listen to others until that call had timed out, 2 s later. A source that is heard and answers no calls (a connection that something on the way has lost track of) was asked again with its next heartbeat, so that a zone taken out could go on getting packets for as long as peers were not heard in the 0.1 s between.

A fetch that has not been answered for 0.25 s does not hold up one from another source; at most four are under way, one for each source. A source that brought nothing newer is asked again after the same pause as one that failed: before, each packet that an agent passed on led to one more call to it. Ruled out: to ask all sources at once, which multiplies control traffic by each change.

--- a/redwingstream/node/following.py
+++ b/redwingstream/node/following.py
@@ -13,7 +13,12 @@
 from redwingstream.wire.calls import CallClient
 
 FETCH_PAUSE = 0.1
-"""Seconds after a failed fetch before another process is asked."""
+"""Seconds before a process is asked again that brought nothing newer."""
+
+HEDGE_AFTER = 0.25
+"""Seconds after which an unanswered fetch does not hold up another one."""
+
+MAX_FETCHES = 4
 
 
 class TablesFollower:
@@ -39,7 +44,8 @@
         self.on_tables: Callable[[], None] = _do_nothing
         self._calls = calls
         self._metrics = metrics
-        self._fetching: asyncio.Task[None] | None = None
+        self._fetch_by_source: dict[Endpoint, asyncio.Task[None]] = {}
+        self._fetched_at = float()
 
     @property
     def revision(self) -> int:
@@ -51,16 +57,39 @@
 
         This is how a change reaches a process that control cannot reach: every
         frame of its peers names their revision.
+
+        Notes
+        -----
+        A source may be heard and yet not answer calls, since something on the
+        way has lost track of the connection.  Its fetch lasts until its
+        timeout; were other sources not asked meanwhile, control's heartbeats
+        alone could keep this process from its peers for good.
         """
-        if revision > self.revision and self._fetching is None:
-            self._fetching = asyncio.create_task(self._fetch(source))
+        if revision > self.revision and self._may_ask(source):
+            self._fetched_at = asyncio.get_running_loop().time()
+            fetching = asyncio.create_task(self._fetch(source))
+            self._fetch_by_source[source] = fetching
+            fetching.add_done_callback(
+                lambda _: self._fetch_by_source.pop(source)
+            )
 
     def close(self) -> None:
         """Stop fetching."""
-        if self._fetching is not None:
-            self._fetching.cancel()
+        for fetching in self._fetch_by_source.values():
+            fetching.cancel()
+
+    def _may_ask(self, source: Endpoint) -> bool:
+        under_way = self._fetch_by_source
+        if source in under_way or len(under_way) >= MAX_FETCHES:
+            return False
+        now = asyncio.get_running_loop().time()
+        return not under_way or now - self._fetched_at >= HEDGE_AFTER
 
     async def _fetch(self, source: Endpoint) -> None:
+        if not await self._brings_newer(source):
+            await asyncio.sleep(FETCH_PAUSE)
+
+    async def _brings_newer(self, source: Endpoint) -> bool:
         try:
             update = await self._calls.call(
                 source, FetchTables(self.revision), TablesUpdate
@@ -68,14 +97,13 @@
         except CallFailedError as error:
             self._metrics.count('tables_not_fetched')
             logging.warning('node: Tables not fetched: %s.', error)
-            await asyncio.sleep(FETCH_PAUSE)
-            return
-        finally:
-            self._fetching = None
-        if self.history.take(update):
-            self._metrics.count('tables_fetched')
-            self._metrics.gauge('revision', update.revision)
-            self.on_tables()
+            return False
+        if not self.history.take(update):
+            return False
+        self._metrics.count('tables_fetched')
+        self._metrics.gauge('revision', update.revision)
+        self.on_tables()
+        return True
 
 
 def _do_nothing() -> None:
