Keep serving calls after a handler's error; keep few connections

An error in a handler ended the task that served its context, without a word until the process stopped. After 16 of them the process answered no call any more: no tables, no changes, no dump, while its frames went on. The caller now gets INTERNAL, the log has the error, and the task goes on.

A client kept a connection to each endpoint that it had ever called with success. To those of processes that are gone it went on dialling, so file descriptors and dials grew with each agent that restarted elsewhere. Above 16, connections without a call in hand are closed, the oldest first. Ruled out: to close the oldest whatever it does, which would cut the dumps of a large fleet.

Before: with only the new names added, both new tests fail. After: they pass, with all of wire, node and operators.

--- a/redwingstream/wire/calls.py
+++ b/redwingstream/wire/calls.py
@@ -9,9 +9,11 @@
 
 import asyncio
 import contextlib
+from collections import OrderedDict
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from typing import Any, TypeVar
 
+import attrs
 import pynng
 from absl import logging
 
@@ -29,6 +31,8 @@
 MAX_CALL_SIZE = 1 << 24
 SERVING_CONTEXTS = 16
 DEFAULT_TIMEOUT = 2.0
+MAX_CONNECTIONS = 16
+"""Idle connections of a client are closed above this, the oldest first."""
 
 Handler = Callable[[object], Awaitable[object]]
 AnswerT = TypeVar('AnswerT')
@@ -51,6 +55,14 @@
     text: str
 
 
+@attrs.define(eq=False)
+class _Connection:
+    """A socket that dials one endpoint, and how many calls wait on it."""
+
+    sock: pynng.Req0
+    calls: int = 0
+
+
 class CallClient:
     """Calls other processes; one connection for each endpoint.
 
@@ -58,11 +70,22 @@
     ----------
     codec : FrameCodec
         Seals requests and opens answers.
+
+    Notes
+    -----
+    A connection to a process that is gone dials on for ever.  Members come
+    and go at new endpoints, so only the latest connections are kept.
     """
 
     def __init__(self, codec: FrameCodec) -> None:
         self._codec = codec
-        self._socket_by_endpoint: dict[Endpoint, pynng.Req0] = {}
+        self._connection_by_endpoint: OrderedDict[Endpoint, _Connection] = (
+            OrderedDict()
+        )
+
+    def __len__(self) -> int:
+        """Return how many connections are kept."""
+        return len(self._connection_by_endpoint)
 
     async def call(
         self,
@@ -116,15 +139,38 @@
             self._forget_all()
 
     async def _exchange(self, endpoint: Endpoint, frame: bytes) -> bytes:
-        sock = self._socket_by_endpoint.get(endpoint)
-        if sock is None:
-            sock = pynng.Req0(recv_max_size=MAX_CALL_SIZE)
-            self._socket_by_endpoint[endpoint] = sock
-            sock.dial(f'tcp://{endpoint}', block=False)
-        with sock.new_context() as context:
+        with self._connected(endpoint) as sock, sock.new_context() as context:
             await keep_cancellation(context.asend(frame))
             return await keep_cancellation(context.arecv())
 
+    @contextlib.contextmanager
+    def _connected(self, endpoint: Endpoint) -> Iterator[pynng.Req0]:
+        """Hold the connection to an endpoint for one call."""
+        connection = self._connection_by_endpoint.get(endpoint)
+        if connection is None:
+            connection = _Connection(pynng.Req0(recv_max_size=MAX_CALL_SIZE))
+            self._connection_by_endpoint[endpoint] = connection
+            connection.sock.dial(f'tcp://{endpoint}', block=False)
+        self._connection_by_endpoint.move_to_end(endpoint)
+        connection.calls += 1
+        self._forget_idle()
+        try:
+            yield connection.sock
+        finally:
+            connection.calls -= 1
+
+    def _forget_idle(self) -> None:
+        surplus = len(self) - MAX_CONNECTIONS
+        if surplus <= 0:
+            return
+        idle = [
+            endpoint
+            for endpoint, connection in self._connection_by_endpoint.items()
+            if not connection.calls
+        ]
+        for endpoint in idle[:surplus]:
+            self._forget(endpoint)
+
     def _read(
         self, endpoint: Endpoint, reply: bytes, answer_class: type[AnswerT]
     ) -> AnswerT:
@@ -135,7 +181,7 @@
                 f'answer of {endpoint} is not usable: {error}', error.code
             ) from error
         if isinstance(answer, Refused):
-            raise CallFailedError(answer.text, ResultCode(answer.code))
+            raise CallFailedError(answer.text, _known_code(answer.code))
         if not isinstance(answer, answer_class):
             raise CallFailedError(
                 f'{endpoint} answered with {type(answer).__name__}; '
@@ -145,13 +191,13 @@
         return answer
 
     def _forget_all(self) -> None:
-        for endpoint in list(self._socket_by_endpoint):
+        for endpoint in list(self._connection_by_endpoint):
             self._forget(endpoint)
 
     def _forget(self, endpoint: Endpoint) -> None:
-        sock = self._socket_by_endpoint.pop(endpoint, None)
-        if sock is not None:
-            sock.close()
+        connection = self._connection_by_endpoint.pop(endpoint, None)
+        if connection is not None:
+            connection.sock.close()
 
 
 async def keep_cancellation(operation: Awaitable[OutcomeT]) -> OutcomeT:
@@ -278,3 +324,18 @@
         return codec.seal(await handler(request))
     except RedwingstreamError as error:
         return codec.seal(Refused(int(error.code), str(error)))
+    except Exception:
+        # An error in a handler would end the task that serves this context.
+        # It shows, after as many errors as there are contexts, as a process
+        # that answers no call any more.  Here it costs the one call.
+        logging.exception('calls: A call met an error.')
+        text = f'{type(request).__name__} met an error; see the log there'
+        return codec.seal(Refused(ResultCode.INTERNAL, text))
+
+
+def _known_code(code: int) -> ResultCode:
+    """Return a refusal's code; a newer release may have others."""
+    try:
+        return ResultCode(code)
+    except ValueError:
+        return ResultCode.INTERNAL
--- a/redwingstream/wire/tests/test_calls.py
+++ b/redwingstream/wire/tests/test_calls.py
@@ -10,6 +10,7 @@
 from redwingstream.node.tests.test_member import free_endpoint
 from redwingstream.wire.calls import (
     MAX_CALL_SIZE,
+    MAX_CONNECTIONS,
     SERVING_CONTEXTS,
     CallClient,
     keep_cancellation,
@@ -44,6 +45,13 @@
     raise CallFailedError('not here; ask c2', ResultCode.NOT_LEADER)
 
 
+async def fail(request: object) -> object:
+    """Fail as a handler with an error in it does; answer probes."""
+    if isinstance(request, ProbeAck):
+        raise KeyError('no such row')
+    return await answer(request)
+
+
 async def ask(
     calls: CallClient, endpoint: Endpoint, timeout: float = PATIENCE
 ) -> int:
@@ -80,6 +88,36 @@
                     await ask(calls, endpoint, timeout=0.05)
         assert caught.value.code is ResultCode.TIMED_OUT
 
+    async def test_answers_after_many_errors_of_a_handler(self) -> None:
+        """A process answers no call any more, and looks well otherwise.
+
+        A request meets an error in the handler.  The task that served it
+        ended without a word; after as many of them as there are tasks, nobody
+        is left to take a call: no tables, no changes, no dump.
+        """
+        endpoint = free_endpoint()
+        async with serve_calls(endpoint, codec(), fail):
+            with CallClient(codec()).opened() as calls:
+                for _ in range(SERVING_CONTEXTS + 1):
+                    with pytest.raises(CallFailedError) as caught:
+                        await calls.call(endpoint, ProbeAck(1), ProbeAck, 0.2)
+                assert await ask(calls, endpoint, 1) == 7
+        assert caught.value.code is ResultCode.INTERNAL
+
+    async def test_keeps_few_connections(self) -> None:
+        """A balancer has no file descriptors left after weeks of churn.
+
+        Agents restart at other addresses.  A connection to each process that
+        was ever asked for the tables stayed, and those to processes that are
+        gone went on dialling.
+        """
+        with CallClient(codec()).opened() as calls:
+            for _ in range(2 * MAX_CONNECTIONS):
+                endpoint = free_endpoint()
+                async with serve_calls(endpoint, codec(), answer):
+                    assert await ask(calls, endpoint) == 7
+            assert len(calls) == MAX_CONNECTIONS
+
     async def test_calls_again_after_the_server_came_back(self) -> None:
         endpoint = free_endpoint()
         with CallClient(codec()).opened() as calls:
