Refuse routes that no packet meets or that hide another

Routes are found by their text. A network written as 10.1.0.0/255.255.0.0 stood beside 10.1.0.0/16 with another pool; of two equally long networks the first one wins, and the order of rows differs between a process that got deltas and one that got a full copy, so two balancers could send one caller to two pools. A service in another form than the fabric's (::1:5683, port 05683), with port 0, or with callers of another IP version was accepted and never met. The tool writes the usual form; control, which decides, did not ask for it, and the tool's default callers 0.0.0.0/0 fit no IPv6 service.

Control refuses them with the form to write. Ruled out: to rewrite the row while it is applied, since the answer would name another row than was sent.

Before: all five cases of the new test are accepted. After: refused, with all of tables, operators and control passing.

--- a/redwingstream/endpoints.py
+++ b/redwingstream/endpoints.py
@@ -20,7 +20,7 @@
     host : str
         IPv4 or IPv6 address in its usual text form; never a name.
     port : int
-        0 to 65535; 0 stands for "any port" in a route.
+        0 to 65535; a socket that is bound to 0 takes a free one.
     """
 
     host: str
--- a/redwingstream/tables/machine/checks.py
+++ b/redwingstream/tables/machine/checks.py
@@ -3,7 +3,7 @@
 import ipaddress
 from collections.abc import Iterator
 
-from redwingstream.endpoints import parse_endpoint
+from redwingstream.endpoints import Endpoint, parse_endpoint
 from redwingstream.errors import (
     ChangeRefusedError,
     ResultCode,
@@ -26,6 +26,8 @@
 MAX_NAME = 255
 _REMOVABLE = frozenset((Table.ROUTE, Table.POOL, Table.ZONE))
 
+IPNetwork = ipaddress.IPv4Network | ipaddress.IPv6Network
+
 
 def check_edit(state: MachineState, edit: Edit) -> None:
     """Refuse an edit that no force can make right.
@@ -84,13 +86,35 @@
     # a number of more than 4300 digits.
     _check_name('service', row.service)
     _check_name('callers', row.callers)
+    _check_name('pool', row.pool)
+    service = _parse_service(row)
+    network = _parse_callers(row)
+    # Routes are found by their text.  One in another form than the usual is
+    # met by no packet, or stands beside another one for the same callers, and
+    # then each process goes by the one that it happened to get first.
+    _check_form('service', row.service, str(service))
+    _check_form('callers', row.callers, str(network))
+    if not service.port:
+        raise _bad_row(f'service {row.service} has port 0; give its port')
+    is_v6 = isinstance(network, ipaddress.IPv6Network)
+    if is_v6 != (':' in service.host):
+        raise _bad_row(
+            f'callers {row.callers} of service {row.service} have another IP '
+            'version than the service, so that no packet fits; any caller is '
+            '0.0.0.0/0 with IPv4 and ::/0 with IPv6',
+        )
+
+
+def _parse_service(row: Route) -> Endpoint:
     try:
-        parse_endpoint(row.service)
+        return parse_endpoint(row.service)
     except SettingError as error:
         raise _bad_row(f'route service: {error}') from error
-    _check_name('pool', row.pool)
+
+
+def _parse_callers(row: Route) -> IPNetwork:
     try:
-        ipaddress.ip_network(row.callers)
+        return ipaddress.ip_network(row.callers)
     except ValueError:
         raise _bad_row(
             f'callers {row.callers!r} of route {row.service} is no network; '
@@ -99,6 +123,11 @@
         ) from None
 
 
+def _check_form(what: str, met: str, usual: str) -> None:
+    if met != usual:
+        raise _bad_row(f'{what} {met!r} of a route has to be written {usual!r}')
+
+
 def _check_pool(row: Pool, present: Pool | None) -> None:
     _check_name('pool', row.name)
     for glob in row.admits:
--- a/redwingstream/tables/tests/test_machine.py
+++ b/redwingstream/tables/tests/test_machine.py
@@ -215,6 +215,31 @@
             assert answer.code == ResultCode.UNKNOWN_ROW
             assert 'nowhere' in answer.text
 
+    @pytest.mark.parametrize(
+        ('service', 'callers', 'usual'),
+        [
+            (SERVICE, '10.1.0.0/255.255.0.0', '10.1.0.0/16'),
+            ('10.0.0.1:05683', '10.1.0.0/16', SERVICE),
+            ('::1:5683', '::/0', '[::1]:5683'),
+            ('[::1]:5683', '0.0.0.0/0', '::/0'),
+            ('10.0.0.1:0', '0.0.0.0/0', 'port'),
+        ],
+    )
+    def test_a_route_that_no_packet_meets_is_refused(
+        self, bench: Bench, service: str, callers: str, usual: str
+    ) -> None:
+        """Two balancers send one adviser's requests to different services.
+
+        A network is written in two forms, so that two routes with two pools
+        hold the same callers; which one counts depends on the order in which
+        a process got them.  A service in an unusual form, without a port or
+        of another IP version than its callers is accepted and never met.
+        """
+        route = SetRoute(Route(service, 'sward-live', callers))
+        answer = bench.change(Edits(set_routes=(route,)), force=True)
+        assert answer.code == ResultCode.BAD_ROW
+        assert usual in answer.text
+
     def test_a_missing_pool_takes_force(self, bench: Bench) -> None:
         route = SetRoute(Route('10.0.0.2:1', 'later'))
         refused = bench.change(Edits(set_routes=(route,)))
