Tell cut-off agents and balancers of newer tables

A balancer passed on what an agent with older tables sent, without a word. An agent in a zone taken out that control and its pool cannot reach gets nothing from balancers any more, so its feeds went on for as long as the cut lasted. The balancer now answers with its own revision, one small frame for each answer until the agent has fetched.

A member cut off from control asked only the peers of its settings, none by default. A balancer whose old tables leave it nobody to send to (the pool was replaced) hears of nobody.

Seen while tracing which frames lead to a fetch: an agent that is heir of a bucket finds out by its probes of the home; one that is not does not.

Before: both new tests time out. After: they pass with the rest of node and of the balancer's role.

--- a/redwingstream/balancer/role.py
+++ b/redwingstream/balancer/role.py
@@ -126,6 +126,7 @@
     def _on_answer(self, answer: Answer, source: Endpoint) -> None:
         self._forwarder.links.heard(source)
         self._node.follower.hear(answer.revision, source)
+        self._tell_newer(answer.revision, source)
         try:
             datagram = fabric.wrap_answer(
                 answer.caller, answer.service, answer.payload
@@ -136,6 +137,17 @@
         self.metrics.count('answered')
         self._to_fabric(datagram)
 
+    def _tell_newer(self, revision: int, agent: Endpoint) -> None:
+        """Let an agent with older tables know that there are newer ones.
+
+        Guards against an agent that control cannot reach and that balancers
+        send nothing to any more, since its zone was taken out: its feeds
+        would go on for as long as the cut lasts.
+        """
+        newest = self._node.follower.revision
+        if revision < newest:
+            self._node.send(agent, ProbeAck(newest))
+
     def _to_fabric(self, datagram: bytes) -> None:
         if self._fabric_source is None or self._fabric_socket is None:
             self.metrics.count('fabric_unknown')
--- a/redwingstream/balancer/tests/test_role.py
+++ b/redwingstream/balancer/tests/test_role.py
@@ -17,10 +17,14 @@
 )
 from redwingstream.endpoints import Endpoint, parse_endpoint
 from redwingstream.forwarding.messages import Answer, Packet
+from redwingstream.membership.messages import ProbeAck
 from redwingstream.node.tests.test_member import (
     NOBODY,
     PATIENCE,
+    UPDATE,
     free_endpoint,
+    member_at,
+    until,
 )
 from redwingstream.settings.roles import BalancerSettings
 from redwingstream.wire import coap, fabric
@@ -127,6 +131,29 @@
         assert counted['fabric_malformed'] == 1
         assert counted['caller_malformed'] == 1
 
+    async def test_tells_an_agent_that_its_tables_are_old(
+        self, role: BalancerRole
+    ) -> None:
+        """A lot board goes on from a zone that was taken out an hour ago.
+
+        Its agent is cut off from control and from its pool.  The balancers
+        send nothing to that zone any more and go on passing on what comes
+        from it, without a word that the agent could learn from.
+        """
+        informed = member_at(free_endpoint())
+        informed.follower.history.take(UPDATE)
+        target = role.settings.endpoint
+        newest = Answer(UPDATE.revision, str(WAY.caller), SERVICE, b'new')
+        old = attrs.evolve(newest, revision=UPDATE.revision - 1)
+        codec = FrameCodec(KEY)
+        async with informed.opened(), role.opened():
+            informed.send(target, newest)
+            await until(lambda: role.metrics.total_by_name['tables_fetched'])
+            with open_side() as agent:
+                agent.sock.send(codec.seal(old), target.as_pair())
+                told = codec.open(await agent.receive()).payload
+        assert told == ProbeAck(UPDATE.revision)
+
     async def test_forwards_until_the_fabric_is_quiet(
         self, role: BalancerRole
     ) -> None:
--- a/redwingstream/node/member.py
+++ b/redwingstream/node/member.py
@@ -14,7 +14,7 @@
 import msgspec
 from absl import logging
 
-from redwingstream.endpoints import Endpoint
+from redwingstream.endpoints import Endpoint, parse_endpoint
 from redwingstream.errors import CallFailedError, ResultCode, WireError
 from redwingstream.membership.announcer import (
     HEARTBEAT_INTERVAL,
@@ -148,12 +148,23 @@
         A process that starts while all control instances are away has no
         tables, and nobody sends it anything from which to learn of them: a
         restarted balancer would refuse every packet until control is back.
+        One that has tables asks the members in them too: it may be sending
+        to nobody, since those tables leave it nobody to send to.
         """
-        peers = self.settings.peers
-        if peers and self.announcer.is_cut_off(self.now):
+        if not self.announcer.is_cut_off(self.now):
+            return
+        peers = self._known_peers()
+        if peers:
             probe = Probe(self.follower.revision)
             self.send(self._random.choice(peers), probe)
 
+    def _known_peers(self) -> list[Endpoint]:
+        tables = self.follower.history.tables
+        members = tables.member_by_host.values()
+        known = [parse_endpoint(member.endpoint) for member in members]
+        known.extend(self.settings.peers)
+        return [peer for peer in known if peer != self.settings.endpoint]
+
     def _say(self, sends: list[SendToControl]) -> None:
         for send in sends:
             self.send(send.endpoint, send.message)
--- a/redwingstream/node/tests/test_member.py
+++ b/redwingstream/node/tests/test_member.py
@@ -7,6 +7,7 @@
 import socket
 from collections.abc import Callable
 
+import attrs
 import pytest
 
 from redwingstream.endpoints import Endpoint
@@ -26,7 +27,7 @@
     TablesRead,
     TablesUpdate,
 )
-from redwingstream.tables.rows import Role, ZoneMark
+from redwingstream.tables.rows import Member, Role, ZoneMark
 from redwingstream.wire.calls import MAX_CALL_SIZE, CallClient
 from redwingstream.wire.frames import FrameCodec
 
@@ -82,6 +83,24 @@
             await until(lambda: started.follower.revision == UPDATE.revision)
         assert started.follower.history.tables.is_zone_out('carse')
 
+    async def test_asks_members_that_it_knows_without_control(self) -> None:
+        """A balancer refuses all callers of a pool that has moved.
+
+        Its link to control is cut silently, and no peers are set.  Operators
+        replace the pool.  The balancer knows the old pool only, which has no
+        server left: it sends nothing to anybody, so nobody tells it.
+        """
+        informed = member_at(free_endpoint())
+        endpoint = informed.settings.endpoint
+        newer = attrs.evolve(UPDATE, revision=UPDATE.revision + 1)
+        informed.follower.history.take(newer)
+        row = Member('a1', Role.AGENT, 3, 1, str(endpoint), 'carse')
+        cut_off = member_at(free_endpoint())
+        cut_off.follower.history.take(attrs.evolve(UPDATE, members=(row,)))
+        cut_off.announcer.is_cut_off = lambda now: True
+        async with informed.opened(), cut_off.opened():
+            await until(lambda: cut_off.follower.revision == newer.revision)
+
     async def test_hears_of_a_change_from_any_frame_of_a_peer(self) -> None:
         informed = member_at(free_endpoint())
         informed.follower.history.take(UPDATE)
