Refuse endpoints that others cannot reach, and replicas named twice

An agent set to listen at 0.0.0.0 announced just that and was admitted; its heartbeats went well, and balancers sent its callers' packets to their own host. Port 0 likewise. The setting is refused now with the way out, and control refuses such an announcement whoever sends it. The fabric's endpoint, which nobody is told of, may still stand for all addresses.

In the list of replicas a second entry of the same name replaced the first, and one address under two names counted as two replicas: a group smaller than the operator believes, which the loss of one instance stops. Refused as well.

Before: five new cases of the settings' tests are accepted. After: refused; settings, control, membership, node and wire pass.

--- a/redwingstream/control/tests/test_members.py
+++ b/redwingstream/control/tests/test_members.py
@@ -137,6 +137,7 @@
             ({'host': 'h' * 50000}, '50000'),
             ({'weight': 0}, '0'),
             ({'endpoint': 'nowhere:1'}, 'nowhere'),
+            ({'endpoint': '0.0.0.0:7000'}, '0.0.0.0'),
         ],
     )
     def test_a_malformed_announcement_is_no_entry(
--- a/redwingstream/endpoints.py
+++ b/redwingstream/endpoints.py
@@ -78,5 +78,28 @@
     return Endpoint(str(address), int(port_text))
 
 
+def parse_reachable(text: str) -> Endpoint:
+    """Read an endpoint at which other processes reach this one.
+
+    Notes
+    -----
+    An address that stands for all of a host's own, or port 0, is good for a
+    socket.  To another process it is the other process's own host, so that
+    what it sends there comes back to itself.
+
+    Raises
+    ------
+    SettingError
+        Also when the address is unspecified or the port is 0.
+    """
+    endpoint = parse_endpoint(text)
+    if ipaddress.ip_address(endpoint.host).is_unspecified or not endpoint.port:
+        raise SettingError(
+            f'endpoint {text!r} cannot be reached by others; give one address '
+            'and port of this host',
+        )
+    return endpoint
+
+
 def _is_port(text: str) -> bool:
     return text.isdecimal() and int(text) <= MAX_PORT
--- a/redwingstream/membership/checks.py
+++ b/redwingstream/membership/checks.py
@@ -1,6 +1,6 @@
 """What is wrong with an announcement that no pool could make right."""
 
-from redwingstream.endpoints import parse_endpoint
+from redwingstream.endpoints import parse_reachable
 from redwingstream.errors import SettingError
 from redwingstream.membership.messages import Announce
 
@@ -26,7 +26,7 @@
     if not 0 < announce.weight <= MAX_WEIGHT:
         return f'the weight is {announce.weight}; 1 to {MAX_WEIGHT} are allowed'
     try:
-        parse_endpoint(announce.endpoint)
+        parse_reachable(announce.endpoint)
     except SettingError as error:
         return str(error)
     return ''
--- a/redwingstream/settings/parsers.py
+++ b/redwingstream/settings/parsers.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping
 
-from redwingstream.endpoints import Endpoint, parse_endpoint
+from redwingstream.endpoints import Endpoint, parse_endpoint, parse_reachable
 from redwingstream.errors import SettingError
 
 MAX_WEIGHT = 10000
@@ -33,7 +33,11 @@
     endpoint_by_host: dict[str, Endpoint] = {}
     for part in text.split(','):
         name, _, endpoint = part.strip().partition('=')
-        endpoint_by_host[parse_name(name)] = parse_endpoint(endpoint)
+        host = parse_name(name)
+        replica = parse_reachable(endpoint)
+        if host in endpoint_by_host or replica in endpoint_by_host.values():
+            raise SettingError(f'{part.strip()!r} names a replica twice')
+        endpoint_by_host[host] = replica
     return endpoint_by_host
 
 
--- a/redwingstream/settings/roles.py
+++ b/redwingstream/settings/roles.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from redwingstream.endpoints import Endpoint, parse_endpoint
+from redwingstream.endpoints import Endpoint, parse_endpoint, parse_reachable
 from redwingstream.settings.parsers import (
     COUNT_ALLOWED,
     ENDPOINT_ALLOWED,
@@ -35,7 +35,7 @@
         parse_name, NAME_ALLOWED, 'Name of the host or instance it runs on.'
     )
     endpoint: Endpoint = setting(
-        parse_endpoint,
+        parse_reachable,
         ENDPOINT_ALLOWED,
         'Where it takes frames (UDP) and calls (TCP) of other processes.',
     )
--- a/redwingstream/settings/tests/test_reading.py
+++ b/redwingstream/settings/tests/test_reading.py
@@ -65,6 +65,35 @@
         message = str(caught.value)
         assert f'--{flag} has value {text!r}; allowed: ' in message
 
+    @pytest.mark.parametrize('text', ['0.0.0.0:7000', '[::]:7000', '1.2.3.4:0'])
+    def test_refuses_an_endpoint_that_others_cannot_reach(
+        self, text: str
+    ) -> None:
+        """Callers of one server time out, and everything looks well.
+
+        Its agent is set to listen at all addresses.  It announces just that,
+        control admits it, and balancers send its packets to themselves.
+        """
+        with pytest.raises(SettingError, match='--endpoint'):
+            read_settings(AgentSettings, {**FLAGS, 'endpoint': text}, {})
+
+    @pytest.mark.parametrize(
+        'text',
+        [
+            'c1=127.0.0.1:7000,c1=127.0.0.2:7000',
+            'c1=127.0.0.1:7000,c2=127.0.0.1:7000',
+        ],
+    )
+    def test_refuses_a_replica_that_is_named_twice(self, text: str) -> None:
+        """Three control instances are set, and the loss of one stops changes.
+
+        A name was copied and not changed; the second of the two replaced the
+        first one, so that the group has two replicas.
+        """
+        flags = {**FLAGS, 'data-folder': 'data', 'replicas': text}
+        with pytest.raises(SettingError, match='twice'):
+            read_settings(ControlRoleSettings, flags, {})
+
     def test_reads_all_replicas(self) -> None:
         flags = {
             **FLAGS,
