--- a/redwingstream/membership/announcer.py
+++ b/redwingstream/membership/announcer.py
@@ -62,6 +62,7 @@
         self._leader: Endpoint | None = None
         self._led_at: float | None = None
         self._answered_at: float | None = None
+        self._asks_all = False
         self.incarnation = 0
         self.leaving = False
         self.refusal = ''
@@ -77,7 +78,7 @@
         return self.incarnation > 0
 
     def is_cut_off(self, now: float) -> bool:
-        """Whether no control instance has answered for a while."""
+        """Whether no control instance that has a leader answered lately."""
         if self._answered_at is None:
             return False
         return now - self._answered_at > SILENCE_LIMIT
@@ -91,7 +92,7 @@
         if self.incarnation:
             said = self._heartbeat(vitals)
         targets = (self.target,)
-        if now - self._led_at > LEADER_SILENCE:
+        if self._asks_all or now - self._led_at > LEADER_SILENCE:
             targets = self._control
         return [SendToControl(target, said) for target in targets]
 
@@ -112,14 +113,19 @@
         Only the leader's word on the incarnation counts: a replica that is
         behind may not have heard of this run yet.
         """
+        if not ack.leader:
+            # It may be cut off from the others, and answer all the same.
+            self._asks_all = self._asks_all or source == self.target
+            return []
         self._answered_at = now
-        self._leader = parse_endpoint(ack.leader) if ack.leader else None
+        self._leader = parse_endpoint(ack.leader)
         if self._leader == source:
             self._led_at = now
+            self._asks_all = False
             self.refusal = ack.reason
             self.incarnation = ack.incarnation
             return []
-        if self._leader is None or self.incarnation:
+        if self.incarnation:
             return []
         return [SendToControl(self._leader, self._announcement)]
 
