Remove wake-up times of the keeper that nothing asked for

`BucketKeeper.next_wakeup` had no caller: the agent ticks at fixed times. With it goes the chain that fed it (`HomeDuty`, `Takeover` and `Outbox.next_due`) and four copies of an infinity; the two times that it read are private now. `Route.prefix_length` had no caller either: routing parses each network once and keeps it. A newcomer would have looked for who uses them.

Left alone: `FlowTable.carried_by` and the sizes of `Ledger` are asked for by tests only, and the tests' assertions stay as they are.

--- a/redwingstream/placement/duty.py
+++ b/redwingstream/placement/duty.py
@@ -26,8 +26,6 @@
 from redwingstream.placement.rendezvous import Pair
 from redwingstream.placement.takeover import Takeover
 
-_NEVER = float('inf')
-
 
 @attrs.frozen
 class HomeTerm:
@@ -170,13 +168,6 @@
         """Refuse all that waits: another agent is home now."""
         return self.outbox.pending.refuse(ResultCode.STALE, _everything)
 
-    def next_due(self) -> float:
-        """Return when to advance again, in seconds; infinity when idle."""
-        if not self._is_ruling():
-            return self.outbox.pending.next_give_up
-        asked = _NEVER if self._in_effect else self.takeover.next_due()
-        return min(asked, self.outbox.next_due())
-
     def _is_ruling(self) -> bool:
         return self._fenced.fence <= self.term.view
 
--- a/redwingstream/placement/keeper.py
+++ b/redwingstream/placement/keeper.py
@@ -37,8 +37,6 @@
 
 KeeperMessage = Record | RecordAck | TakeBucket | BucketGiven
 
-_NEVER = float('inf')
-
 
 class BucketKeeper:
     """The buckets of one pool at one run of an agent.
@@ -137,13 +135,6 @@
             self._mark(bucket)
         return effects
 
-    def next_wakeup(self, now: float) -> float:
-        """Return when to call :meth:`tick`, in seconds; infinity when idle."""
-        return min(
-            (self._duty_by_bucket[bucket].next_due() for bucket in self._busy),
-            default=_NEVER,
-        )
-
     def record(
         self,
         bucket: int,
--- a/redwingstream/placement/outbox.py
+++ b/redwingstream/placement/outbox.py
@@ -22,8 +22,6 @@
 from redwingstream.requests.records import CondensedRequests
 from redwingstream.tables.rows import ViewMember
 
-_NEVER = float('inf')
-
 
 @attrs.frozen
 class HeirLink:
@@ -134,12 +132,6 @@
         found = map(self.pending.pop, flight.pending)
         return [record for record in found if record is not None]
 
-    def next_due(self) -> float:
-        """Return when to look again, in seconds; infinity when idle."""
-        flight = self._flight
-        repeat = _NEVER if flight is None else flight.backoff.due
-        return min(repeat, self.pending.next_give_up)
-
     def idle(self) -> bool:
         """Whether nothing waits and the heir has everything."""
         return self.synced and not self.pending
--- a/redwingstream/placement/pending.py
+++ b/redwingstream/placement/pending.py
@@ -59,7 +59,7 @@
     def __init__(self) -> None:
         self._by_ticket: dict[int, PendingRecord] = {}
         self._bytes = 0
-        self.next_give_up = _NEVER
+        self._next_give_up = _NEVER
 
     def __len__(self) -> int:
         """Return how many wait."""
@@ -73,7 +73,7 @@
         """Let a record wait."""
         self._by_ticket[pending.ticket] = pending
         self._bytes += pending.size
-        self.next_give_up = min(self.next_give_up, pending.give_up_at)
+        self._next_give_up = min(self._next_give_up, pending.give_up_at)
 
     def pop(self, ticket: int) -> PendingRecord | None:
         """Remove and return a record; None when it waits no longer."""
@@ -97,7 +97,7 @@
         removed = list(self._by_ticket.values())
         self._by_ticket.clear()
         self._bytes = 0
-        self.next_give_up = _NEVER
+        self._next_give_up = _NEVER
         return removed
 
     def refuse(
@@ -121,7 +121,7 @@
         time comes before the longest replay time, after which such a home is
         in effect; from then on the record takes no effect here.
         """
-        if now < self.next_give_up:
+        if now < self._next_give_up:
             return []
         return self.refuse(
             ResultCode.TIMED_OUT, lambda pending: now >= pending.give_up_at
--- a/redwingstream/placement/retries.py
+++ b/redwingstream/placement/retries.py
@@ -36,12 +36,12 @@
     def __init__(self, timing: RetryTiming) -> None:
         self._longest = timing.longest
         self._pause = timing.first
-        self.due = -float('inf')
+        self._due = -float('inf')
 
     def take(self, now: float) -> bool:
         """Return whether to send now; if so, set the time of the next one."""
-        if now < self.due:
+        if now < self._due:
             return False
-        self.due = now + self._pause
+        self._due = now + self._pause
         self._pause = min(self._pause * 2, self._longest)
         return True
--- a/redwingstream/placement/takeover.py
+++ b/redwingstream/placement/takeover.py
@@ -7,8 +7,6 @@
 from redwingstream.placement.retries import Backoff, RetryTiming
 from redwingstream.tables.rows import ViewMember
 
-_NEVER = float('inf')
-
 
 @attrs.frozen
 class EarlierPair:
@@ -159,10 +157,6 @@
         self._heard.update(self._earlier_by_number.keys() & given.covered)
         return []
 
-    def next_due(self) -> float:
-        """Return when to look again, in seconds; infinity once finished."""
-        return _NEVER if self.finished() else self._backoff.due
-
     def _unheard(self) -> list[EarlierPair]:
         return [
             each
--- a/redwingstream/tables/rows.py
+++ b/redwingstream/tables/rows.py
@@ -7,7 +7,6 @@
 
 import enum
 import fnmatch
-import ipaddress
 
 import attrs
 
@@ -47,10 +46,6 @@
         """Name of the row in its table."""
         return f'{self.service}|{self.callers}'
 
-    def prefix_length(self) -> int:
-        """Length of the callers' network prefix in bits."""
-        return ipaddress.ip_network(self.callers).prefixlen
-
 
 @attrs.frozen
 class Pool:
