Make settings into command-line options in one place

The daemon and the operators' tool each turned settings classes into options and read the flags back, line for line the same; `settings/flags.py` serves both. What a setting allows was written out in up to three places, once with the key's bounds as bare numbers; `settings/parsers.py` holds each text once, made from the bounds that are checked. Errors of the parsers say what is allowed: of `--replicas a b=...` it was said that 'a b' is no name, not what a name is. "A positive number" is said to be of seconds, as the tool's settings did.

The settings page left out `recover`, whose `--lose-changes-after` an operator with a lost majority needs.

Each noqa of the daemon and the sockets has its reason beside it, as the contributing page asks. Left alone: the four commands of the daemon look alike, but they are declarations.

--- a/redwingstream/daemon.py
+++ b/redwingstream/daemon.py
@@ -1,7 +1,8 @@
 """The daemon ``redwingstreamd``: one process, one role.
 
 The roles' modules are imported only for the role that runs, so that a balancer
-does not carry the memory of a control instance.
+does not carry the memory of a control instance; this is why imports stand in
+functions here.
 """
 
 import asyncio
@@ -12,20 +13,14 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-import attrs
 from absl import logging
 from cleo.application import Application
 from cleo.commands.command import Command
-from cleo.helpers import option
 
 from redwingstream.errors import RedwingstreamError, ResultCode
 from redwingstream.keyfile import read_key_file
-from redwingstream.settings.reading import (
-    flag_of,
-    info_of,
-    read_settings,
-    variable_of,
-)
+from redwingstream.settings.flags import given_flags, options_of
+from redwingstream.settings.reading import read_settings
 from redwingstream.settings.roles import (
     AgentSettings,
     BalancerSettings,
@@ -40,7 +35,9 @@
 async def _run_balancer(
     settings: BalancerSettings, key: bytes, stopping: asyncio.Event
 ) -> None:
-    from redwingstream.balancer.role import BalancerRole  # noqa: WPS433
+    from redwingstream.balancer.role import (  # noqa: WPS433 - one role
+        BalancerRole,
+    )
 
     balancer = BalancerRole(settings, key)
     async with balancer.opened():
@@ -51,7 +48,9 @@
 async def _run_agent(
     settings: AgentSettings, key: bytes, stopping: asyncio.Event
 ) -> None:
-    from redwingstream.agent.role import AgentRole  # noqa: WPS433
+    from redwingstream.agent.role import (  # noqa: WPS433 - one role
+        AgentRole,
+    )
 
     agent = AgentRole(settings, key)
     async with agent.opened():
@@ -75,7 +74,7 @@
 async def _recover(
     settings: RecoverySettings, key: bytes, stopping: asyncio.Event
 ) -> None:
-    from redwingstream.control.recovery import (  # noqa: WPS433
+    from redwingstream.control.recovery import (  # noqa: WPS433 - one role
         ControlSettings,
         recover_alone,
     )
@@ -87,7 +86,7 @@
 async def _run_control(
     settings: ControlRoleSettings, key: bytes, stopping: asyncio.Event
 ) -> None:
-    from redwingstream.control.role import (  # noqa: WPS433
+    from redwingstream.control.role import (  # noqa: WPS433 - one role
         ControlSettings,
         run_control,
     )
@@ -102,21 +101,6 @@
         await running
 
 
-def options_of(settings_class: type[CommonSettings]) -> list[Any]:
-    """Return the command-line options of a settings class."""
-    return [
-        option(
-            flag_of(field.name),
-            description=(
-                f'{info_of(field).help} Allowed: {info_of(field).allowed}. '
-                f'Environment: {variable_of(field.name)}.'
-            ),
-            flag=False,
-        )
-        for field in attrs.fields(settings_class)
-    ]
-
-
 class _RoleCommand(Command):
     """Reads the settings of a role and runs it until a signal."""
 
@@ -127,10 +111,7 @@
         """Run the role; return the result code."""
         logging.use_absl_handler()
         logging.set_verbosity(logging.INFO)
-        flags = {
-            flag_of(field.name): self.option(flag_of(field.name))
-            for field in attrs.fields(self.settings_class)
-        }
+        flags = given_flags(self, self.settings_class)
         try:
             settings = read_settings(self.settings_class, flags, os.environ)
             key = read_key_file(settings.key_file)
--- a/redwingstream/operators/commands/base.py
+++ b/redwingstream/operators/commands/base.py
@@ -15,12 +15,8 @@
 from redwingstream.operators.client import ControlClient
 from redwingstream.operators.rendering import json_text
 from redwingstream.operators.settings import OperatorSettings
-from redwingstream.settings.reading import (
-    flag_of,
-    info_of,
-    read_settings,
-    variable_of,
-)
+from redwingstream.settings.flags import given_flags, options_of
+from redwingstream.settings.reading import read_settings
 from redwingstream.wire.calls import MAX_CALL_SIZE, CallClient
 from redwingstream.wire.frames import FrameCodec
 
@@ -35,19 +31,10 @@
 
 def setting_options() -> list[Any]:
     """Return the options that every command has."""
-    options = [
-        option(
-            flag_of(field.name),
-            description=(
-                f'{info_of(field).help} Allowed: {info_of(field).allowed}. '
-                f'Environment: {variable_of(field.name)}.'
-            ),
-            flag=False,
-        )
-        for field in attrs.fields(OperatorSettings)
+    return [
+        *options_of(OperatorSettings),
+        option('json', description='Write JSON for programs.'),
     ]
-    options.append(option('json', description='Write JSON for programs.'))
-    return options
 
 
 class OperatorCommand(Command):
@@ -93,11 +80,7 @@
         self.line_error(_plain(text))
 
     def _handle(self) -> ResultCode:
-        fields = attrs.fields(OperatorSettings)
-        flags = {
-            flag_of(field.name): self.option(flag_of(field.name))
-            for field in fields
-        }
+        flags = given_flags(self, OperatorSettings)
         self.settings = read_settings(OperatorSettings, flags, os.environ)
         self.key = read_key_file(self.settings.key_file)
         self.check()
--- a/redwingstream/operators/settings.py
+++ b/redwingstream/operators/settings.py
@@ -5,7 +5,13 @@
 import attrs
 
 from redwingstream.endpoints import Endpoint
-from redwingstream.settings.parsers import parse_endpoints, parse_seconds
+from redwingstream.settings.parsers import (
+    ENDPOINTS_ALLOWED,
+    KEY_FILE_ALLOWED,
+    SECONDS_ALLOWED,
+    parse_endpoints,
+    parse_seconds,
+)
 from redwingstream.settings.reading import setting
 
 DEFAULT_TIMEOUT = 10
@@ -17,17 +23,17 @@
 
     control: tuple[Endpoint, ...] = setting(
         parse_endpoints,
-        'comma-separated IP:PORT',
+        ENDPOINTS_ALLOWED,
         'The control instances.',
     )
     key_file: pathlib.Path = setting(
         pathlib.Path,
-        'path of a file of 16 to 64 bytes that only its owner can read',
+        KEY_FILE_ALLOWED,
         'Key under which the processes of the system take calls.',
     )
     timeout: float = setting(
         parse_seconds,
-        'a positive number of seconds',
+        SECONDS_ALLOWED,
         'How long a command tries before it gives up.',
         default=DEFAULT_TIMEOUT,
     )
--- a/redwingstream/operators/tool.py
+++ b/redwingstream/operators/tool.py
@@ -66,7 +66,7 @@
     try:
         return application.run()
     except CleoError as error:
-        print(f'redwingstream: {error}', file=sys.stderr)  # noqa: WPS421
+        print(f'redwingstream: {error}', file=sys.stderr)  # noqa: WPS421 - CLI
         return int(ResultCode.BAD_SETTING)
 
 
--- a/redwingstream/settings/__init__.py
+++ b/redwingstream/settings/__init__.py
@@ -8,4 +8,8 @@
     How a setting is described, found and checked.
 roles
     The settings of each role.
+flags
+    Settings as flags of a command line.
+reference
+    The page of the documentation that lists them.
 """
--- a/redwingstream/settings/parsers.py
+++ b/redwingstream/settings/parsers.py
@@ -1,25 +1,38 @@
-"""Reads the text of one value; a value that is not allowed is an error."""
+"""Reads the text of one value.
+
+Every function here raises :class:`~redwingstream.errors.SettingError` or
+``ValueError`` when the text is not allowed; ``read_settings`` adds the name of
+the setting and the way out.
+"""
 
 from collections.abc import Mapping
 
 from redwingstream.endpoints import Endpoint, parse_endpoint
 from redwingstream.errors import SettingError
+from redwingstream.wire.frames import KEY_SIZE_MAX, KEY_SIZE_MIN
 
 MAX_WEIGHT = 10000
 MAX_NAME = 64
 MAX_COUNT = 1000000
 ENDPOINT_ALLOWED = 'IP:PORT, for instance 127.0.0.1:7000'
-SECONDS_ALLOWED = 'a positive number'
+ENDPOINTS_ALLOWED = 'comma-separated IP:PORT'
+REPLICAS_ALLOWED = 'comma-separated NAME=IP:PORT, this instance included'
+KEY_FILE_ALLOWED = (
+    f'path of a file of {KEY_SIZE_MIN} to {KEY_SIZE_MAX} bytes that only its '
+    'owner can read'
+)
+SECONDS_ALLOWED = 'a positive number of seconds'
+WEIGHT_ALLOWED = f'1 to {MAX_WEIGHT}'
 COUNT_ALLOWED = f'1 to {MAX_COUNT}'
 NAME_ALLOWED = f'letters, digits, - and _, {MAX_NAME} at most'
 
 
 def parse_name(text: str) -> str:
-    """Read the name of a host, a zone or a pool."""
+    """Read the name of a host, a zone or a pool; white space round it goes."""
     stripped = text.strip()
     is_plain = stripped.replace('-', '').replace('_', '').isalnum()
     if not is_plain or len(stripped) > MAX_NAME:
-        raise SettingError(f'{text!r} is no name')
+        raise SettingError(f'{text!r} is no name; allowed: {NAME_ALLOWED}')
     return stripped
 
 
@@ -41,7 +54,9 @@
     """Read a weight."""
     weight = int(text)
     if not 0 < weight <= MAX_WEIGHT:
-        raise SettingError(f'weight {weight} is out of range')
+        raise SettingError(
+            f'weight {weight} is out of range; allowed: {WEIGHT_ALLOWED}',
+        )
     return weight
 
 
@@ -49,7 +64,9 @@
     """Read a positive number of things."""
     count = int(text)
     if not 0 < count <= MAX_COUNT:
-        raise SettingError(f'{count} is out of range')
+        raise SettingError(
+            f'{count} is out of range; allowed: {COUNT_ALLOWED}',
+        )
     return count
 
 
@@ -57,5 +74,5 @@
     """Read a positive number of seconds."""
     seconds = float(text)
     if not 0 < seconds < float('inf'):
-        raise SettingError(f'{text!r} is not a positive number')
+        raise SettingError(f'{text!r} is not {SECONDS_ALLOWED}')
     return seconds
--- a/redwingstream/settings/reading.py
+++ b/redwingstream/settings/reading.py
@@ -42,7 +42,20 @@
     help_text: str,
     default: Any = attrs.NOTHING,
 ) -> Any:
-    """Return an ``attrs`` field that is a setting."""
+    """Return an ``attrs`` field that is a setting.
+
+    Parameters
+    ----------
+    parse : callable
+        Takes the text; raises :class:`SettingError` or ``ValueError``.
+    allowed : str
+        Which values are allowed, for help and for errors.
+    help_text : str
+        What the setting is for.
+    default : object, optional
+        Value when neither flag nor variable is given; without it the setting
+        is required.
+    """
     info = SettingInfo(parse, allowed, help_text)
     return attrs.field(default=default, metadata={'setting': info})
 
@@ -73,7 +86,7 @@
     Parameters
     ----------
     settings_class : type
-        One of the classes of this module.
+        An ``attrs`` class whose fields were made by :func:`setting`.
     flags : mapping
         Text by flag name; None for a flag that was not given.
     environ : mapping
--- a/redwingstream/settings/reference.py
+++ b/redwingstream/settings/reference.py
@@ -11,6 +11,7 @@
     AgentSettings,
     BalancerSettings,
     ControlRoleSettings,
+    RecoverySettings,
 )
 
 _INTRODUCTION = """# Settings of the daemon
@@ -26,6 +27,7 @@
         'balancer': BalancerSettings,
         'agent': AgentSettings,
         'control': ControlRoleSettings,
+        'recover': RecoverySettings,
     }
 )
 
--- a/redwingstream/settings/roles.py
+++ b/redwingstream/settings/roles.py
@@ -9,9 +9,12 @@
 from redwingstream.settings.parsers import (
     COUNT_ALLOWED,
     ENDPOINT_ALLOWED,
-    MAX_WEIGHT,
+    ENDPOINTS_ALLOWED,
+    KEY_FILE_ALLOWED,
     NAME_ALLOWED,
+    REPLICAS_ALLOWED,
     SECONDS_ALLOWED,
+    WEIGHT_ALLOWED,
     parse_count,
     parse_endpoints,
     parse_name,
@@ -44,7 +47,7 @@
     )
     key_file: pathlib.Path = setting(
         pathlib.Path,
-        'path of a file of 16 to 64 bytes that only its owner can read',
+        KEY_FILE_ALLOWED,
         'Key under which processes of the system authenticate each other.',
     )
     statsd: Endpoint | None = setting(
@@ -61,12 +64,12 @@
 
     control: tuple[Endpoint, ...] = setting(
         parse_endpoints,
-        'comma-separated IP:PORT',
+        ENDPOINTS_ALLOWED,
         'The control instances.',
     )
     peers: tuple[Endpoint, ...] = setting(
         parse_endpoints,
-        'comma-separated IP:PORT',
+        ENDPOINTS_ALLOWED,
         'Other members that are asked for the tables while no control '
         'instance answers; none when absent.',
         default=(),
@@ -111,7 +114,7 @@
     )
     weight: int = setting(
         parse_weight,
-        f'1 to {MAX_WEIGHT}',
+        WEIGHT_ALLOWED,
         'Share of the new flows relative to other servers of the pool.',
         default=DEFAULT_WEIGHT,
     )
@@ -147,7 +150,7 @@
     )
     replicas: Mapping[str, Endpoint] = setting(
         parse_replicas,
-        'comma-separated NAME=IP:PORT, this instance included',
+        REPLICAS_ALLOWED,
         'All control instances.',
     )
 
--- a/redwingstream/wire/datagrams.py
+++ b/redwingstream/wire/datagrams.py
@@ -106,7 +106,7 @@
     loop = asyncio.get_running_loop()
     family = socket.AF_INET6 if ':' in endpoint.host else socket.AF_INET
     with socket.socket(family, socket.SOCK_DGRAM) as sock:
-        sock.setblocking(False)  # noqa: WPS425
+        sock.setblocking(False)  # noqa: WPS425 - no keyword
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
         _bind(sock, endpoint)
         datagrams = DatagramSocket(sock)
