Let every row name its own key, and bounds of rows stand once

Each row has a `key` now, as the route had; it is a property and does not travel.

The operators' tool told of pools that 1 to 65536 buckets are allowed, while the control instances refuse more than 4096: both go by one bound in `tables/rows.py`, the smaller one, so that the tool's text is true. The greatest weight and the longest name stood twice with equal values and stand there too.

The list of kind numbers named slices that have none and left out the commands of the replicated log. `tables/__init__` listed three of its six modules.

Left alone: the settings' longest name (64) is another bound than that of a row (255), and stays one.

--- a/redwingstream/membership/checks.py
+++ b/redwingstream/membership/checks.py
@@ -3,9 +3,7 @@
 from redwingstream.endpoints import parse_endpoint
 from redwingstream.errors import SettingError
 from redwingstream.membership.messages import Announce
-
-MAX_NAME = 255
-MAX_WEIGHT = 10000
+from redwingstream.tables.rows import MAX_NAME, MAX_WEIGHT
 
 
 def why_malformed(announce: Announce) -> str:
--- a/redwingstream/operators/plans.py
+++ b/redwingstream/operators/plans.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from redwingstream.errors import ResultCode, SettingError
-from redwingstream.operators.rowchecks import checked, describe_row, key_of
+from redwingstream.operators.rowchecks import checked, describe_row
 from redwingstream.tables.messages import (
     Edits,
     RemoveRow,
@@ -142,7 +142,7 @@
     comparison = _Comparison()
     if wanted is None:
         return comparison
-    wanted_by_key = {key_of(row): row for row in wanted}
+    wanted_by_key = {row.key: row for row in wanted}
     for key, row in wanted_by_key.items():
         before = current.get(key)
         if before == row:
--- a/redwingstream/operators/rowchecks.py
+++ b/redwingstream/operators/rowchecks.py
@@ -7,23 +7,10 @@
 
 from redwingstream.endpoints import parse_endpoint
 from redwingstream.errors import ResultCode, SettingError
-from redwingstream.tables.rows import Pool, Route, ZoneMark
+from redwingstream.tables.rows import MAX_BUCKETS, Pool, Route, ZoneMark
 
 Row = Pool | Route | ZoneMark
 
-MAX_BUCKETS = 65536
-
-
-def key_of(row: Row) -> str:
-    """Return the name of a row in its table."""
-    match row:
-        case Pool():
-            return row.name
-        case Route():
-            return row.key
-        case ZoneMark():
-            return row.zone
-
 
 def describe_row(row: Row) -> str:
     """Return a row in words, without its name."""
--- a/redwingstream/settings/parsers.py
+++ b/redwingstream/settings/parsers.py
@@ -9,9 +9,9 @@
 
 from redwingstream.endpoints import Endpoint, parse_endpoint
 from redwingstream.errors import SettingError
+from redwingstream.tables.rows import MAX_WEIGHT
 from redwingstream.wire.frames import KEY_SIZE_MAX, KEY_SIZE_MIN
 
-MAX_WEIGHT = 10000
 MAX_NAME = 64
 MAX_COUNT = 1000000
 ENDPOINT_ALLOWED = 'IP:PORT, for instance 127.0.0.1:7000'
--- a/redwingstream/tables/__init__.py
+++ b/redwingstream/tables/__init__.py
@@ -8,4 +8,10 @@
     An unchangeable copy of all tables at one revision.
 messages
     How processes fetch tables and how operators change them.
+history
+    The tables of a process that follows, with its latest updates.
+routing
+    Which pool a caller's traffic belongs to.
+machine
+    The replicated state machine.
 """
--- a/redwingstream/tables/history.py
+++ b/redwingstream/tables/history.py
@@ -2,15 +2,15 @@
 
 from collections import deque
 from collections.abc import Iterable
-from typing import TypeVar
+from typing import Any
 
 from redwingstream.tables.messages import RowName, Table, TablesUpdate
+from redwingstream.tables.rows import Row
 from redwingstream.tables.snapshot import Tables
 
+# Latest updates that a process keeps for its peers.
 KEPT_UPDATES = 256
 
-RowT = TypeVar('RowT')
-
 
 class TablesHistory:
     """Tables of one process and the updates that led to them.
@@ -66,7 +66,7 @@
     TablesUpdate
         The last word on each row.
     """
-    row_by_name: dict[RowName, object] = {}
+    row_by_name: dict[RowName, Row | None] = {}
     revision = since
     for update in updates:
         revision = update.revision
@@ -83,22 +83,26 @@
     )
 
 
-def _rows_of(update: TablesUpdate) -> dict[RowName, object]:
+def _rows_of(update: TablesUpdate) -> dict[RowName, Row | None]:
     """Return the rows of an update by name; None for a row that is gone."""
-    rows: dict[RowName, object] = dict.fromkeys(update.removed)
-    rows.update({RowName(Table.ROUTE, row.key): row for row in update.routes})
-    rows.update({RowName(Table.POOL, row.name): row for row in update.pools})
-    rows.update({RowName(Table.ZONE, row.zone): row for row in update.zones})
-    rows.update(
-        {RowName(Table.MEMBER, row.host): row for row in update.members}
-    )
-    rows.update({RowName(Table.VIEW, row.pool): row for row in update.views})
-    return rows
-
-
-def _present(rows: dict[RowName, object], table: Table) -> tuple:
+    rows_by_table = {
+        Table.ROUTE: update.routes,
+        Table.POOL: update.pools,
+        Table.ZONE: update.zones,
+        Table.MEMBER: update.members,
+        Table.VIEW: update.views,
+    }
+    row_by_name: dict[RowName, Row | None] = dict.fromkeys(update.removed)
+    for table, rows in rows_by_table.items():
+        row_by_name.update({RowName(table, row.key): row for row in rows})
+    return row_by_name
+
+
+def _present(
+    row_by_name: dict[RowName, Row | None], table: Table
+) -> tuple[Any, ...]:
     return tuple(
         row
-        for name, row in rows.items()
+        for name, row in row_by_name.items()
         if name.table is table and row is not None
     )
--- a/redwingstream/tables/machine/checks.py
+++ b/redwingstream/tables/machine/checks.py
@@ -20,10 +20,8 @@
     SetZone,
     Table,
 )
-from redwingstream.tables.rows import Pool, Route
+from redwingstream.tables.rows import MAX_BUCKETS, MAX_NAME, Pool, Route
 
-MAX_BUCKETS = 4096
-MAX_NAME = 255
 _REMOVABLE = frozenset((Table.ROUTE, Table.POOL, Table.ZONE))
 
 
--- a/redwingstream/tables/machine/state.py
+++ b/redwingstream/tables/machine/state.py
@@ -16,14 +16,14 @@
     Pool,
     PoolView,
     Route,
+    Row,
     ZoneMark,
 )
 from redwingstream.tables.snapshot import Tables
 
+# Answers to operators that are kept for resends.
 MAX_ANSWERS = 1024
 
-Row = Route | Pool | ZoneMark | Member | PoolView
-
 
 @attrs.frozen
 class RememberedAnswer:
--- a/redwingstream/tables/rows.py
+++ b/redwingstream/tables/rows.py
@@ -12,7 +12,11 @@
 
 ANY_CALLER = '0.0.0.0/0'
 DEFAULT_BUCKETS = 256
+MAX_BUCKETS = 4096
 DEFAULT_WEIGHT = 100
+MAX_WEIGHT = 10000
+# Characters of a name or an address in a row.
+MAX_NAME = 255
 
 
 class Role(enum.StrEnum):
@@ -67,6 +71,11 @@
     admits: tuple[str, ...]
     buckets: int = DEFAULT_BUCKETS
 
+    @property
+    def key(self) -> str:
+        """Name of the row in its table."""
+        return self.name
+
     def admits_host(self, host: str) -> bool:
         """Whether a host of this name may serve the pool."""
         return any(fnmatch.fnmatchcase(host, glob) for glob in self.admits)
@@ -87,6 +96,11 @@
     zone: str
     out: bool
 
+    @property
+    def key(self) -> str:
+        """Name of the row in its table."""
+        return self.zone
+
 
 @attrs.frozen
 class Member:
@@ -125,6 +139,11 @@
     weight: int = DEFAULT_WEIGHT
     draining: bool = False
 
+    @property
+    def key(self) -> str:
+        """Name of the row in its table."""
+        return self.host
+
 
 @attrs.frozen
 class ViewMember:
@@ -188,3 +207,11 @@
     number: int
     members: tuple[ViewMember, ...]
     unsettled: tuple[EarlierView, ...] = ()
+
+    @property
+    def key(self) -> str:
+        """Name of the row in its table."""
+        return self.pool
+
+
+Row = Route | Pool | ZoneMark | Member | PoolView
--- a/redwingstream/tables/snapshot.py
+++ b/redwingstream/tables/snapshot.py
@@ -1,6 +1,6 @@
 """An unchangeable copy of all tables at one revision."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 from typing import TypeVar
 
 import attrs
@@ -14,7 +14,7 @@
     ZoneMark,
 )
 
-RowT = TypeVar('RowT')
+RowT = TypeVar('RowT', Route, Pool, ZoneMark, Member, PoolView)
 
 
 @attrs.frozen
@@ -83,51 +83,33 @@
         )
 
     def _merged(self, update: TablesUpdate) -> 'Tables':
-        gone: dict[Table, set[str]] = {table: set() for table in Table}
+        gone_by_table: dict[Table, set[str]] = {table: set() for table in Table}
         for name in update.removed:
-            gone[name.table].add(name.key)
+            gone_by_table[name.table].add(name.key)
         return Tables(
             revision=update.revision,
             route_by_key=_overlay(
-                self.route_by_key,
-                gone[Table.ROUTE],
-                update.routes,
-                lambda row: row.key,
+                self.route_by_key, gone_by_table[Table.ROUTE], update.routes
             ),
             pool_by_name=_overlay(
-                self.pool_by_name,
-                gone[Table.POOL],
-                update.pools,
-                lambda row: row.name,
+                self.pool_by_name, gone_by_table[Table.POOL], update.pools
             ),
             zone_by_name=_overlay(
-                self.zone_by_name,
-                gone[Table.ZONE],
-                update.zones,
-                lambda row: row.zone,
+                self.zone_by_name, gone_by_table[Table.ZONE], update.zones
             ),
             member_by_host=_overlay(
-                self.member_by_host,
-                gone[Table.MEMBER],
-                update.members,
-                lambda row: row.host,
+                self.member_by_host, gone_by_table[Table.MEMBER], update.members
             ),
             view_by_pool=_overlay(
-                self.view_by_pool,
-                gone[Table.VIEW],
-                update.views,
-                lambda row: row.pool,
+                self.view_by_pool, gone_by_table[Table.VIEW], update.views
             ),
         )
 
 
 def _overlay(
-    base: Mapping[str, RowT],
-    gone: set[str],
-    rows: Iterable[RowT],
-    key_of: Callable[[RowT], str],
+    base: Mapping[str, RowT], gone: set[str], rows: Iterable[RowT]
 ) -> Mapping[str, RowT]:
     merged = {key: row for key, row in base.items() if key not in gone}
     for row in rows:
-        merged[key_of(row)] = row
+        merged[row.key] = row
     return merged
--- a/redwingstream/wire/messages.py
+++ b/redwingstream/wire/messages.py
@@ -5,7 +5,8 @@
 msgspec checks every field against its annotation while it decodes.
 
 Kind numbers by slice: 1-15 wire and membership, 16-31 tables and operators,
-32-47 consensus, 48-63 data path, 64-79 placement, 80-95 requests and flows.
+32-41 consensus, 42-47 commands of the replicated log (``tables/machine``),
+48-63 forwarding, 64-79 placement.
 """
 
 from collections.abc import Callable
