Say what the bare numbers and tuples of flows, links and frames are

Ended exchanges and message ids in use were pairs whose parts were read by index; they are small classes now. Intervals, limits and sizes of notifications, links, leases, calls, datagrams and frames stood without unit or purpose. Two options of `noqa` in the deadline's codec are gone with a named constant, the others have their reason. `reply_to` wrote the message id in both branches, and its comment said that a sender puts another one in its place: none does.

Left alone: `Sending.open` and `ServerLinks.choose` return pairs, which the agent and a test take apart.

--- a/redwingstream/admission/come_back.py
+++ b/redwingstream/admission/come_back.py
@@ -111,7 +111,7 @@
 
     def _fade(self, now: float) -> None:
         elapsed = max(0, now - self._updated_at)
-        remaining = 0.5 ** (elapsed / self._half_life)  # noqa: WPS432
+        remaining = 0.5 ** (elapsed / self._half_life)  # noqa: WPS432 - half
         self._served *= remaining
         self._refused *= remaining
         self._updated_at = now
--- a/redwingstream/admission/feeds.py
+++ b/redwingstream/admission/feeds.py
@@ -16,6 +16,7 @@
 # Part of the limit that must have been opened since it last changed, before it
 # is doubled.
 _EVIDENCE_FRACTION = 0.5
+# What the limit is multiplied by then.
 _GROWTH = 2
 
 
--- a/redwingstream/flows/caller_ids.py
+++ b/redwingstream/flows/caller_ids.py
@@ -3,18 +3,29 @@
 import random
 from collections import OrderedDict
 
+import attrs
 import xxhash
 
 from redwingstream.flows.message_ids import EXCHANGE_LIFETIME, MessageIds
 from redwingstream.wire import coap
 
 ID_RANGES = 32
+"""Into how many ranges carriers divide the message ids."""
+
 IDS_PER_RANGE = coap.MESSAGE_ID_LIMIT // ID_RANGES
 
 Ends = tuple[str, str]
 """``IP:PORT`` of the caller and of the service."""
 
 
+@attrs.define
+class _UsedIds:
+    """Message ids towards one pair of ends, and when one was last taken."""
+
+    message_ids: MessageIds
+    last_used: float
+
+
 class CallerIds:
     """Message ids from one range, in turn for each pair of ends.
 
@@ -36,24 +47,24 @@
         self._rng = rng
         place = xxhash.xxh32_intdigest(host.encode()) % ID_RANGES
         self._first = place * IDS_PER_RANGE
-        # With the time of last use; those used last stand last.
-        self._ids_by_ends: OrderedDict[Ends, tuple[MessageIds, float]] = (
-            OrderedDict()
-        )
+        # Those used last stand last.
+        self._used_by_ends: OrderedDict[Ends, _UsedIds] = OrderedDict()
 
     def take(self, ends: Ends, now: float) -> int | None:
         """Return a message id, or None while all may still be in use."""
-        known = self._ids_by_ends.pop(ends, None)
-        if known is None:
+        used = self._used_by_ends.pop(ends, None)
+        if used is None:
             start = self._rng.randrange(IDS_PER_RANGE)
-            known = (MessageIds(start, self._first, IDS_PER_RANGE), now)
-        self._ids_by_ends[ends] = (known[0], now)
-        return known[0].take(now)
+            fresh = MessageIds(start, self._first, IDS_PER_RANGE)
+            used = _UsedIds(fresh, now)
+        used.last_used = now
+        self._used_by_ends[ends] = used
+        return used.message_ids.take(now)
 
     def forget_idle(self, now: float) -> None:
         """Forget callers that were sent nothing for long enough."""
-        while self._ids_by_ends:
-            _, used = next(iter(self._ids_by_ends.values()))
-            if now - used <= EXCHANGE_LIFETIME:
+        while self._used_by_ends:
+            oldest = next(iter(self._used_by_ends.values()))
+            if now - oldest.last_used <= EXCHANGE_LIFETIME:
                 return
-            self._ids_by_ends.popitem(last=False)
+            self._used_by_ends.popitem(last=False)
--- a/redwingstream/flows/carried.py
+++ b/redwingstream/flows/carried.py
@@ -8,9 +8,13 @@
 from aiocoap.message import Message
 
 from redwingstream.errors import ResultCode
-from redwingstream.flows.effects import CloseFeed, FeedClosed, FeedEffect
+from redwingstream.flows.effects import (
+    CloseFeed,
+    FeedClosed,
+    FeedEffect,
+    FeedSource,
+)
 from redwingstream.flows.feed_state import Delivery, Feed, FeedLimits
-from redwingstream.flows.effects import FeedSource
 from redwingstream.flows.notifications import Notifications
 from redwingstream.flows.records import FlowKey, FlowRecord
 from redwingstream.flows.registrations import Registrations
--- a/redwingstream/flows/exchanges.py
+++ b/redwingstream/flows/exchanges.py
@@ -8,6 +8,7 @@
 from redwingstream.flows.message_ids import EXCHANGE_LIFETIME
 
 MAX_FINISHED = 4096
+"""Ended exchanges whose tokens are kept at most."""
 
 
 @attrs.frozen
@@ -95,6 +96,8 @@
         True for a feed while no answer is awaited.
     observe, refresh_floor : int or None
         Number of the last notification, and the one when it was refreshed.
+    observed_at : float
+        When the last notification came.
     """
 
     number: int
@@ -116,6 +119,14 @@
     refresh_floor: int | None = None
 
 
+@attrs.frozen
+class _Ended:
+    """When an exchange ended, and whether it was answered."""
+
+    at: float
+    answered: bool
+
+
 class Exchanges:
     """Open exchanges by number, token, message id and owner of the feed.
 
@@ -130,9 +141,8 @@
         self._by_token: dict[bytes, Exchange] = {}
         self._by_message_id: dict[tuple[int, int], Exchange] = {}
         self._feed_by_owner: OrderedDict[Hashable, Exchange] = OrderedDict()
-        self._answered_by_token: OrderedDict[bytes, tuple[float, bool]] = (
-            OrderedDict()
-        )
+        # Those that ended first stand first.
+        self._ended_by_token: OrderedDict[bytes, _Ended] = OrderedDict()
 
     def __len__(self) -> int:
         """Return how many exchanges are open."""
@@ -159,16 +169,16 @@
         self._by_message_id.pop((exchange.source, exchange.message_id), None)
         if self._feed_by_owner.get(exchange.owner) is exchange:
             self._feed_by_owner.pop(exchange.owner)
-        self._answered_by_token[exchange.token] = (now, answered)
-        ended = next(iter(self._answered_by_token.values()))[0]
-        full = len(self._answered_by_token) > MAX_FINISHED
-        if full or now - ended > EXCHANGE_LIFETIME:
-            self._answered_by_token.popitem(last=False)
+        self._ended_by_token[exchange.token] = _Ended(now, answered)
+        oldest = next(iter(self._ended_by_token.values()))
+        full = len(self._ended_by_token) > MAX_FINISHED
+        if full or now - oldest.at > EXCHANGE_LIFETIME:
+            self._ended_by_token.popitem(last=False)
 
     def was_answered(self, token: bytes) -> bool | None:
         """Return whether an ended exchange was answered; None if unknown."""
-        ended = self._answered_by_token.get(token)
-        return None if ended is None else ended[1]
+        ended = self._ended_by_token.get(token)
+        return None if ended is None else ended.answered
 
     def by_number(self, number: int) -> Exchange | None:
         """Find an open exchange by its number."""
--- a/redwingstream/flows/notifications.py
+++ b/redwingstream/flows/notifications.py
@@ -15,7 +15,11 @@
 from redwingstream.flows.timers import Timers
 from redwingstream.wire import coap
 
+# Seconds after which a notification is tried again that found no message id or
+# no number left.
 _HOLD = 1.0
+# Notifications under one generation from which on its home is asked for the
+# next one, and after how many more it is asked again.
 _WARN_AT = COUNTER_LIMIT - 1024
 _WARN_EACH = 64
 
--- a/redwingstream/flows/receiving.py
+++ b/redwingstream/flows/receiving.py
@@ -16,7 +16,9 @@
 from redwingstream.requests.records import RequestState
 from redwingstream.wire import coap
 
+# Seconds that a notification without Max-Age is good for (RFC 7252, 5.10.5).
 _DEFAULT_MAX_AGE = 60
+# Seconds between two refreshes of a feed at the least, whatever its Max-Age.
 _MIN_REFRESH = 1.0
 
 
@@ -135,8 +137,7 @@
             self._sending.finish(feed, now, answered=True)
             return [FeedEnded(feed.owner, ResultCode.OK, message)]
         if _has_fallen_back(feed, message):
-            effects = self._sending.restarted(now)
-            return effects
+            return self._sending.restarted(now)
         if _is_old(feed, number, now):
             self._counters.duplicates += 1
             return []
--- a/redwingstream/flows/sending.py
+++ b/redwingstream/flows/sending.py
@@ -25,8 +25,12 @@
 from redwingstream.wire import coap
 
 RANDOM_FACTOR = 0.5
+"""Spread of the first timeout (``ACK_RANDOM_FACTOR`` of RFC 7252, less 1)."""
+
 HEAD_SIZE = 4
-"""Bytes of a CoAP message up to its message id."""
+"""Bytes of a CoAP message up to and with its message id."""
+
+_MESSAGE_ID_AT = 2
 _TOKEN_SIZE = 8
 
 Effects = list[UpstreamEffect]
@@ -189,7 +193,7 @@
         No process had the packet, so it was not run, if it is the only copy.
         Idempotent requests are repeated instead: the server may be back soon.
         """
-        message_id = int.from_bytes(packet[2:HEAD_SIZE], 'big')
+        message_id = int.from_bytes(packet[_MESSAGE_ID_AT:HEAD_SIZE], 'big')
         exchange = self.exchanges.by_message_id(message_id, source)
         if len(packet) < HEAD_SIZE or exchange is None or exchange.is_feed:
             return []
--- a/redwingstream/membership/announcer.py
+++ b/redwingstream/membership/announcer.py
@@ -11,7 +11,10 @@
 )
 
 HEARTBEAT_INTERVAL = 1.0
+"""Seconds between two heartbeats of a member."""
+
 SILENCE_LIMIT = 2.5
+"""Seconds without an answer after which the next control instance is tried."""
 
 
 @attrs.frozen
@@ -43,6 +46,16 @@
     control : tuple of Endpoint
         The control instances of its settings.
 
+    Attributes
+    ----------
+    incarnation : int
+        Of this run, as the leader has admitted it; 0 while it has not.
+    leaving : bool
+        Set by the role when it drains; each heartbeat says so.
+    refusal : str
+        Why the leader does not admit this run, or keeps it out of its pool;
+        empty when it serves.
+
     Notes
     -----
     A control instance that is silent for ``SILENCE_LIMIT`` seconds is replaced
--- a/redwingstream/membership/leases.py
+++ b/redwingstream/membership/leases.py
@@ -21,9 +21,14 @@
 from redwingstream.tables.rows import Member, PoolView
 
 DEFAULT_LEASE = 3.0
+"""Seconds of silence after which a member is removed."""
+
 MAX_CHALLENGES = 8192
+"""Hosts whose challenge is remembered at most; the oldest go first."""
 
 _CHALLENGE_BITS = 63
+# Part of the lease that may pass between two looks before this process counts
+# as having been stopped itself.
 _PAUSE_SHARE = 0.5
 
 
--- a/redwingstream/membership/peers.py
+++ b/redwingstream/membership/peers.py
@@ -11,8 +11,15 @@
 from redwingstream.endpoints import Endpoint
 
 PROBE_AFTER = 0.3
+"""Seconds without a reaction after which a peer is probed."""
+
 SILENT_AFTER = 1.0
+"""Seconds without a reaction after which a peer counts as silent."""
+
 FORGOTTEN_AFTER = 60.0
+"""Seconds after which a peer that nothing was sent to is forgotten."""
+
+# Seconds between two probes of one peer.
 _PROBE_INTERVAL = 0.25
 
 
--- a/redwingstream/wire/calls.py
+++ b/redwingstream/wire/calls.py
@@ -27,8 +27,13 @@
 from redwingstream.wire.messages import message
 
 MAX_CALL_SIZE = 1 << 24
+"""Bytes of a request or an answer at most."""
+
 SERVING_CONTEXTS = 16
+"""Calls that a process answers at once at most."""
+
 DEFAULT_TIMEOUT = 2.0
+"""Seconds that a call waits for its answer."""
 
 Handler = Callable[[object], Awaitable[object]]
 AnswerT = TypeVar('AnswerT')
--- a/redwingstream/wire/coap.py
+++ b/redwingstream/wire/coap.py
@@ -32,8 +32,9 @@
 
 # Elective and safe to forward (RFC 7252, section 5.4.6), from the range for
 # experiments: how many milliseconds the caller will still wait.
-DEADLINE_OPTION = OptionNumber(65000)  # noqa: WPS432
+DEADLINE_OPTION = OptionNumber(65000)  # noqa: WPS432 - named right here
 DEADLINE_BYTES = 4
+_MS_PER_SECOND = 1000
 
 _DECODE_ERRORS = (
     coap_errors.Error,
@@ -90,12 +91,12 @@
         # A number of any length is well-formed CoAP; divided, one of some
         # hundred bytes raises OverflowError.
         return None
-    return int.from_bytes(options[0].value, 'big') / 1000  # noqa: WPS432
+    return int.from_bytes(options[0].value, 'big') / _MS_PER_SECOND
 
 
 def set_deadline(packet: Message, seconds: float) -> None:
     """Say in the message how long its sender will wait."""
-    milliseconds = max(0, int(seconds * 1000))  # noqa: WPS432
+    milliseconds = max(0, int(seconds * _MS_PER_SECOND))
     encoded = milliseconds.to_bytes(DEADLINE_BYTES, 'big')
     packet.opt.delete_option(DEADLINE_OPTION)
     packet.opt.add_option(OpaqueOption(DEADLINE_OPTION, encoded))
@@ -107,16 +108,12 @@
     """Return a response with the request's token.
 
     A confirmable request gets a piggybacked response (its message id in an
-    ACK); to any other the sender adds a message id of its own.
+    ACK); any other one a NON under the same message id.
     """
     response = Message(code=code, payload=payload)
     response.token = request.token
-    if request.mtype is CON:
-        response.mtype = ACK
-        response.mid = request.mid
-    else:
-        response.mtype = NON
-        response.mid = request.mid
+    response.mtype = ACK if request.mtype is CON else NON
+    response.mid = request.mid
     return response
 
 
--- a/redwingstream/wire/datagrams.py
+++ b/redwingstream/wire/datagrams.py
@@ -16,8 +16,13 @@
 from redwingstream.errors import EndpointError
 
 BATCH = 64
+"""Datagrams read at one wake-up at most."""
+
 MAX_DATAGRAM = 65535
+"""Bytes of a UDP datagram at most."""
+
 RECEIVE_BUFFER = 4 * 1024 * 1024
+"""Bytes of the receive buffer that the kernel is asked for."""
 
 Receiver = Callable[[bytes, tuple[str, int]], None]
 
--- a/redwingstream/wire/frames.py
+++ b/redwingstream/wire/frames.py
@@ -19,10 +19,14 @@
 
 VERSION = 1
 MAC_SIZE = 16
+# Bytes of a key; BLAKE2b takes no longer one.
 KEY_SIZE_MIN = 16
 KEY_SIZE_MAX = 64
+# Bytes of a frame at most; it fits one UDP datagram.
 MAX_FRAME = 60000
+# How far below the highest sequence number of a boot a new one may be.
 REPLAY_WINDOW = 4096
+# Boots whose windows are kept.
 MAX_BOOTS = 32768
 
 _PREFIX = struct.Struct('>BBQQ')
