Name generators of random numbers alike, and close records in one place

Parameters that take a `random.Random` were called `random` (hiding the module), `chance` or `rng`; they are `rng`, as in the other slices. The record that ends a flow was made in two modules; `FlowRecord.as_closed` serves both. A frame out of bounds is told which sizes are allowed.

--- a/redwingstream/admission/choice.py
+++ b/redwingstream/admission/choice.py
@@ -62,12 +62,12 @@
 
     Parameters
     ----------
-    random : random.Random
+    rng : random.Random
         Where candidates are drawn from.
     """
 
-    def __init__(self, random: random.Random) -> None:
-        self._random = random
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
         self._by_host: dict[str, _Peer] = {}
 
     def reported(self, report: LoadReport, now: float) -> None:
@@ -130,7 +130,7 @@
         )
         if not candidates:
             return None
-        drawn = self._random.sample(candidates, min(2, len(candidates)))
+        drawn = self._rng.sample(candidates, min(2, len(candidates)))
         chosen = min(drawn, key=self._load_of)
         self._by_host[chosen].sent_at.append(now)
         return chosen
--- a/redwingstream/admission/come_back.py
+++ b/redwingstream/admission/come_back.py
@@ -32,12 +32,12 @@
 
     Parameters
     ----------
-    random : random.Random
+    rng : random.Random
         Where they are drawn from.
     """
 
-    def __init__(self, random: random.Random) -> None:
-        self._random = random
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
 
     def delay(self, reason: ResultCode, overload: float = 0) -> int:
         """Return after how many whole seconds a caller should come back.
@@ -51,7 +51,7 @@
             in proportion.
         """
         earliest, latest = _interval(reason, overload)
-        return self._random.randint(earliest, latest)
+        return self._rng.randint(earliest, latest)
 
 
 def _interval(reason: ResultCode, overload: float) -> tuple[int, int]:
--- a/redwingstream/flows/carried.py
+++ b/redwingstream/flows/carried.py
@@ -4,7 +4,6 @@
 import random
 from collections.abc import Iterator
 
-import attrs
 from aiocoap.message import Message
 
 from redwingstream.errors import ResultCode
@@ -107,7 +106,7 @@
 
     def close(self, feed: Feed, why: ResultCode) -> list[FeedEffect]:
         """Forget a feed and tell its home."""
-        closed = FeedClosed(_closed(feed.record), why)
+        closed = FeedClosed(feed.record.as_closed(), why)
         return [*self.remove(feed), closed]
 
     def finish(
@@ -146,7 +145,3 @@
     def come_back(self) -> int:
         """Return a Max-Age in seconds, spread so that callers do not meet."""
         return math.ceil(self._limits.come_back * (1 + self._rng.random()))
-
-
-def _closed(record: FlowRecord) -> FlowRecord:
-    return attrs.evolve(record, closed=True)
--- a/redwingstream/flows/feeds.py
+++ b/redwingstream/flows/feeds.py
@@ -1,6 +1,5 @@
 """Feeds that an agent carries: between its server and the callers."""
 
-import attrs
 from aiocoap.message import Message
 
 from redwingstream.errors import ResultCode
@@ -251,10 +250,9 @@
     key = record.key
     refusal = coap.refusal(request, ResultCode.OVERLOADED, come_back)
     payload = coap.encode(refusal)
-    closed = attrs.evolve(record, closed=True)
     return [
         SendToCaller(balancer, key.caller, key.service, payload),
-        FeedClosed(closed, ResultCode.OVERLOADED),
+        FeedClosed(record.as_closed(), ResultCode.OVERLOADED),
     ]
 
 
--- a/redwingstream/flows/records.py
+++ b/redwingstream/flows/records.py
@@ -45,3 +45,7 @@
     generation: int = 0
     registration: bytes = b''
     closed: bool = False
+
+    def as_closed(self) -> 'FlowRecord':
+        """Return the record by which the flow ends."""
+        return attrs.evolve(self, closed=True)
--- a/redwingstream/flows/timers.py
+++ b/redwingstream/flows/timers.py
@@ -4,6 +4,8 @@
 from collections.abc import Hashable, Iterator
 from typing import Generic, TypeVar
 
+# Entries that the heap may hold beyond twice the valid ones before it is
+# rebuilt, so that a small one is left alone.
 _SLACK = 64
 
 KeyT = TypeVar('KeyT', bound=Hashable)
--- a/redwingstream/membership/leases.py
+++ b/redwingstream/membership/leases.py
@@ -84,15 +84,15 @@
     ----------
     lease : float
         Seconds of silence after which a member is removed.
-    chance : random.Random
+    rng : random.Random
         Draws challenges.
     now : float
         When this replica became leader.
     """
 
-    def __init__(self, lease: float, chance: random.Random, now: float) -> None:
+    def __init__(self, lease: float, rng: random.Random, now: float) -> None:
         self._lease = lease
-        self._chance = chance
+        self._rng = rng
         self._since = now
         self._looked_at = now
         self._returns = Returns()
@@ -219,7 +219,7 @@
         same_run = pending is not None and pending.boot == boot
         if same_run and pending.expires_at > now:
             return pending.number
-        number = self._chance.getrandbits(_CHALLENGE_BITS) | 1
+        number = self._rng.getrandbits(_CHALLENGE_BITS) | 1
         fresh = _Challenge(number, boot, now + self._lease)
         self._challenge_by_host[host] = fresh
         self._challenge_by_host.move_to_end(host)
--- a/redwingstream/node/member.py
+++ b/redwingstream/node/member.py
@@ -94,7 +94,7 @@
         )
         self.state: Callable[[], dict[str, Any]] = dict
         self._socket: DatagramSocket | None = None
-        self._random = random.Random()
+        self._rng = random.Random()
         self._handler_by_class: dict[type, FrameHandler] = {
             Challenge: self._on_challenge,
             HeartbeatAck: self._on_ack,
@@ -139,7 +139,7 @@
             self._say(self.announcer.tick(self.now, self.vitals()))
             self._ask_a_peer()
             self.metrics.flush()
-            spread = self._random.uniform(*_BEAT_SPREAD)
+            spread = self._rng.uniform(*_BEAT_SPREAD)
             await asyncio.sleep(HEARTBEAT_INTERVAL * spread)
 
     def _ask_a_peer(self) -> None:
@@ -152,7 +152,7 @@
         peers = self.settings.peers
         if peers and self.announcer.is_cut_off(self.now):
             probe = Probe(self.follower.revision)
-            self.send(self._random.choice(peers), probe)
+            self.send(self._rng.choice(peers), probe)
 
     def _say(self, sends: list[SendToControl]) -> None:
         for send in sends:
--- a/redwingstream/operators/client.py
+++ b/redwingstream/operators/client.py
@@ -30,7 +30,10 @@
 )
 
 TRY_TIMEOUT = 2.0
+"""Seconds that one control instance or process has for its answer."""
+
 RETRY_PAUSE = 0.2
+"""Seconds before the next try."""
 
 # After these the same call may succeed elsewhere or a little later.
 _TRANSIENT = frozenset(
--- a/redwingstream/operators/explain.py
+++ b/redwingstream/operators/explain.py
@@ -79,6 +79,7 @@
         self.explanation = start
 
     def add(self, reason: str, **found: object) -> None:
+        """Add a sentence, and set what it has found by field name."""
         self.explanation = attrs.evolve(
             self.explanation,
             reasons=(*self.explanation.reasons, reason),
@@ -86,6 +87,7 @@
         )
 
     def stop(self, code: ResultCode, reason: str) -> Explanation:
+        """Add the reason why callers are refused; return the whole."""
         self.add(reason, code=code)
         return self.explanation
 
--- a/redwingstream/operators/overview.py
+++ b/redwingstream/operators/overview.py
@@ -14,7 +14,10 @@
 from redwingstream.tables.snapshot import Tables
 
 MAX_CALLS_AT_ONCE = 16
+"""Processes that are asked at the same time at most."""
+
 CONTROL_ROLE = 'control'
+"""Role of a control instance, which is no member and has no row."""
 
 
 @attrs.frozen
@@ -146,6 +149,7 @@
     async def ask(
         self, role: str, endpoint: Endpoint, member: Member | None
     ) -> ProcessStatus:
+        """Return the status of one process; a silent one has no revision."""
         async with self._places:
             revision = await self._revision(endpoint)
             vitals = Vitals()
--- a/redwingstream/placement/effects.py
+++ b/redwingstream/placement/effects.py
@@ -36,7 +36,7 @@
     Parameters
     ----------
     ticket : int
-        What :meth:`BucketKeeper.record` returned.
+        What ``BucketKeeper.record`` returned.
     reason : ResultCode
         ``STALE``: another agent is home, hand the request on to it.
         ``OUTCOME_UNKNOWN``: another home has recorded the same request, the
--- a/redwingstream/placement/rendezvous.py
+++ b/redwingstream/placement/rendezvous.py
@@ -15,6 +15,7 @@
 from redwingstream.tables.rows import PoolView, ViewMember
 
 _DIGEST_BYTES = 8
+# Of a 64-bit hash as many bits are kept as a float holds exactly.
 _HASH_BITS = 64
 _FRACTION_BITS = 52
 _DROPPED_BITS = _HASH_BITS - _FRACTION_BITS
--- a/redwingstream/wire/coap.py
+++ b/redwingstream/wire/coap.py
@@ -142,7 +142,7 @@
 
 
 def empty(mtype: aiocoap.Type, message_id: int) -> Message:
-    """Return an empty ACK or RST for a message id."""
+    """Return an empty message: an ACK, an RST, or a ping when confirmable."""
     packet = Message(code=EMPTY)
     packet.mtype = mtype
     packet.mid = message_id
--- a/redwingstream/wire/frames.py
+++ b/redwingstream/wire/frames.py
@@ -78,7 +78,7 @@
     Parameters
     ----------
     key : bytes
-        16 to 64 bytes, the same in every process of the fleet.
+        ``KEY_SIZE_MIN`` to ``KEY_SIZE_MAX`` bytes, the same in every process.
     max_frame : int
         Longest frame in bytes; the default fits one UDP datagram.
 
@@ -131,7 +131,10 @@
             With code ``MALFORMED``, ``UNAUTHENTIC`` or ``REPLAYED``.
         """
         if not _HEADER_SIZE <= len(frame) <= self._max_frame:
-            raise WireError(f'frame of {len(frame)} bytes is out of bounds')
+            raise WireError(
+                f'frame has {len(frame)} bytes; allowed: {_HEADER_SIZE} to '
+                f'{self._max_frame}',
+            )
         version, kind, boot, sequence = _PREFIX.unpack_from(frame)
         body = frame[_HEADER_SIZE:]
         expected = self._mac(frame[: _PREFIX.size], body)
