--- a/redwingstream/daemon.py
+++ b/redwingstream/daemon.py
@@ -175,13 +175,14 @@
     options = options_of(RecoverySettings)
 
 
+COMMANDS = (BalancerCommand, AgentCommand, ControlCommand, RecoverCommand)
+
+
 def main() -> None:
     """Run ``redwingstreamd`` and exit with a result code."""
     application = Application('redwingstreamd')
-    application.add(BalancerCommand())
-    application.add(AgentCommand())
-    application.add(ControlCommand())
-    application.add(RecoverCommand())
+    for command_class in COMMANDS:
+        application.add(command_class())
     sys.exit(application.run())
 
 
--- a/redwingstream/flows/upstream.py
+++ b/redwingstream/flows/upstream.py
@@ -95,17 +95,7 @@
         return self._sending.give_up(exchange, now, ResultCode.OUTCOME_UNKNOWN)
 
     def receive(self, packet: bytes, now: float, source: int = 0) -> Effects:
-        """Take a packet from the server.
-
-        Parameters
-        ----------
-        packet : bytes
-            What came; malformed input is counted and dropped.
-        now : float
-            The time.
-        source : int
-            The socket on which it came.
-        """
+        """Take a packet from the server; see :meth:`Receiving.receive`."""
         return self._receiving.receive(packet, now, source)
 
     def refused(
--- a/redwingstream/membership/returns.py
+++ b/redwingstream/membership/returns.py
@@ -4,10 +4,14 @@
 
 import attrs
 
+# Returns after the first admission that need not wait.
 FREE_RETURNS = 2
+# Shortest and longest wait, and the quiet time that forgets the past, in
+# seconds.
 FIRST_WAIT = 2.0
 LONGEST_WAIT = 120.0
 QUIET_TIME = 600.0
+# Hosts whose history is kept at most.
 MAX_HOSTS = 8192
 
 
--- a/redwingstream/operators/rowchecks.py
+++ b/redwingstream/operators/rowchecks.py
@@ -7,7 +7,13 @@
 
 from redwingstream.endpoints import parse_endpoint
 from redwingstream.errors import ResultCode, SettingError
-from redwingstream.tables.rows import MAX_BUCKETS, Pool, Route, ZoneMark
+from redwingstream.tables.rows import (
+    MAX_BUCKETS,
+    Pool,
+    Route,
+    ZoneMark,
+    is_bucket_count,
+)
 
 Row = Pool | Route | ZoneMark
 
@@ -44,8 +50,7 @@
 
 def _checked_pool(pool: Pool) -> Pool:
     _require_name('pool', pool.name)
-    is_power = pool.buckets & (pool.buckets - 1) == 0
-    if not 0 < pool.buckets <= MAX_BUCKETS or not is_power:
+    if not is_bucket_count(pool.buckets):
         raise _bad_row(
             f'pool {pool.name!r} has {pool.buckets} buckets; allowed: a power '
             f'of two from 1 to {MAX_BUCKETS}',
--- a/redwingstream/operators/tests/test_plans.py
+++ b/redwingstream/operators/tests/test_plans.py
@@ -68,6 +68,10 @@
             ('[[pools]]\nname = "a"', 'admits'),
             ('[[pools]]\nname = "a"\nadmits = []\nbucket = 4', 'bucket'),
             ('[[pools]]\nname = "a"\nadmits = []\nbuckets = 5', 'power'),
+            (
+                '[[pools]]\nname = "a"\nadmits = []\nbuckets = 8192',
+                '1 to 4096',
+            ),
             ('[[routes]]\nservice = "here"\npool = "a"', 'IP:PORT'),
             (
                 '[[routes]]\nservice = "::1:1"\npool = "a"\ncallers = "x"',
--- a/redwingstream/settings/reading.py
+++ b/redwingstream/settings/reading.py
@@ -46,12 +46,8 @@
 
     Parameters
     ----------
-    parse : callable
-        Takes the text; raises :class:`SettingError` or ``ValueError``.
-    allowed : str
-        Which values are allowed, for help and for errors.
-    help_text : str
-        What the setting is for.
+    parse, allowed, help_text
+        As in :class:`SettingInfo`.
     default : object, optional
         Value when neither flag nor variable is given; without it the setting
         is required.
--- a/redwingstream/settings/tests/test_reading.py
+++ b/redwingstream/settings/tests/test_reading.py
@@ -65,6 +65,15 @@
         message = str(caught.value)
         assert f'--{flag} has value {text!r}; allowed: ' in message
 
+    def test_says_what_a_name_of_a_replica_is(self) -> None:
+        flags = {
+            **FLAGS,
+            'data-folder': 'data',
+            'replicas': 'c 1=127.0.0.1:7000',
+        }
+        with pytest.raises(SettingError, match="'c 1' is no name; allowed: "):
+            read_settings(ControlRoleSettings, flags, {})
+
     def test_reads_all_replicas(self) -> None:
         flags = {
             **FLAGS,
--- a/redwingstream/tables/machine/checks.py
+++ b/redwingstream/tables/machine/checks.py
@@ -20,7 +20,13 @@
     SetZone,
     Table,
 )
-from redwingstream.tables.rows import MAX_BUCKETS, MAX_NAME, Pool, Route
+from redwingstream.tables.rows import (
+    MAX_BUCKETS,
+    MAX_NAME,
+    Pool,
+    Route,
+    is_bucket_count,
+)
 
 _REMOVABLE = frozenset((Table.ROUTE, Table.POOL, Table.ZONE))
 
@@ -100,8 +106,7 @@
     _check_name('pool', row.name)
     for glob in row.admits:
         _check_name('host pattern', glob)
-    is_power = row.buckets > 0 and not row.buckets & (row.buckets - 1)
-    if not is_power or row.buckets > MAX_BUCKETS:
+    if not is_bucket_count(row.buckets):
         raise _bad_row(
             f'pool {row.name!r} has {row.buckets} buckets; a power of two '
             f'from 1 to {MAX_BUCKETS} is allowed',
--- a/redwingstream/tables/rows.py
+++ b/redwingstream/tables/rows.py
@@ -19,6 +19,12 @@
 MAX_NAME = 255
 
 
+def is_bucket_count(count: int) -> bool:
+    """Whether a pool may have so many buckets: a power of two, bounded."""
+    is_power = count & (count - 1) == 0
+    return is_power and 0 < count <= MAX_BUCKETS
+
+
 class Role(enum.StrEnum):
     """What a process of the system does."""
 
