--- a/redwingstream/membership/announcer.py
+++ b/redwingstream/membership/announcer.py
@@ -11,8 +11,13 @@
 )
 
 HEARTBEAT_INTERVAL = 1.0
+"""Seconds between two heartbeats of a member."""
+
 SILENCE_LIMIT = 2.5
+"""Seconds without an answer after which a member counts as cut off."""
+
 LEADER_SILENCE = 1.5
+"""Seconds without the leader after which all control instances are told."""
 
 
 @attrs.frozen
@@ -44,6 +49,16 @@
     control : tuple of Endpoint
         The control instances of its settings.
 
+    Attributes
+    ----------
+    incarnation : int
+        Of this run, as the leader has admitted it; 0 while it has not.
+    leaving : bool
+        Set by the role when it drains; each heartbeat says so.
+    refusal : str
+        Why the leader does not admit this run, or keeps it out of its pool;
+        empty when it serves.
+
     Notes
     -----
     A leader that is silent for ``LEADER_SILENCE`` seconds is no longer
--- a/redwingstream/operators/rowchecks.py
+++ b/redwingstream/operators/rowchecks.py
@@ -7,23 +7,16 @@
 
 from redwingstream.endpoints import parse_endpoint
 from redwingstream.errors import ResultCode, SettingError
-from redwingstream.tables.rows import Pool, Route, ZoneMark
+from redwingstream.tables.rows import (
+    MAX_BUCKETS,
+    Pool,
+    Route,
+    ZoneMark,
+    is_bucket_count,
+)
 
 Row = Pool | Route | ZoneMark
 
-MAX_BUCKETS = 65536
-
-
-def key_of(row: Row) -> str:
-    """Return the name of a row in its table."""
-    match row:
-        case Pool():
-            return row.name
-        case Route():
-            return row.key
-        case ZoneMark():
-            return row.zone
-
 
 def describe_row(row: Row) -> str:
     """Return a row in words, without its name."""
@@ -57,8 +50,7 @@
 
 def _checked_pool(pool: Pool) -> Pool:
     _require_name('pool', pool.name)
-    is_power = pool.buckets & (pool.buckets - 1) == 0
-    if not 0 < pool.buckets <= MAX_BUCKETS or not is_power:
+    if not is_bucket_count(pool.buckets):
         raise _bad_row(
             f'pool {pool.name!r} has {pool.buckets} buckets; allowed: a power '
             f'of two from 1 to {MAX_BUCKETS}',
--- a/redwingstream/wire/datagrams.py
+++ b/redwingstream/wire/datagrams.py
@@ -16,8 +16,13 @@
 from redwingstream.errors import EndpointError
 
 BATCH = 64
+"""Datagrams read at one wake-up at most."""
+
 MAX_DATAGRAM = 65535
+"""Bytes of a UDP datagram at most."""
+
 RECEIVE_BUFFER = 4 * 1024 * 1024
+"""Bytes of the receive buffer that the kernel is asked for."""
 
 Receiver = Callable[[bytes, tuple[str, int]], None]
 
@@ -106,7 +111,7 @@
     loop = asyncio.get_running_loop()
     family = socket.AF_INET6 if ':' in endpoint.host else socket.AF_INET
     with socket.socket(family, socket.SOCK_DGRAM) as sock:
-        sock.setblocking(False)  # noqa: WPS425
+        sock.setblocking(False)  # noqa: WPS425 - no keyword
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
         _bind(sock, endpoint)
         datagrams = DatagramSocket(sock)
