--- a/asv_bench/idle.py
+++ b/asv_bench/idle.py
@@ -217,7 +217,7 @@
 
     async def _wait_for_members(self) -> None:
         async with asyncio.timeout(MEMBERS_SECONDS):
-            while any(agent._core is None for agent in self.agents):
+            while not all(map(_is_admitted, self.agents)):
                 await asyncio.sleep(0.1)
 
     def _tables(self) -> Edits:
@@ -234,6 +234,10 @@
         )
 
 
+def _is_admitted(agent: AgentRole) -> bool:
+    return agent._node.state().get('admitted', True)
+
+
 async def measure(
     shape: IdleShape, control: int, key: bytes, count: UdpCount
 ) -> IdleCost:
--- a/asv_bench/packet_processes.py
+++ b/asv_bench/packet_processes.py
@@ -183,7 +183,7 @@
     )
     role = BalancerRole(settings, KEY)
     role._node.follower.history.take(tables_update(run.agents))
-    role._adopt()
+    role._node.follower.on_tables()
     async with role.opened():
         pipe.send('ready')
         # Caches fill and senders start before the watch begins.
