Say which messages name revisions, and what probes carry

Records, load reports and moves do not; callers' packets, answers, probes and heartbeat answers do. Three messages of `membership` had no word on their field.

--- a/redwingstream/membership/messages.py
+++ b/redwingstream/membership/messages.py
@@ -42,7 +42,13 @@
 
 @message(kind=3)
 class Challenge:
-    """The leader's answer to a first announcement."""
+    """The leader's answer to a first announcement.
+
+    Parameters
+    ----------
+    challenge : int
+        Random number that the repeated announcement has to carry.
+    """
 
     challenge: int
 
@@ -105,14 +111,26 @@
 
 @message(kind=6)
 class Probe:
-    """Are you there?  Sent on a link that has been silent."""
+    """Ask a peer on a link that has been silent for a sign of life.
+
+    Parameters
+    ----------
+    revision : int
+        Revision of the sender's tables.
+    """
 
     revision: int
 
 
 @message(kind=7)
 class ProbeAck:
-    """Yes, with the revision of the tables here."""
+    """Answer to :class:`Probe`, sent at once.
+
+    Parameters
+    ----------
+    revision : int
+        Revision of the sender's tables.
+    """
 
     revision: int
 
--- a/redwingstream/node/following.py
+++ b/redwingstream/node/following.py
@@ -49,8 +49,9 @@
     def hear(self, revision: int, source: Endpoint) -> None:
         """Fetch the tables when another process knows newer ones.
 
-        This is how a change reaches a process that control cannot reach: every
-        frame of its peers names their revision.
+        This is how a change reaches a process that control cannot reach:
+        callers' packets, their answers and probes name the revision of the
+        peer that sent them.
         """
         if revision > self.revision and self._fetching is None:
             self._fetching = asyncio.create_task(self._fetch(source))
