--- a/redwingstream/balancer/tests/test_forwarder.py
+++ b/redwingstream/balancer/tests/test_forwarder.py
@@ -7,7 +7,13 @@
 from redwingstream.errors import ResultCode
 from redwingstream.membership.peers import SILENT_AFTER
 from redwingstream.placement.rendezvous import bucket_of, pair_of
-from redwingstream.tables.rows import Pool, PoolView, Route, ViewMember
+from redwingstream.tables.rows import (
+    DEFAULT_BUCKETS,
+    Pool,
+    PoolView,
+    Route,
+    ViewMember,
+)
 from redwingstream.tables.snapshot import Tables
 from redwingstream.wire.fabric import Way
 
@@ -50,7 +56,7 @@
     def test_sends_to_the_home(self) -> None:
         decision = forwarder_with(tables_of()).decide(WAY, b'packet', 0)
         assert isinstance(decision, Forward)
-        bucket = bucket_of(str(WAY.caller), SERVICE, 64, KEY)
+        bucket = bucket_of(str(WAY.caller), SERVICE, DEFAULT_BUCKETS, KEY)
         home = pair_of(MEMBERS, POOL, bucket).home
         assert home is not None
         assert str(decision.agent) == home.endpoint
