--- a/redwingstream/node/following.py
+++ b/redwingstream/node/following.py
@@ -19,6 +19,7 @@
 """Seconds after which an unanswered fetch does not hold up another one."""
 
 MAX_FETCHES = 4
+"""Sources that are asked at the same time at most."""
 
 
 class TablesFollower:
@@ -55,8 +56,9 @@
     def hear(self, revision: int, source: Endpoint) -> None:
         """Fetch the tables when another process knows newer ones.
 
-        This is how a change reaches a process that control cannot reach: every
-        frame of its peers names their revision.
+        This is how a change reaches a process that control cannot reach:
+        callers' packets, their answers and probes name the revision of the
+        peer that sent them.
 
         Notes
         -----
