Give up at once what was assigned to an agent that is gone

The home waited until the request's deadline although control had removed the carrier. The matrix step 'assignment' met the assignment of a plain request; it now meets that of a booking.

--- a/redwingstream/agent/assignments.py
+++ b/redwingstream/agent/assignments.py
@@ -17,6 +17,7 @@
 class _Assignment:
     run: Run
     message: Assigned
+    carrier: str
     endpoint: str
     sent_at: float
     copies: int = 1
@@ -64,7 +65,7 @@
             carrier_incarnation=incarnation,
             wants_outcome=True,
         )
-        assignment = _Assignment(run, message, endpoint or '', now)
+        assignment = _Assignment(run, message, carrier, endpoint or '', now)
         self._assignment_by_identity[run.identity] = assignment
         self._send(assignment, now)
 
@@ -80,10 +81,14 @@
         return [assignment.run for assignment in assignments]
 
     def tick(self, now: float) -> list[Run]:
-        """Repeat what is due; take out the runs past their deadline."""
+        """Repeat what is due; take out what no outcome is expected of.
+
+        That is what is past its deadline, and what a run of an agent had that
+        control has removed.
+        """
         late = []
         for identity, assignment in list(self._assignment_by_identity.items()):
-            if now > assignment.run.deadline + OUTCOME_GRACE:
+            if self._is_hopeless(assignment, now):
                 self._assignment_by_identity.pop(identity)
                 late.append(assignment.run)
             elif self._is_due(assignment, now):
@@ -91,6 +96,11 @@
                 self._send(assignment, now)
         return late
 
+    def _is_hopeless(self, assignment: _Assignment, now: float) -> bool:
+        if self._parts.endpoint_of_carrier(assignment.carrier) is None:
+            return True
+        return now > assignment.run.deadline + OUTCOME_GRACE
+
     def _is_due(self, assignment: _Assignment, now: float) -> bool:
         is_spent = assignment.copies >= MAX_COPIES
         return not is_spent and now - assignment.sent_at >= REPEAT_AFTER
--- a/redwingstream/agent/once.py
+++ b/redwingstream/agent/once.py
@@ -240,12 +240,16 @@
     def _launch(self, waiting: _Waiting, now: float) -> None:
         run = waiting.run
         slot = waiting.slot
-        if slot is None and not waiting.carrier:
+        carrier = waiting.carrier
+        if self._parts.endpoint_of_carrier(carrier) is None:
+            # None chosen, or gone while the record was under way.
+            carrier = ''
+        if slot is None and not carrier:
             slot = self._carrier.reserve(now)
         if slot is not None:
             self._carrier.start(run, slot, now)
             return
-        carrier = waiting.carrier or self._assignments.choose(now)
+        carrier = carrier or self._assignments.choose(now)
         if carrier:
             self._assignments.start(run, carrier, now)
             return
--- a/redwingstream/agent/tests/steps.py
+++ b/redwingstream/agent/tests/steps.py
@@ -113,6 +113,11 @@
     )
 
 
+def _is_assignment(frame: Frame) -> bool:
+    payload = frame.payload
+    return isinstance(payload, Assigned) and payload.wants_outcome
+
+
 def _is_kind(payload_class: type) -> Callable[[Frame], bool]:
     return lambda frame: isinstance(frame.payload, payload_class)
 
@@ -124,7 +129,7 @@
     Step('hand to server', 'request', _is_handing_over),
     Step("server's answer", 'request', _is_servers_answer),
     Step('answer to caller', 'request', _is_answer),
-    Step('assignment', 'assigned', _is_kind(Assigned)),
+    Step('assignment', 'assigned', _is_assignment),
     Step('outcome to home', 'assigned', _is_kind(RunOutcome)),
     Step('take bucket', 'join', _is_kind(TakeBucket)),
     Step('bucket given', 'join', _is_kind(BucketGiven)),
--- a/redwingstream/agent/tests/test_feeds.py
+++ b/redwingstream/agent/tests/test_feeds.py
@@ -162,8 +162,9 @@
     def test_registration_while_nobody_has_room(self) -> None:
         """A board ends because its caller registered again at a bad moment.
 
-        The carrier has just died, control too, and the other server is full.  The home
-        took the registration for a new feed and refused it with 5.03.
+        Its carrier and control have just died, and the server beside the home
+        is full.  The home took the registration for a new feed and refused it
+        with 5.03.
         """
         pool = settled_pool(hosts=2)
         caller, watched = feed_elsewhere(pool)
--- a/redwingstream/agent/tests/test_requests.py
+++ b/redwingstream/agent/tests/test_requests.py
@@ -257,6 +257,35 @@
         assert asked.outcome == 'answered'
 
 
+class TestLostCarriers:
+    """Agents that die with what they were assigned."""
+
+    def test_told_once_control_knows(self) -> None:
+        """A caller waits 20 s for an answer that cannot come.
+
+        The home has another agent run its booking, and that agent dies.  The
+        home waited until the deadline, although control had removed the agent.
+        """
+        pool = settled_pool(hosts=3)
+        warm_up(pool)
+        caller = pool.caller()
+        home, _ = pool.pair(caller)
+        hold_slots(pool, home)
+        for server in pool.server_by_host.values():
+            server.run_time = 1.0
+        asked = caller.post(b'bay 7')
+        pool.run(0.5)
+        runs = {
+            host: server.runs_by_key[b'bay 7']
+            for host, server in pool.server_by_host.items()
+        }
+        carrier = max(runs, key=runs.__getitem__)
+        assert carrier != home
+        pool.kill(pool.endpoint_by_host[carrier])
+        pool.run(6)
+        assert asked.outcome == 'unknown'
+
+
 class TestSeveralAtOnce:
     """One caller with several requests, answered in any order."""
 
