Survive and count errors in one frame, beat or round of probes

The loop went on, but wrote a traceback for each frame and counted nothing. A number of thousands of digits as a port raised ValueError instead of SettingError, which callers of parse_endpoint do not expect.

The tasks that beat and probe had no guard at all: one error, in what the role says of itself for instance, ended the heartbeats without a word, and control removed a healthy member for good.

Ruled out: to end the process, which would let one peer of another release stop all others. Control instances keep their behaviour: an error in a tick of theirs ends the process.

Before: the three new tests fail (nothing counted, no second beat, ValueError). After: they pass with node, wire and the balancer's role.

--- a/redwingstream/balancer/role.py
+++ b/redwingstream/balancer/role.py
@@ -16,6 +16,7 @@
 from redwingstream.errors import ResultCode, WireError
 from redwingstream.forwarding.messages import Answer
 from redwingstream.membership.messages import Announce, Probe, ProbeAck
+from redwingstream.node.guard import survived
 from redwingstream.node.member import MemberNode
 from redwingstream.node.metrics import Metrics
 from redwingstream.settings.roles import BalancerSettings
@@ -161,6 +162,10 @@
     async def _probe(self) -> None:
         while True:
             await asyncio.sleep(_PROBE_TICK)
-            revision = self._node.follower.revision
-            for peer in self._forwarder.links.due_probes(self._node.now):
-                self._node.send(peer, Probe(revision))
+            with survived('probe', self.metrics):
+                self._probe_once()
+
+    def _probe_once(self) -> None:
+        revision = self._node.follower.revision
+        for peer in self._forwarder.links.due_probes(self._node.now):
+            self._node.send(peer, Probe(revision))
--- a/redwingstream/endpoints.py
+++ b/redwingstream/endpoints.py
@@ -8,6 +8,7 @@
 from redwingstream.errors import SettingError
 
 MAX_PORT = 65535
+_PORT_DIGITS = len(str(MAX_PORT))
 _CACHED_ENDPOINTS = 65536
 
 
@@ -102,4 +103,6 @@
 
 
 def _is_port(text: str) -> bool:
-    return text.isdecimal() and int(text) <= MAX_PORT
+    # Python refuses to read a number of thousands of digits.
+    is_short = len(text) <= _PORT_DIGITS
+    return is_short and text.isdecimal() and int(text) <= MAX_PORT
--- a/redwingstream/node/following.py
+++ b/redwingstream/node/following.py
@@ -5,7 +5,7 @@
 
 from absl import logging
 
-from redwingstream.endpoints import Endpoint
+from redwingstream.endpoints import Endpoint, parse_endpoint
 from redwingstream.errors import CallFailedError
 from redwingstream.node.metrics import Metrics
 from redwingstream.tables.history import TablesHistory
@@ -73,6 +73,11 @@
                 lambda _: self._fetch_by_source.pop(source)
             )
 
+    def members(self) -> list[Endpoint]:
+        """Return where the members of the tables here are reached."""
+        rows = self.history.tables.member_by_host.values()
+        return [parse_endpoint(row.endpoint) for row in rows]
+
     def close(self) -> None:
         """Stop fetching."""
         for fetching in self._fetch_by_source.values():
--- a/redwingstream/node/member.py
+++ b/redwingstream/node/member.py
@@ -14,7 +14,7 @@
 import msgspec
 from absl import logging
 
-from redwingstream.endpoints import Endpoint, parse_endpoint
+from redwingstream.endpoints import Endpoint
 from redwingstream.errors import CallFailedError, ResultCode, WireError
 from redwingstream.membership.announcer import (
     HEARTBEAT_INTERVAL,
@@ -32,6 +32,7 @@
     ProbeAck,
 )
 from redwingstream.node.following import TablesFollower
+from redwingstream.node.guard import survived
 from redwingstream.node.metrics import Metrics
 from redwingstream.settings.roles import MemberSettings
 from redwingstream.tables.messages import FetchTables
@@ -136,12 +137,16 @@
 
     async def _beat(self) -> None:
         while True:
-            self._say(self.announcer.tick(self.now, self.vitals()))
-            self._ask_a_peer()
-            self.metrics.flush()
+            with survived('beat', self.metrics):
+                self._beat_once()
             spread = self._random.uniform(*_BEAT_SPREAD)
             await asyncio.sleep(HEARTBEAT_INTERVAL * spread)
 
+    def _beat_once(self) -> None:
+        self._say(self.announcer.tick(self.now, self.vitals()))
+        self._ask_a_peer()
+        self.metrics.flush()
+
     def _ask_a_peer(self) -> None:
         """Ask for newer tables while control does not answer.
 
@@ -153,18 +158,12 @@
         """
         if not self.announcer.is_cut_off(self.now):
             return
-        peers = self._known_peers()
+        known = {*self.settings.peers, *self.follower.members()}
+        peers = sorted(known - {self.settings.endpoint})
         if peers:
             probe = Probe(self.follower.revision)
             self.send(self._random.choice(peers), probe)
 
-    def _known_peers(self) -> list[Endpoint]:
-        tables = self.follower.history.tables
-        members = tables.member_by_host.values()
-        known = [parse_endpoint(member.endpoint) for member in members]
-        known.extend(self.settings.peers)
-        return [peer for peer in known if peer != self.settings.endpoint]
-
     def _say(self, sends: list[SendToControl]) -> None:
         for send in sends:
             self.send(send.endpoint, send.message)
@@ -179,7 +178,8 @@
         if handler is None:
             self.metrics.count('frame_unexpected')
             return
-        handler(opened.payload, Endpoint(*source))
+        with survived('frame', self.metrics):
+            handler(opened.payload, Endpoint(*source))
 
     def _on_challenge(self, challenge: Challenge, source: Endpoint) -> None:
         self._say(self.announcer.on_challenge(challenge, self.now))
--- a/redwingstream/node/tests/test_member.py
+++ b/redwingstream/node/tests/test_member.py
@@ -12,11 +12,13 @@
 
 from redwingstream.endpoints import Endpoint
 from redwingstream.errors import CallFailedError, ResultCode
+from redwingstream.membership.announcer import Vitals
 from redwingstream.membership.messages import (
     Announce,
     DumpAnswer,
     DumpRequest,
     Heartbeat,
+    HeartbeatAck,
 )
 from redwingstream.node.member import MemberNode
 from redwingstream.node.metrics import Metrics
@@ -35,6 +37,7 @@
 NOBODY = Endpoint('127.0.0.1', 9)
 UPDATE = TablesUpdate(since=0, revision=5, zones=(ZoneMark('carse', out=True),))
 PATIENCE = 20
+MANY = 20
 
 
 def free_endpoint() -> Endpoint:
@@ -140,6 +143,47 @@
                     )
         assert caught.value.code is ResultCode.TIMED_OUT
 
+    async def test_goes_on_after_a_frame_that_its_handler_fails_on(
+        self, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        """The disk of a balancer fills with its log.
+
+        A process of another release sends frames whose fields this one cannot
+        use, thousands a second.  Each of them left a traceback in the log,
+        and nothing that metrics show.
+        """
+        member = member_at(free_endpoint())
+        codec = FrameCodec(KEY)
+        unusable = HeartbeatAck(1, 1, 'nowhere')
+        async with member.opened():
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+                for _ in range(MANY):
+                    frame = codec.seal(unusable)
+                    sock.sendto(frame, member.settings.endpoint.as_pair())
+            counted = member.metrics.total_by_name
+            await until(lambda: counted['failed_frame'] == MANY)
+        assert len(caplog.records) < MANY / 2
+
+    async def test_beats_on_after_an_error_in_the_vitals(self) -> None:
+        """A healthy server drops out of its pool until a restart.
+
+        What the heartbeat says is put together by the role; one error there
+        ended the task that beats, and only that one.
+        """
+        member = member_at(free_endpoint())
+        asked: list[None] = []
+
+        def fail_once() -> Vitals:
+            asked.append(None)
+            if len(asked) == 1:
+                raise KeyError('pool')
+            return Vitals(0)
+
+        member.vitals = fail_once
+        async with member.opened():
+            await until(lambda: len(asked) > 1)
+        assert member.metrics.total_by_name['failed_beat'] == 1
+
     async def test_counts_and_drops_frames_that_it_cannot_take(self) -> None:
         member = member_at(free_endpoint())
         codec = FrameCodec(KEY)
--- a/redwingstream/wire/tests/test_endpoints.py
+++ b/redwingstream/wire/tests/test_endpoints.py
@@ -1,11 +1,11 @@
-"""Endpoints that cannot be bound are named."""
+"""Endpoints that cannot be read or bound are named."""
 
 import socket
 
 import pytest
 
-from redwingstream.endpoints import Endpoint
-from redwingstream.errors import EndpointError, ResultCode
+from redwingstream.endpoints import Endpoint, parse_endpoint
+from redwingstream.errors import EndpointError, ResultCode, SettingError
 from redwingstream.wire.calls import serve_calls
 from redwingstream.wire.datagrams import open_datagrams
 from redwingstream.wire.frames import FrameCodec
@@ -18,6 +18,15 @@
     return request
 
 
+class TestParseEndpoint:
+    """Texts that are no endpoint."""
+
+    def test_refuses_a_port_of_thousands_of_digits(self) -> None:
+        """A frame with such an address meets an error that nobody expects."""
+        with pytest.raises(SettingError):
+            parse_endpoint(f'127.0.0.1:{"1" * 5000}')
+
+
 class TestTakenEndpoint:
     """A daemon is started twice, or beside something else on its port."""
 
