Send metrics to an IPv6 address

The statsd client looks up IPv4 addresses only unless told otherwise, so that a daemon with an IPv6 address for statsd ended at its start with an error of the resolver. Before: the new test fails with it; after: it passes.

--- a/redwingstream/node/metrics.py
+++ b/redwingstream/node/metrics.py
@@ -55,4 +55,7 @@
 ) -> statsd.StatsClient | None:
     if target is None:
         return None
-    return statsd.StatsClient(target.host, target.port, prefix=prefix)
+    is_v6 = ':' in target.host
+    return statsd.StatsClient(
+        target.host, target.port, prefix=prefix, ipv6=is_v6
+    )
--- a/redwingstream/node/tests/test_metrics.py
+++ b/redwingstream/node/tests/test_metrics.py
@@ -28,6 +28,15 @@
             sent = [sock.recv(100) for _ in range(2)]
         assert sent == [b'test.run:3|c', b'test.run:1|c']
 
+    def test_sends_to_an_ipv6_address(self) -> None:
+        """A daemon with an IPv6 address for statsd does not start."""
+        with socket.socket(socket.AF_INET6, socket.SOCK_DGRAM) as sock:
+            sock.bind(('::1', 0))
+            metrics = Metrics('test', Endpoint(*sock.getsockname()[:2]))
+            metrics.count('run')
+            metrics.flush()
+            assert sock.recv(100) == b'test.run:1|c'
+
     def test_counts_without_a_target(self) -> None:
         metrics = Metrics('test', None)
         metrics.count('run')
