Send no rows to a process that is ahead

The tool asks each process for what is newer than the revision that it waits for. One that had not got there sent a full copy of its tables, each time, over links that have a few kilobytes a second. The answer is now empty and names the revision. Before: the new test finds the rows; after: it passes.

--- a/redwingstream/tables/history.py
+++ b/redwingstream/tables/history.py
@@ -44,8 +44,9 @@
         wanted = [
             update for update in self._updates if update.revision > revision
         ]
-        if revision == self.tables.revision:
-            return TablesUpdate(since=revision, revision=revision)
+        own = self.tables.revision
+        if revision >= own:
+            return TablesUpdate(since=own, revision=own)
         if revision == 0 or not wanted or wanted[0].since > revision:
             return self.tables.as_update()
         return compose(revision, wanted)
--- a/redwingstream/tables/machine/deltas.py
+++ b/redwingstream/tables/machine/deltas.py
@@ -50,7 +50,9 @@
         revision : int
             What the asking process has; 0, or one too old, gets a full copy.
         """
-        if revision == 0 or not self._start <= revision <= state.revision:
+        if revision > state.revision:
+            return TablesUpdate(since=state.revision, revision=state.revision)
+        if revision == 0 or revision < self._start:
             return state.tables().as_update()
         names = {
             name
--- a/redwingstream/tables/tests/test_machine.py
+++ b/redwingstream/tables/tests/test_machine.py
@@ -9,6 +9,7 @@
 from redwingstream.placement.effects import Recovering
 from redwingstream.placement.keeper import BucketKeeper
 from redwingstream.placement.tests.fakes import MemoryStore
+from redwingstream.tables.history import TablesHistory
 from redwingstream.tables.machine.deltas import Deltas
 from redwingstream.tables.machine.machine import Machine
 from redwingstream.tables.machine.messages import (
@@ -430,6 +431,22 @@
         assert update.since == 0
         assert copy.updated(update) == bench.machine.tables
 
+    def test_a_process_that_is_ahead_gets_no_rows(self, bench: Bench) -> None:
+        """Waiting for a change to be in force fills the links to control.
+
+        The tool asks every process with the new revision, again and again;
+        each one that had not got there sent all of its tables.
+        """
+        bench.change(Edits(set_zones=(ZONE_OUT,)))
+        ahead = bench.machine.tables.revision + 1
+        update = bench.machine.update_since(ahead)
+        member = TablesHistory()
+        member.take(bench.machine.update_since(0))
+        assert member.since(ahead) == update
+        assert update.revision == bench.machine.tables.revision
+        assert not update.zones
+        assert not update.pools
+
     def test_many_changed_rows_do_not_stop_a_control_instance(self) -> None:
         """Leaders change again and again when one cut-off node returns.
 
