Find the leader in a replica's refusal; order a plan's removals

A replica says 'this replica does not lead; X does', and the tool looked at the last word only: it went on to the next instance of the settings instead. The test's fake had another text than the replicas.

The removals of a plan stood in the order of a set, which differs between processes, so that a plan sent again with its request id could count as another change (REQUEST_ID_REUSED).

--- a/redwingstream/operators/client.py
+++ b/redwingstream/operators/client.py
@@ -1,10 +1,11 @@
 """Calls that operators make: finds the leader, reads, changes, asks.
 
 The leader is found by asking: an instance that does not lead refuses with
-``NOT_LEADER`` and names the leader, as far as it knows, at the end of its text.
+``NOT_LEADER`` and names the leader in its text, as far as it knows.
 """
 
 import asyncio
+import contextlib
 import uuid
 from collections.abc import Callable, Sequence
 from typing import Protocol, TypeVar
@@ -250,11 +251,8 @@
 
 
 def _leader_named(text: str) -> Endpoint | None:
-    """Return the endpoint at the end of a refusal, if there is one."""
-    words = text.split()
-    if not words:
-        return None
-    try:
-        return parse_endpoint(words[-1])
-    except SettingError:
-        return None
+    """Return the first endpoint in a refusal, if there is one."""
+    for word in text.split():
+        with contextlib.suppress(SettingError):
+            return parse_endpoint(word)
+    return None
--- a/redwingstream/operators/plans.py
+++ b/redwingstream/operators/plans.py
@@ -149,7 +149,8 @@
             continue
         comparison.changed.append(row)
         comparison.differences.append(_difference(table, key, before, row))
-    for key in current.keys() - wanted_by_key.keys():
+    # Sorted: the edits of a change that is sent again have to be the same.
+    for key in sorted(current.keys() - wanted_by_key.keys()):
         comparison.removed.append(RowName(table, key))
         comparison.differences.append(
             Difference('-', table, key, before=describe_row(current[key]))
--- a/redwingstream/operators/tests/fakes.py
+++ b/redwingstream/operators/tests/fakes.py
@@ -52,6 +52,8 @@
         Who leads.
     named : Endpoint, optional
         Whom the others take for the leader.
+    refusal : str
+        What the others say instead of naming that one.
     silent : set of Endpoint
         Who does not answer.
     lost_answers : int
@@ -61,6 +63,7 @@
     leader: Endpoint = CONTROL[0]
     named: Endpoint | None = CONTROL[0]
     silent: set[Endpoint] = attrs.field(factory=set)
+    refusal: str = ''
     lost_answers: int = 0
     tables: Tables = attrs.field(factory=make_tables)
     agent_revision: int = 7
@@ -87,7 +90,7 @@
 
     def _require_leader(self, endpoint):
         if endpoint != self.leader:
-            text = f'not the leader; ask {self.named or ""}'
+            text = self.refusal or f'not the leader; ask {self.named or ""}'
             raise CallFailedError(text.strip(), ResultCode.NOT_LEADER)
 
     def _change(self, endpoint, request):
--- a/redwingstream/operators/tests/test_client.py
+++ b/redwingstream/operators/tests/test_client.py
@@ -27,6 +27,15 @@
         assert read.config_revision == 7
         assert fleet.asked == [CONTROL[0], CONTROL[2]]
 
+    async def test_finds_the_leader_in_the_text_of_a_replica(self):
+        # An operator's change waits for one try more than it has to: the
+        # tool looked for the leader at the end of the refusal only, and a
+        # replica names it in the middle.
+        text = f'this replica does not lead; {CONTROL[2]} does'
+        fleet = FakeFleet(leader=CONTROL[2], refusal=text)
+        await make_client(fleet).read_tables()
+        assert fleet.asked == [CONTROL[0], CONTROL[2]]
+
     async def test_tries_the_next_when_no_leader_is_named(self):
         fleet = FakeFleet(leader=CONTROL[2], named=None)
         await make_client(fleet).read_tables()
--- a/redwingstream/operators/tests/test_plans.py
+++ b/redwingstream/operators/tests/test_plans.py
@@ -2,12 +2,15 @@
 
 import json
 
+import attrs
 import pytest
 
 from redwingstream.errors import ResultCode, SettingError
 from redwingstream.operators.plans import make_plan, read_tables_file
 from redwingstream.operators.tests.fakes import SERVICE, make_tables
+from redwingstream.tables.rows import ZoneMark
 
+RANGE = range(10, 40)
 TOML = """
 [[pools]]
 name = "sward-live"
@@ -43,6 +46,19 @@
         ]
         assert len(plan.edits.in_order()) == 3
 
+    def test_removals_have_one_order(self, write):
+        # An operator sends a plan again whose answer was lost, with its
+        # request id.  Python orders sets of texts differently in each
+        # process, so that the edits differed and the id counted as reused.
+        tables = make_tables()
+        marks = {f'z{number}': ZoneMark(f'z{number}', True) for number in RANGE}
+        tables = attrs.evolve(tables, zone_by_name=marks)
+        wanted = read_tables_file(write('{"zones": []}', 'tables.json'))
+        removed = [
+            row.row.key for row in make_plan(tables, wanted).edits.remove
+        ]
+        assert removed == sorted(marks)
+
     def test_tables_left_out_stay(self, write):
         wanted = read_tables_file(write('{"zones": []}', 'tables.json'))
         plan = make_plan(make_tables(), wanted)
