Refuse a host name that another live process has

Two processes set up with one host name took each other's place for ever: each admission replaced the other's run, whose next heartbeat was refused, so that it announced itself again. Their buckets moved each time (every 2 to 120 s by the rule for hosts that return), feeds broke, and nothing named the cause.

An announcement from another endpoint is refused, with the reason, while the member of its name has been heard within a lease. A restart has the endpoint of its former run and is admitted at once as before; a host that really moves waits until its former run is silent. Ruled out: to refuse any other boot number, which would delay each restart by the lease.

Before: the new test gets a challenge. After: it passes, with all of membership and control.

--- a/redwingstream/control/members.py
+++ b/redwingstream/control/members.py
@@ -14,6 +14,7 @@
     Challenged,
     HeldBack,
     Leases,
+    NameTaken,
     leave_command,
 )
 from redwingstream.membership.messages import (
@@ -77,6 +78,8 @@
                 reply(self._ack(member))
             case HeldBack(seconds=seconds):
                 reply(self._refusal(_held_back_text(announce, seconds)))
+            case NameTaken(endpoint=endpoint):
+                reply(self._refusal(_taken_text(announce, endpoint)))
             case Admitting(command=command):
                 self._propose(command, reply)
 
@@ -163,6 +166,14 @@
         return HeartbeatAck(0, state.revision, leader, reason)
 
 
+def _taken_text(announce: Announce, endpoint: str) -> str:
+    return (
+        f'{announce.host} is alive at {endpoint}, not {announce.endpoint}; '
+        'give each process a host name of its own, or wait until that one is '
+        'silent for its lease'
+    )
+
+
 def _held_back_text(announce: Announce, seconds: float) -> str:
     return (
         f'{announce.host} has returned too often; it is admitted again in '
--- a/redwingstream/membership/leases.py
+++ b/redwingstream/membership/leases.py
@@ -55,7 +55,14 @@
     seconds: float
 
 
-AnnounceOutcome = Challenged | Admitting | Admitted | HeldBack
+@attrs.frozen
+class NameTaken:
+    """Another process has this host name, and is alive at its endpoint."""
+
+    endpoint: str
+
+
+AnnounceOutcome = Challenged | Admitting | Admitted | HeldBack | NameTaken
 
 
 @attrs.frozen
@@ -116,10 +123,17 @@
         could replace the run that came after it: its frame is authentic and
         was never seen.  A challenge is good once, for one run and for the
         time of a lease, and the next run's challenge replaces it.
+
+        A restarted process has the endpoint of its former run.  Another one
+        that is alive under the same name was given it by mistake; the two
+        would take each other's place for ever, and move their buckets each
+        time.
         """
         if known is not None and known.boot == boot:
             self._hear(known.host, known.incarnation, now)
             return Admitted(known)
+        if known is not None and self._is_elsewhere(known, announce, now):
+            return NameTaken(known.endpoint)
         pending = self._challenge_by_host.get(announce.host)
         if not _is_met(pending, announce, boot, now):
             return Challenged(self._challenge(announce.host, boot, now))
@@ -196,6 +210,18 @@
             return False
         return now - max(report.heard_at, self._since) > self._lease
 
+    def _is_elsewhere(
+        self, known: Member, announce: Announce, now: float
+    ) -> bool:
+        """Whether the member of a name is alive at another endpoint."""
+        if known.endpoint == announce.endpoint:
+            return False
+        heard_at = self._since
+        report = self._report_by_host.get(known.host)
+        if report is not None and report.incarnation == known.incarnation:
+            heard_at = max(heard_at, report.heard_at)
+        return now - heard_at <= self._lease
+
     def _hear_first(self, member: Member, now: float) -> None:
         report = self._hear(member.host, member.incarnation, now)
         report.heard_at = now
--- a/redwingstream/membership/tests/test_leases.py
+++ b/redwingstream/membership/tests/test_leases.py
@@ -11,6 +11,7 @@
     Challenged,
     HeldBack,
     Leases,
+    NameTaken,
 )
 from redwingstream.membership.messages import Announce, Heartbeat
 from redwingstream.membership.returns import QUIET_TIME, Returns
@@ -115,6 +116,30 @@
         assert gaps[:6] == [0.25, 0.25, 2, 4, 8, 16]
         assert max(gaps) == 120
 
+    def test_a_name_in_use_is_not_taken_over(self, leases: Leases) -> None:
+        """All feeds of two servers break again and again.
+
+        A second process is set up with the name of another one.  Each took
+        the other's place, whose next heartbeat was refused, so that it took
+        the place back; nothing told the operators of the name.
+        """
+        beat = Heartbeat(ONE.host, ONE.incarnation, 0)
+        leases.on_heartbeat(beat, ONE.boot, ONE, 110)
+        other = attrs.evolve(ANNOUNCE, endpoint='127.0.0.9:1')
+        taken = leases.on_announce(other, 7, ONE, 110 + LEASE)
+        assert taken == NameTaken(ONE.endpoint)
+        restarted = leases.on_announce(ANNOUNCE, 7, ONE, 110 + LEASE)
+        assert isinstance(restarted, Challenged)
+
+    def test_a_host_may_move_once_its_former_run_is_silent(
+        self, leases: Leases
+    ) -> None:
+        beat = Heartbeat(ONE.host, ONE.incarnation, 0)
+        leases.on_heartbeat(beat, ONE.boot, ONE, 110)
+        moved = attrs.evolve(ANNOUNCE, endpoint='127.0.0.9:1')
+        outcome = leases.on_announce(moved, 7, ONE, 110.1 + LEASE)
+        assert isinstance(outcome, Challenged)
+
     def test_a_quiet_time_forgets_the_past(self) -> None:
         returns = Returns()
         for now in range(10):
