--- a/redwingstream/placement/rendezvous.py
+++ b/redwingstream/placement/rendezvous.py
@@ -114,13 +114,15 @@
 
     Notes
     -----
-    Holds at most one pair for each bucket of the pool.
+    Buckets with the same home and heir share one pair: a balancer holds the
+    tables of thousands of pools.
     """
 
     def __init__(self, members: tuple[ViewMember, ...], pool: str) -> None:
         self._members = members
         self._pool = pool
         self._pair_by_bucket: dict[int, Pair] = {}
+        self._shared_by_pair: dict[Pair, Pair] = {}
 
     @classmethod
     def of_view(cls, view: PoolView) -> 'PairTable':
@@ -131,7 +133,8 @@
         """Return home and heir of a bucket."""
         found = self._pair_by_bucket.get(bucket)
         if found is None:
-            found = pair_of(self._members, self._pool, bucket)
+            computed = pair_of(self._members, self._pool, bucket)
+            found = self._shared_by_pair.setdefault(computed, computed)
             self._pair_by_bucket[bucket] = found
         return found
 
