Place feeds in pools that carry feeds only; drop before the first tables

Cause 3: a balancer without tables answered 5.03, no route, and so ended feeds whose callers registered again through it; it drops such packets now. The two tests that expected an answer there want the later, right one instead.

--- a/redwingstream/admission/choice.py
+++ b/redwingstream/admission/choice.py
@@ -150,6 +150,39 @@
         ]
         return statistics.median(latencies) if latencies else None
 
+    def choose_for_established(
+        self, exclude: frozenset[str], now: float
+    ) -> str | None:
+        """Return the host with the fewest feeds that takes work at all.
+
+        For a feed that must go on.  In a pool that carries feeds only, every
+        server counts as cold for requests; chosen among those with room, no
+        host would be found and the feed would break.
+
+        Parameters
+        ----------
+        exclude : frozenset of str
+            Hosts that are no choice.
+        now : float
+            Seconds.
+        """
+        candidates = sorted(
+            host
+            for host, peer in self._by_host.items()
+            if host not in exclude
+            and now - peer.reported_at <= REPORT_EXPIRY
+            and peer.report.limit
+        )
+        if not candidates:
+            return None
+        chosen = min(candidates, key=self._feeds_of)
+        self._by_host[chosen].sent_at.append(now)
+        return chosen
+
+    def _feeds_of(self, host: str) -> int:
+        peer = self._by_host[host]
+        return peer.report.flows + len(peer.sent_at)
+
     def _load_of(self, host: str) -> tuple[float, int]:
         peer = self._by_host[host]
         return (peer.load, peer.report.flows)
--- a/redwingstream/admission/feeds.py
+++ b/redwingstream/admission/feeds.py
@@ -48,13 +48,16 @@
         self._permits = float(1)
         self._permits_at = -math.inf
 
+    def vacancies(self) -> int:
+        """Return how many feeds more there may be, whatever the pace."""
+        if self._is_draining:
+            return 0
+        return max(0, self.limit - self.open_feeds - self.opening)
+
     def room(self, now: float) -> int:
         """Return how many registrations :meth:`try_open` would let through."""
         self._refill(now)
-        if self._is_draining:
-            return 0
-        free = self.limit - self.open_feeds - self.opening
-        return max(0, min(free, int(self._permits)))
+        return min(self.vacancies(), int(self._permits))
 
     def try_open(self, now: float) -> bool:
         """Begin a registration if limit and pace allow it.
--- a/redwingstream/agent/assignments.py
+++ b/redwingstream/agent/assignments.py
@@ -48,11 +48,14 @@
 
     def choose(self, now: float) -> str:
         """Return a carrier with room, or an empty text."""
-        host = self._parts.loads.choose(frozenset((self._parts.me.host,)), now)
-        member = self._parts.tables.member_by_host.get(host or '')
-        if member is None or self._parts.tables.is_zone_out(member.zone):
-            return ''
-        return carrier_name(member.host, member.incarnation)
+        exclude = frozenset((self._parts.me.host,))
+        return self._carrier_at(self._parts.loads.choose(exclude, now))
+
+    def choose_for_established(self, now: float) -> str:
+        """Return a carrier for a feed that goes on, with or without room."""
+        exclude = frozenset((self._parts.me.host,))
+        loads = self._parts.loads
+        return self._carrier_at(loads.choose_for_established(exclude, now))
 
     def start(self, run: Run, carrier: str, now: float) -> None:
         """Have a carrier run a request."""
@@ -101,6 +104,12 @@
             return True
         return now > assignment.run.deadline + OUTCOME_GRACE
 
+    def _carrier_at(self, host: str | None) -> str:
+        member = self._parts.tables.member_by_host.get(host or '')
+        if member is None or self._parts.tables.is_zone_out(member.zone):
+            return ''
+        return carrier_name(member.host, member.incarnation)
+
     def _is_due(self, assignment: _Assignment, now: float) -> bool:
         is_spent = assignment.copies >= MAX_COPIES
         return not is_spent and now - assignment.sent_at >= REPEAT_AFTER
--- a/redwingstream/agent/feeds.py
+++ b/redwingstream/agent/feeds.py
@@ -28,6 +28,10 @@
 MOVE_INTERVAL = 0.5
 """Seconds between two requests to place the same feeds elsewhere."""
 
+MAX_WAITING = 8
+"""New feeds that may wait for a place on the server; two seconds of the
+pace of a cold one."""
+
 FORMER_PATIENCE = 3.0
 """Seconds that a former carrier serves on while the server here is asked."""
 
@@ -67,11 +71,23 @@
         self._move_at = float()
 
     def has_room(self, now: float) -> bool:
-        """Whether this agent may take one more new feed."""
+        """Whether this agent may take one more new feed.
+
+        Notes
+        -----
+        A registration takes milliseconds, so a few may wait for a place while
+        the server works; the pace of :class:`FeedLimit` still holds.  Refused
+        at once, callers who come together would be sent away by servers that
+        have room for hundreds.
+        """
         parts = self._parts
         if parts.is_leaving or parts.is_zone_out() or parts.server_is_silent:
             return False
-        return parts.feed_limit.room(now) > 0 and parts.limit.has_room(now)
+        waiting = parts.feeds.waiting()
+        if waiting >= MAX_WAITING or waiting >= parts.feed_limit.vacancies():
+            return False
+        is_busy = 0 < parts.limit.limit <= parts.limit.in_flight
+        return is_busy or parts.limit.has_room(now)
 
     def register(
         self, record: FlowRecord, packet: Packet, request: Message, now: float
--- a/redwingstream/agent/moves.py
+++ b/redwingstream/agent/moves.py
@@ -210,6 +210,8 @@
         if not is_own and self._feeds.has_room(now):
             return self._parts.me.carrier
         chosen = self._assignments.choose(now)
-        if chosen or is_own or self._parts.is_leaving:
+        if chosen:
             return chosen
+        if is_own or self._parts.is_leaving:
+            return self._assignments.choose_for_established(now)
         return self._parts.me.carrier
--- a/redwingstream/balancer/forwarder.py
+++ b/redwingstream/balancer/forwarder.py
@@ -33,7 +33,19 @@
     reason: ResultCode
 
 
-Decision = Forward | Refuse
+@attrs.frozen
+class Drop:
+    """Leave the packet to another balancer: this one has no tables yet.
+
+    Notes
+    -----
+    Guards against a balancer that has just started while control is away.  To
+    refuse would end feeds whose callers happen to register again through it;
+    the caller's repeat most likely reaches a balancer that has tables.
+    """
+
+
+Decision = Forward | Refuse | Drop
 
 COME_BACK = 2
 """Seconds after which a refused caller is asked to come back."""
@@ -82,6 +94,8 @@
         now : float
             Seconds on the loop's clock.
         """
+        if not self._tables.revision:
+            return Drop()
         service = str(way.service)
         route = self._routing.find(service, way.caller)
         if route is None:
--- a/redwingstream/balancer/role.py
+++ b/redwingstream/balancer/role.py
@@ -7,6 +7,7 @@
 from absl import logging
 
 from redwingstream.balancer.forwarder import (
+    Drop,
     Forward,
     Forwarder,
     Refuse,
@@ -108,6 +109,8 @@
             case Forward(agent, packet):
                 self.metrics.count('forwarded')
                 self._node.send(agent, packet)
+            case Drop():
+                self.metrics.count('dropped_without_tables')
             case Refuse(reason):
                 self.metrics.count(f'refused_{reason.name.lower()}')
                 self._refuse(way, payload, reason)
--- a/redwingstream/balancer/tests/test_role.py
+++ b/redwingstream/balancer/tests/test_role.py
@@ -105,6 +105,7 @@
     async def test_refuses_at_once_what_has_no_route(
         self, role: BalancerRole
     ) -> None:
+        role.adopt(tables_of(has_route=False))
         with open_side() as outside:
             async with role.opened():
                 entry = role.settings.fabric_endpoint.as_pair()
@@ -118,6 +119,7 @@
         assert answer.opt.max_age > 0
 
     async def test_drops_what_is_no_packet(self, role: BalancerRole) -> None:
+        role.adopt(tables_of(has_route=False))
         with open_side() as outside:
             async with role.opened():
                 entry = role.settings.fabric_endpoint.as_pair()
@@ -162,6 +164,7 @@
         The balancer gets SIGTERM; the fabric needs a moment to notice and
         goes on to hand in packets, which nobody would take any more.
         """
+        role.adopt(tables_of(has_route=False))
         with open_side() as outside:
             async with role.opened():
                 draining = asyncio.create_task(role.drain())
--- a/redwingstream/flows/feeds.py
+++ b/redwingstream/flows/feeds.py
@@ -196,6 +196,10 @@
         """
         return self._registrations.take_due(now, room)
 
+    def waiting(self) -> int:
+        """Return how many feeds are not registered at the server."""
+        return len(self._registrations)
+
     def without_server(self, now: float, longer_than: float) -> list[FlowKey]:
         """Return the feeds not registered at the server for some time.
 
--- a/redwingstream/flows/registrations.py
+++ b/redwingstream/flows/registrations.py
@@ -35,6 +35,10 @@
         self._timers: Timers[FlowKey] = Timers()
         self._attempts = itertools.count(1)
 
+    def __len__(self) -> int:
+        """Return how many feeds wait."""
+        return len(self._feed_by_key)
+
     def wait(self, feed: Feed, now: float) -> None:
         """Let a new feed wait for room."""
         feed.waiting_since = now
