Send a heartbeat at once to a leader that a member hears of

Met in processes/test_control.py, test_a_stale_leader_says_no: after a leader was frozen, sward-1 had been admitted anew and its buckets had moved. A member notices the silence at its first beat after 2.5 s, asks a follower, and went to the new leader named by it with the next beat only, 3.9 s to 4.4 s after the last answer. The new leader's lease for a member that it has not heard ends 3 s after its election, which may come first: a race, by reading the code; the test passes or fails with the moment of the freeze.

The heartbeat now goes out with the follower's answer, once for each change of leader. Ruled out: a longer lease, which would delay every replacement of a server that is really lost.

Before: the new test fails (nothing is sent). After: membership and node pass.

--- a/redwingstream/membership/announcer.py
+++ b/redwingstream/membership/announcer.py
@@ -60,6 +60,7 @@
         self._leader: Endpoint | None = None
         self._heard_at: float | None = None
         self._answered_at: float | None = None
+        self._vitals = Vitals(0)
         self.incarnation = 0
         self.leaving = False
         self.refusal = ''
@@ -82,6 +83,7 @@
 
     def tick(self, now: float, vitals: Vitals) -> list[SendToControl]:
         """Return what to send now; called every ``HEARTBEAT_INTERVAL``."""
+        self._vitals = vitals
         if self._heard_at is None:
             self._heard(now)
         elif now - self._heard_at > SILENCE_LIMIT:
@@ -111,14 +113,19 @@
                 self._try_next(now)
             return []
         self._heard(now)
+        former = self._leader
         self._leader = parse_endpoint(ack.leader)
         if self._leader == source:
             self.refusal = ack.reason
             self.incarnation = ack.incarnation
             return []
-        if self.incarnation:
+        if not self.incarnation:
+            return [SendToControl(self._leader, self._announcement)]
+        if self._leader == former:
             return []
-        return [SendToControl(self._leader, self._announcement)]
+        # The next beat may come after the lease that a new leader gave to a
+        # member that it has not heard yet.
+        return [SendToControl(self._leader, self._heartbeat(self._vitals))]
 
     def _heard(self, now: float) -> None:
         self._heard_at = now
--- a/redwingstream/membership/tests/test_announcer.py
+++ b/redwingstream/membership/tests/test_announcer.py
@@ -105,6 +105,24 @@
         sends = announcer.tick(SILENCE_LIMIT + 1, Vitals(0))
         assert_sends(sends, CONTROL[1], Heartbeat)
 
+    def test_speaks_at_once_to_a_leader_that_it_hears_of(
+        self, announcer: Announcer
+    ) -> None:
+        """Healthy servers lose their buckets after a leader was frozen.
+
+        A member notices the silence after 2.5 s, at its next beat, and asks a
+        follower.  That one names the new leader, whose lease for a member that
+        it has never heard ended before the beat after.
+        """
+        announcer.tick(0, Vitals(0))
+        announcer.on_ack(ack(7, CONTROL[0]), CONTROL[0], 0)
+        announcer.tick(SILENCE_LIMIT + 0.5, Vitals(revision=5))
+        sends = announcer.on_ack(ack(7, CONTROL[2]), CONTROL[1], 3)
+        assert_sends(sends, CONTROL[2], Heartbeat)
+        assert sends[0].message.revision == 5
+        again = announcer.on_ack(ack(7, CONTROL[2]), CONTROL[1], 3)
+        assert not again
+
     def test_leaves_a_control_instance_that_knows_no_leader(
         self, announcer: Announcer
     ) -> None:
