Do not try a silent leader again as the next control instance

The next instance was counted on from the last one tried, not from the leader that had gone silent. With the leader second in the settings a member waited for it a second time, past its lease, and lost its buckets: seen in two whole runs of processes/test_control.py (test_a_stale_leader_says_no).

Before: the new test fails. After: it passes with membership and node; the process test was not run again after this change.

--- a/redwingstream/membership/announcer.py
+++ b/redwingstream/membership/announcer.py
@@ -132,8 +132,12 @@
         self._answered_at = now
 
     def _try_next(self, now: float) -> None:
+        silent = self.target
         self._heard_at = now
         self._leader = None
+        if silent in self._control:
+            # Not the silent leader again, wherever it stands in the settings.
+            self._target = self._control.index(silent)
         self._target = (self._target + 1) % len(self._control)
 
     def _heartbeat(self, vitals: Vitals) -> Heartbeat:
--- a/redwingstream/membership/tests/test_announcer.py
+++ b/redwingstream/membership/tests/test_announcer.py
@@ -105,6 +105,20 @@
         sends = announcer.tick(SILENCE_LIMIT + 1, Vitals(0))
         assert_sends(sends, CONTROL[1], Heartbeat)
 
+    def test_does_not_try_the_silent_leader_next(
+        self, announcer: Announcer
+    ) -> None:
+        """Healthy servers lose their buckets after a leader was frozen.
+
+        The leader is the second instance of the settings.  The member counts
+        on from the first one, comes to the frozen leader again and waits for
+        it a second time, longer than its lease.
+        """
+        announcer.tick(0, Vitals(0))
+        announcer.on_ack(ack(7, CONTROL[1]), CONTROL[1], 0)
+        sends = announcer.tick(SILENCE_LIMIT + 1, Vitals(0))
+        assert_sends(sends, CONTROL[2], Heartbeat)
+
     def test_speaks_at_once_to_a_leader_that_it_hears_of(
         self, announcer: Announcer
     ) -> None:
