Budget the repeats of assignments; keep the agent's timer going

Cause 2: an error in one tick ended the agent's timer task without a word, while its heartbeats went on (found by fuzzing in review: a hostile generation number). It is counted and logged now, as in the other timers.

--- a/redwingstream/agent/assignments.py
+++ b/redwingstream/agent/assignments.py
@@ -95,10 +95,22 @@
                 self._assignment_by_identity.pop(identity)
                 late.append(assignment.run)
             elif self._is_due(assignment, now):
-                assignment.copies += 1
-                self._send(assignment, now)
+                self._repeat(assignment, now)
         return late
 
+    def _repeat(self, assignment: _Assignment, now: float) -> None:
+        """Send an assignment again, within the budget for repeats.
+
+        Without the budget agents that answer late for want of time would be
+        sent each request four times, and answer later still.
+        """
+        assignment.copies += 1
+        if self._parts.budget.try_retry():
+            self._send(assignment, now)
+        else:
+            assignment.sent_at = now
+            self._parts.metrics.count('repeat_spared')
+
     def _is_hopeless(self, assignment: _Assignment, now: float) -> bool:
         if self._parts.endpoint_of_carrier(assignment.carrier) is None:
             return True
--- a/redwingstream/agent/role.py
+++ b/redwingstream/agent/role.py
@@ -16,6 +16,7 @@
 )
 from redwingstream.endpoints import Endpoint, parse_endpoint
 from redwingstream.membership.messages import Announce, ProbeAck
+from redwingstream.node.guard import survived
 from redwingstream.node.member import MemberNode
 from redwingstream.node.metrics import Metrics
 from redwingstream.settings.roles import AgentSettings
@@ -131,11 +132,12 @@
         adopted = 0
         while True:
             await asyncio.sleep(TICK)
-            if self._node.announcer.incarnation != adopted:
-                # Control's word may come after the tables that contain it.
-                adopted = self._node.announcer.incarnation
-                self._adopt()
-            self._runner.tick(self._node.now)
+            with survived('tick', self.metrics):
+                if self._node.announcer.incarnation != adopted:
+                    # Control's word may come after the tables that contain it.
+                    adopted = self._node.announcer.incarnation
+                    self._adopt()
+                self._runner.tick(self._node.now)
 
 
 def _station(settings: AgentSettings, key: bytes) -> Station:
--- a/redwingstream/agent/tests/test_requests.py
+++ b/redwingstream/agent/tests/test_requests.py
@@ -1,7 +1,14 @@
 """Requests that are lost, repeated, or meet a change of view."""
 
+import functools
+
 import pytest
 
+from redwingstream.admission.retry_budget import (
+    RETRY_FRACTION,
+    RETRY_RESERVE,
+)
+from redwingstream.agent.tests.exchange import Frame
 from redwingstream.agent.tests.fake_caller import Asked, FakeCaller
 from redwingstream.agent.tests.pool import FakePool
 from redwingstream.agent.tests.support import (
@@ -11,7 +18,12 @@
     settled_pool,
     warm_up,
 )
-from redwingstream.forwarding.messages import Answer, Packet, RunOutcome
+from redwingstream.forwarding.messages import (
+    Answer,
+    Assigned,
+    Packet,
+    RunOutcome,
+)
 from redwingstream.placement.messages import Record, RecordAck
 from redwingstream.tables.snapshot import Tables
 
@@ -288,6 +300,31 @@
         assert asked.outcome == 'unknown'
 
 
+class TestRepeats:
+    """What the system repeats on its own account."""
+
+    def test_within_a_budget(self) -> None:
+        """Agents that are late get each request four times, and are later.
+
+        Assignments to another agent stay without an outcome; each was
+        repeated three times, whatever the load.
+        """
+        pool = settled_pool(hosts=2)
+        warm_up(pool)
+        home, _ = pool.pair(pool.caller())
+        sent = []
+        pool.exchange.inspect = functools.partial(_lose_assignments, sent)
+        for number in range(40):
+            hold_slots(pool, home)
+            caller_of(pool, home).post(str(number).encode())
+            pool.run(0.1)
+        pool.run(3)
+        fresh = len({frame.payload.packet.payload for frame in sent})
+        assert fresh > RETRY_RESERVE
+        repeats = len(sent) - fresh
+        assert 0 < repeats <= RETRY_RESERVE + RETRY_FRACTION * 40
+
+
 class TestSeveralAtOnce:
     """One caller with several requests, answered in any order."""
 
@@ -324,3 +361,10 @@
         payload=asked.packet,
     )
     pool.exchange.send(balancer, endpoint, packet)
+
+
+def _lose_assignments(sent: list[Frame], frame: Frame) -> tuple[()] | None:
+    if isinstance(frame.payload, Assigned):
+        sent.append(frame)
+        return ()
+    return None
