--- a/redwingstream/placement/rendezvous.py
+++ b/redwingstream/placement/rendezvous.py
@@ -7,6 +7,7 @@
 """
 
 import hashlib
+import itertools
 import math
 
 import attrs
@@ -121,7 +122,8 @@
     def __init__(self, members: tuple[ViewMember, ...], pool: str) -> None:
         self._members = members
         self._pool = pool
-        self._pair_by_bucket: dict[int, Pair] = {}
+        # By bucket; a list takes a quarter of the memory of a map.
+        self._pairs: list[Pair | None] = []
         self._shared_by_pair: dict[Pair, Pair] = {}
 
     @classmethod
@@ -131,11 +133,14 @@
 
     def pair(self, bucket: int) -> Pair:
         """Return home and heir of a bucket."""
-        found = self._pair_by_bucket.get(bucket)
+        missing = bucket + 1 - len(self._pairs)
+        if missing > 0:
+            self._pairs.extend(itertools.repeat(None, missing))
+        found = self._pairs[bucket]
         if found is None:
             computed = pair_of(self._members, self._pool, bucket)
             found = self._shared_by_pair.setdefault(computed, computed)
-            self._pair_by_bucket[bucket] = found
+            self._pairs[bucket] = found
         return found
 
 
