--- a/redwingstream/tables/machine/views.py
+++ b/redwingstream/tables/machine/views.py
@@ -62,18 +62,16 @@
 def unknown_view(number: int) -> EarlierView:
     """Return an earlier view of which nobody can be asked.
 
-    It stands for views that are not known any more.  Its one member cannot be
-    reached, so that a new home treats its buckets as recovering for the
-    longest replay time.  A view without members would not do: nothing can have
-    taken effect under it, so it counts as heard at once.
+    It stands for views that are not known any more.  It has no members, so no
+    pair can answer for it, and a new home treats its buckets as recovering for
+    the longest replay time.
 
     Parameters
     ----------
     number : int
         Number of the view.
     """
-    nobody = ViewMember('', incarnation=-1, endpoint='0.0.0.0:0', zone='')
-    return EarlierView(number, (nobody,))
+    return EarlierView(number, ())
 
 
 def _serving_by_pool(state: MachineState) -> dict[str, list[ViewMember]]:
--- a/redwingstream/tables/rows.py
+++ b/redwingstream/tables/rows.py
@@ -185,7 +185,8 @@
     number : int
         Its number.
     members : tuple of ViewMember
-        Who was in it.
+        Who was in it; empty when that is not known any more, so that nobody can
+        be asked.
     """
 
     number: int
