Name what the agent and control parts do

Cause: desk, station, outlets, waiting room and guest are pictures of our own, which a newcomer has to decode: FlowPlacement, MemberService, AgentSetup, Outputs and WaitQueue say what they are. Left alone: intake and outbox, which are usual, and the design's words in the glossary.

--- a/asv_bench/heartbeats.py
+++ b/asv_bench/heartbeats.py
@@ -12,7 +12,7 @@
 
 from asv_bench import fitting, output
 from asv_bench.fleets import Fleet, FleetShape
-from redwingstream.control.members import MemberDesk
+from redwingstream.control.members import MemberService
 from redwingstream.membership.messages import Announce, Challenge, Heartbeat
 from redwingstream.tables.machine.machine import Machine
 from redwingstream.wire.frames import FrameCodec
@@ -75,7 +75,7 @@
         self.fleet = Fleet(FleetShape.of_agents(agents))
         self.replica = FakeReplica(self.fleet.machine)
         self.now = 100.0
-        self.desk = MemberDesk(
+        self.desk = MemberService(
             self.replica, LEASE, random.Random(1), lambda: self.now
         )
         self.codec = FrameCodec(KEY)
--- a/asv_bench/waiting_room.py
+++ b/asv_bench/wait_queue.py
@@ -1,10 +1,10 @@
 """What a short wait for a free slot is worth, against refusing at once.
 
 Callers ask one backend server for runs at random times.  Its agent's real
-concurrency limit and waiting room decide; the baseline has no room.  Both get
+concurrency limit and wait queue decide; the baseline has no room.  Both get
 the same arrivals and service times.
 
-Run ``python -m asv_bench.waiting_room`` for the table.
+Run ``python -m asv_bench.wait_queue`` for the table.
 """
 
 import heapq
@@ -18,7 +18,7 @@
 
 from asv_bench.tables import markdown_table
 from redwingstream.admission.limit import ConcurrencyLimit, RunResult
-from redwingstream.agent.waiting import Waiter, WaitingRoom
+from redwingstream.agent.wait_queue import Waiter, WaitQueue
 
 SEED = 7252
 MEAN_RUN = 0.05
@@ -45,7 +45,7 @@
 
 
 class Bench:
-    """One server, its limit, and perhaps a waiting room.
+    """One server, its limit, and perhaps a wait queue.
 
     Parameters
     ----------
@@ -67,7 +67,7 @@
         self._slots = slots
         self._load = load
         self._limit = ConcurrencyLimit(slots)
-        self._room = WaitingRoom(self._limit) if has_room else None
+        self._room = WaitQueue(self._limit) if has_room else None
         self._order = itertools.count()
         self._events: list[_Event] = []
 
--- a/redwingstream/agent/assembly.py
+++ b/redwingstream/agent/assembly.py
@@ -6,7 +6,7 @@
 from redwingstream.agent.endings import Endings
 from redwingstream.agent.feed_checks import FeedChecks
 from redwingstream.agent.feeds import FeedRelay
-from redwingstream.agent.home import HomeDesk
+from redwingstream.agent.home import FlowPlacement
 from redwingstream.agent.intake import Deciders, Intake
 from redwingstream.agent.keeper_side import KeeperSide
 from redwingstream.agent.moves import FeedMoves
@@ -69,7 +69,7 @@
         self.once = OnceRequests(
             parts, replies, self.carrier, assignments, self.endings, perform
         )
-        self.home = HomeDesk(
+        self.home = FlowPlacement(
             parts, replies, self.carrier, self.feeds, assignments, perform
         )
         self.moves = FeedMoves(parts, self.feeds, assignments, perform)
--- a/redwingstream/agent/assigned.py
+++ b/redwingstream/agent/assigned.py
@@ -11,7 +11,7 @@
 from redwingstream.agent.parts import REPLAY_HORIZON, AgentParts
 from redwingstream.agent.replies import Replies
 from redwingstream.agent.runs import Run, RunEnd, deadline_of
-from redwingstream.agent.waiting import Waiter
+from redwingstream.agent.wait_queue import Waiter
 from redwingstream.errors import ResultCode, WireError
 from redwingstream.flows.records import FlowKey, FlowRecord
 from redwingstream.flows.blocks import is_later_block
@@ -152,7 +152,7 @@
             functools.partial(self._start_now, run),
             functools.partial(refuse, run),
         )
-        if not self._carrier.room.enter(waiter, now):
+        if not self._carrier.queue.enter(waiter, now):
             refuse(run, now)
 
     def _start_now(self, run: Run, now: float) -> bool:
--- a/redwingstream/agent/carrier.py
+++ b/redwingstream/agent/carrier.py
@@ -11,7 +11,7 @@
 from redwingstream.agent.parts import AgentParts
 from redwingstream.agent.replies import Replies
 from redwingstream.agent.runs import Run, RunEnd, answer_with
-from redwingstream.agent.waiting import WaitingRoom
+from redwingstream.agent.wait_queue import WaitQueue
 from redwingstream.errors import ResultCode
 from redwingstream.flows.records import FlowKey
 from redwingstream.requests.records import RequestState
@@ -57,7 +57,7 @@
 
     Attributes
     ----------
-    room : WaitingRoom
+    queue : WaitQueue
         Requests that wait a moment for a place.
     """
 
@@ -68,7 +68,7 @@
         on_end: Callable[[RunEnd, float], None],
         perform: Perform,
     ) -> None:
-        self.room = WaitingRoom(parts.limit)
+        self.queue = WaitQueue(parts.limit)
         self._parts = parts
         self._perform = perform
         self._replies = replies
@@ -104,7 +104,7 @@
         self._parts.limit.finished(
             now - slot.taken_at, RunResult.CANCELLED, now
         )
-        self.room.serve(now)
+        self.queue.serve(now)
 
     def start(self, run: Run, slot: Slot, now: float) -> None:
         """Hand a request to the server in a place that was reserved."""
@@ -127,14 +127,14 @@
         """Admit who waits, or refuse those who have waited long enough."""
         parts = self._parts
         if parts.is_leaving or parts.is_zone_out() or parts.server_is_silent:
-            self.room.clear(now)
+            self.queue.clear(now)
         self._learn_latency(now)
-        self.room.serve(now)
-        self.room.expire(now)
+        self.queue.serve(now)
+        self.queue.expire(now)
 
     def cancel_all(self, now: float) -> None:
         """Give up all that runs: cancelled at the server, told truthfully."""
-        self.room.clear(now)
+        self.queue.clear(now)
         for started in list(self._started_by_owner.values()):
             effects = self._parts.upstream.cancel(started.exchange, now)
             self._perform(effects, now)
@@ -203,4 +203,4 @@
     ) -> None:
         latency = now - started.slot.taken_at
         self._parts.limit.finished(latency, run_result, now)
-        self.room.serve(now)
+        self.queue.serve(now)
--- a/redwingstream/agent/home.py
+++ b/redwingstream/agent/home.py
@@ -12,7 +12,7 @@
 from redwingstream.agent.parts import AgentParts
 from redwingstream.agent.replies import Replies
 from redwingstream.agent.runs import Run, deadline_of
-from redwingstream.agent.waiting import Waiter
+from redwingstream.agent.wait_queue import Waiter
 from redwingstream.endpoints import parse_endpoint
 from redwingstream.errors import ResultCode
 from redwingstream.flows.blocks import is_later_block
@@ -34,7 +34,7 @@
     bucket: int
 
 
-class HomeDesk:
+class FlowPlacement:
     """Places feeds and plain requests, and remembers where.
 
     Parameters
@@ -88,7 +88,7 @@
             functools.partial(self._start_now, run),
             functools.partial(self._refuse, run),
         )
-        if not self._carrier.room.enter(waiter, now):
+        if not self._carrier.queue.enter(waiter, now):
             self._refuse(run, now)
 
     def feed(
--- a/redwingstream/agent/intake.py
+++ b/redwingstream/agent/intake.py
@@ -5,7 +5,7 @@
 
 from redwingstream.agent.endings import Endings
 from redwingstream.agent.held import Held, HeldPackets
-from redwingstream.agent.home import HomeDesk
+from redwingstream.agent.home import FlowPlacement
 from redwingstream.agent.once import OnceRequests
 from redwingstream.agent.parts import AgentParts
 from redwingstream.agent.reactions import Reactions
@@ -38,7 +38,7 @@
 
     Parameters
     ----------
-    home : HomeDesk
+    home : FlowPlacement
         Idempotent requests and feeds.
     once : OnceRequests
         Non-idempotent requests.
@@ -48,7 +48,7 @@
         Callers' ACKs and RSTs.
     """
 
-    home: HomeDesk
+    home: FlowPlacement
     once: OnceRequests
     endings: Endings
     reactions: Reactions
--- a/redwingstream/agent/keeper_side.py
+++ b/redwingstream/agent/keeper_side.py
@@ -1,7 +1,7 @@
 """Carries out what the keeper of buckets asks for."""
 
 from redwingstream.agent.feed_checks import FeedChecks
-from redwingstream.agent.home import HomeDesk
+from redwingstream.agent.home import FlowPlacement
 from redwingstream.agent.intake import Intake
 from redwingstream.agent.moves import FeedMoves
 from redwingstream.agent.once import OnceRequests
@@ -32,7 +32,7 @@
     """
 
     once: OnceRequests
-    home: HomeDesk
+    home: FlowPlacement
     moves: FeedMoves
     checks: FeedChecks
     intake: Intake
--- a/redwingstream/agent/making.py
+++ b/redwingstream/agent/making.py
@@ -7,7 +7,7 @@
 from redwingstream.admission.feeds import FeedLimit
 from redwingstream.admission.limit import ConcurrencyLimit
 from redwingstream.admission.retry_budget import RetryBudget
-from redwingstream.agent.outlets import Outlets
+from redwingstream.agent.outputs import Outputs
 from redwingstream.agent.parts import (
     REPLAY_HORIZON,
     AgentIdentity,
@@ -25,7 +25,7 @@
 def make_parts(
     me: AgentIdentity,
     capacity: ServerCapacity,
-    out: Outlets,
+    out: Outputs,
     metrics: Metrics,
     rng: random.Random,
 ) -> AgentParts:
@@ -37,7 +37,7 @@
         Who it is.
     capacity : ServerCapacity
         What its server bears.
-    out : Outlets
+    out : Outputs
         What it can do.
     metrics : Metrics
         What it counts.
--- a/redwingstream/agent/once.py
+++ b/redwingstream/agent/once.py
@@ -19,7 +19,7 @@
 from redwingstream.agent.parts import AgentParts
 from redwingstream.agent.replies import Replies
 from redwingstream.agent.runs import Run, RunEnd, deadline_of, key_of
-from redwingstream.agent.waiting import Waiter
+from redwingstream.agent.wait_queue import Waiter
 from redwingstream.errors import ResultCode
 from redwingstream.forwarding.messages import Packet, RunOutcome
 from redwingstream.placement.messages import BucketContents
@@ -196,7 +196,7 @@
             functools.partial(self._admitted, run),
             functools.partial(self._not_admitted, run),
         )
-        if not self._carrier.room.enter(waiter, now):
+        if not self._carrier.queue.enter(waiter, now):
             self._not_admitted(run, now)
 
     def _admitted(self, run: Run, now: float) -> bool:
--- a/redwingstream/agent/outlets.py
+++ b/redwingstream/agent/outputs.py
@@ -3,7 +3,7 @@
 from typing import Protocol
 
 
-class Outlets(Protocol):
+class Outputs(Protocol):
     """Carried out by the role with sockets, by tests with lists."""
 
     def to_peer(self, endpoint: str, payload: object) -> None:
--- a/redwingstream/agent/parts.py
+++ b/redwingstream/agent/parts.py
@@ -7,7 +7,7 @@
 from redwingstream.admission.feeds import FeedLimit
 from redwingstream.admission.limit import ConcurrencyLimit
 from redwingstream.admission.retry_budget import RetryBudget
-from redwingstream.agent.outlets import Outlets
+from redwingstream.agent.outputs import Outputs
 from redwingstream.agent.store import AgentStore
 from redwingstream.endpoints import parse_endpoint
 from redwingstream.flows.feeds import FeedCarrier
@@ -85,7 +85,7 @@
     ----------
     me : AgentIdentity
         Who this agent is.
-    out : Outlets
+    out : Outputs
         What it can do.
     metrics : Metrics
         What it counts.
@@ -100,7 +100,7 @@
     """
 
     me: AgentIdentity
-    out: Outlets
+    out: Outputs
     metrics: Metrics
     store: AgentStore
     keeper: BucketKeeper
--- a/redwingstream/agent/role.py
+++ b/redwingstream/agent/role.py
@@ -9,7 +9,7 @@
 
 from redwingstream.agent.inbox import AGENT_MESSAGES, AgentMessage
 from redwingstream.agent.parts import ServerCapacity
-from redwingstream.agent.runner import AgentRunner, Station
+from redwingstream.agent.runner import AgentRunner, AgentSetup
 from redwingstream.agent.server_sockets import (
     ServerSockets,
     open_server_sockets,
@@ -44,7 +44,7 @@
             f'redwingstream.agent.{settings.host}', settings.statsd
         )
         self._runner = AgentRunner(
-            _station(settings, key), self, self.metrics, random.Random()
+            _setup(settings, key), self, self.metrics, random.Random()
         )
         self._node = MemberNode(
             settings, key, _announcement(settings), self.metrics
@@ -81,7 +81,7 @@
         logging.info('agent: %s has drained.', self._settings.host)
 
     def to_peer(self, endpoint: str, payload: object) -> None:
-        """Send a frame; see :class:`~redwingstream.agent.outlets.Outlets`."""
+        """Send a frame; see :class:`~redwingstream.agent.outputs.Outputs`."""
         self._node.send(parse_endpoint(endpoint), payload)
 
     def to_server(self, packet: bytes, source: int) -> None:
@@ -140,8 +140,8 @@
                 self._runner.tick(self._node.now)
 
 
-def _station(settings: AgentSettings, key: bytes) -> Station:
-    return Station(
+def _setup(settings: AgentSettings, key: bytes) -> AgentSetup:
+    return AgentSetup(
         host=settings.host,
         endpoint=str(settings.endpoint),
         zone=settings.zone,
--- a/redwingstream/agent/runner.py
+++ b/redwingstream/agent/runner.py
@@ -8,7 +8,7 @@
 from redwingstream.agent.core import AgentCore
 from redwingstream.agent.inbox import AgentMessage
 from redwingstream.agent.making import make_parts
-from redwingstream.agent.outlets import Outlets
+from redwingstream.agent.outputs import Outputs
 from redwingstream.agent.parts import AgentIdentity, ServerCapacity
 from redwingstream.agent.status import state_of
 from redwingstream.endpoints import parse_endpoint
@@ -18,7 +18,7 @@
 
 
 @attrs.frozen
-class Station:
+class AgentSetup:
     """Where an agent stands, whichever run of it.
 
     Parameters
@@ -44,9 +44,9 @@
 
     Parameters
     ----------
-    station : Station
+    setup : AgentSetup
         Where the agent stands.
-    out : Outlets
+    out : Outputs
         What it can do.
     metrics : Metrics
         What it counts.
@@ -61,13 +61,13 @@
 
     def __init__(
         self,
-        station: Station,
-        out: Outlets,
+        setup: AgentSetup,
+        out: Outputs,
         metrics: Metrics,
         rng: random.Random,
     ) -> None:
         self.core: AgentCore | None = None
-        self._station = station
+        self._setup = setup
         self._out = out
         self._metrics = metrics
         self._rng = rng
@@ -93,7 +93,7 @@
         core that kept its incarnation would be home of nothing for ever.
         """
         self._revision = tables.revision
-        member = tables.member_by_host.get(self._station.host)
+        member = tables.member_by_host.get(self._setup.host)
         is_admitted = member is not None and member.incarnation == incarnation
         if is_admitted and not self._is_run(incarnation):
             self._start(tables, incarnation, now)
@@ -143,7 +143,7 @@
             return True
         if not self.core.is_idle():
             return False
-        view = tables.view_by_pool.get(self._station.pool)
+        view = tables.view_by_pool.get(self._setup.pool)
         if view is None:
             return True
         is_in_view = any(map(self.core.parts.is_me, view.members))
@@ -172,23 +172,23 @@
         return self.core.parts.me.incarnation == incarnation
 
     def _start(self, tables: Tables, incarnation: int, now: float) -> None:
-        station = self._station
-        pool = tables.pool_by_name.get(station.pool)
+        setup = self._setup
+        pool = tables.pool_by_name.get(setup.pool)
         if pool is None:
             return
         if self.core is not None:
             self.core.retire(now)
         me = AgentIdentity(
-            host=station.host,
+            host=setup.host,
             incarnation=incarnation,
-            endpoint=station.endpoint,
-            zone=station.zone,
-            pool=station.pool,
+            endpoint=setup.endpoint,
+            zone=setup.zone,
+            pool=setup.pool,
             buckets=pool.buckets,
-            key=station.key,
+            key=setup.key,
         )
         parts = make_parts(
-            me, station.capacity, self._out, self._metrics, self._rng
+            me, setup.capacity, self._out, self._metrics, self._rng
         )
         self.core = AgentCore(parts)
         if self._is_leaving:
--- a/redwingstream/agent/tests/pool.py
+++ b/redwingstream/agent/tests/pool.py
@@ -11,7 +11,7 @@
 
 from redwingstream.agent.core import AgentCore
 from redwingstream.agent.parts import ServerCapacity
-from redwingstream.agent.runner import AgentRunner, Station
+from redwingstream.agent.runner import AgentRunner, AgentSetup
 from redwingstream.agent.tests.exchange import Exchange, Frame
 from redwingstream.agent.tests.fake_caller import CallerPacket, FakeCaller
 from redwingstream.agent.tests.fake_server import FakeServer, ServerPacket
@@ -78,7 +78,7 @@
 
 
 class Agent:
-    """An agent process beside its fake server; the outlets of its core."""
+    """An agent process beside its fake server; the outputs of its core."""
 
     def __init__(
         self, pool: 'FakePool', host: str, boot: int, server: str
@@ -87,7 +87,7 @@
         self.endpoint = pool.endpoint_by_host[host]
         self.metrics = Metrics('agent', None)
         self.tables = Tables()
-        station = Station(
+        setup = AgentSetup(
             host=host,
             endpoint=self.endpoint,
             zone=pool.zone_by_host[host],
@@ -96,7 +96,7 @@
             capacity=ServerCapacity(pool.slots, CONNECTIONS),
         )
         rng = random.Random(f'{host} {boot}')
-        self.runner = AgentRunner(station, self, self.metrics, rng)
+        self.runner = AgentRunner(setup, self, self.metrics, rng)
         self._boot = boot
         self._exchange = pool.exchange
         self._server = server
--- a/redwingstream/agent/tests/test_waiting.py
+++ b/redwingstream/agent/tests/test_wait_queue.py
@@ -3,20 +3,20 @@
 from redwingstream.admission.limit import ConcurrencyLimit, RunResult
 from redwingstream.agent.tests.pool import FakePool
 from redwingstream.agent.tests.support import hold_slots, settled_pool, warm_up
-from redwingstream.agent.waiting import (
+from redwingstream.agent.wait_queue import (
     LONGEST_WAIT,
     MAX_WAITING,
     Waiter,
-    WaitingRoom,
+    WaitQueue,
 )
 
 FAR = 1000.0
 
 
-class Guest:
+class Request:
     """A request that notes what became of it."""
 
-    def __init__(self, room: WaitingRoom, limit: ConcurrencyLimit) -> None:
+    def __init__(self, room: WaitQueue, limit: ConcurrencyLimit) -> None:
         self.admitted_at: float | None = None
         self.refused_at: float | None = None
         self._limit = limit
@@ -38,63 +38,65 @@
         self.refused_at = now
 
 
-def busy_room(latency: float = 0.01) -> tuple[WaitingRoom, ConcurrencyLimit]:
+def busy_room(latency: float = 0.01) -> tuple[WaitQueue, ConcurrencyLimit]:
     """Return a room before a server of one slot, which is in use."""
     limit = ConcurrencyLimit(1, expected_latency=latency)
     limit.try_start(0)
-    return WaitingRoom(limit), limit
+    return WaitQueue(limit), limit
 
 
-class TestWaitingRoom:
+class TestWaitQueue:
     """Bounds of the wait."""
 
     def test_first_in_first_out(self) -> None:
         room, limit = busy_room()
-        guests = [Guest(room, limit) for _ in range(3)]
-        assert all(guest.enter(0) for guest in guests)
+        requests = [Request(room, limit) for _ in range(3)]
+        assert all(request.enter(0) for request in requests)
         for turn in (1, 2, 3):
             now = turn / 100
             limit.finished(0.01, RunResult.COMPLETED, now)
             room.serve(now)
-        admitted = [guest.admitted_at for guest in guests]
+        admitted = [request.admitted_at for request in requests]
         assert admitted == [0.01, 0.02, 0.03]
 
     def test_never_above_the_limit(self) -> None:
         room, limit = busy_room()
-        guest = Guest(room, limit)
-        guest.enter(0)
+        request = Request(room, limit)
+        request.enter(0)
         room.serve(0.1)
-        assert guest.admitted_at is None
+        assert request.admitted_at is None
         assert limit.in_flight == 1
 
     def test_refused_when_it_took_longer(self) -> None:
         room, limit = busy_room()
-        guest = Guest(room, limit)
-        guest.enter(0)
+        request = Request(room, limit)
+        request.enter(0)
         room.expire(LONGEST_WAIT)
-        assert guest.refused_at == LONGEST_WAIT
+        assert request.refused_at == LONGEST_WAIT
 
     def test_late_slot_is_not_given(self) -> None:
         room, limit = busy_room()
-        guest = Guest(room, limit)
-        guest.enter(0)
+        request = Request(room, limit)
+        request.enter(0)
         limit.finished(1, RunResult.COMPLETED, 1)
         room.serve(1)
-        assert guest.admitted_at is None
-        assert guest.refused_at == 1
+        assert request.admitted_at is None
+        assert request.refused_at == 1
 
     def test_not_when_the_wait_is_long(self) -> None:
         room, limit = busy_room(latency=2 * LONGEST_WAIT)
-        assert not Guest(room, limit).enter(0)
+        assert not Request(room, limit).enter(0)
 
     def test_not_towards_the_deadline(self) -> None:
         room, limit = busy_room()
-        assert not Guest(room, limit).enter(0, deadline=0.015)
-        assert Guest(room, limit).enter(0, deadline=0.05)
+        assert not Request(room, limit).enter(0, deadline=0.015)
+        assert Request(room, limit).enter(0, deadline=0.05)
 
     def test_bounded_number(self) -> None:
         room, limit = busy_room(latency=LONGEST_WAIT / MAX_WAITING / 10)
-        entered = [Guest(room, limit).enter(0) for _ in range(2 * MAX_WAITING)]
+        entered = [
+            Request(room, limit).enter(0) for _ in range(2 * MAX_WAITING)
+        ]
         assert sum(entered) == MAX_WAITING
 
     def test_not_before_a_paused_server(self) -> None:
@@ -106,8 +108,8 @@
         limit = ConcurrencyLimit(1, expected_latency=0.01)
         limit.try_start(0)
         limit.finished(0.01, RunResult.REFUSED, 0.01)
-        room = WaitingRoom(limit)
-        assert not Guest(room, limit).enter(0.02)
+        room = WaitQueue(limit)
+        assert not Request(room, limit).enter(0.02)
 
 
 class TestInTheAgent:
--- a/redwingstream/agent/waiting.py
+++ b/redwingstream/agent/wait_queue.py
@@ -45,7 +45,7 @@
     until: float
 
 
-class WaitingRoom:
+class WaitQueue:
     """First in, first out; bounded in number and in time.
 
     Parameters
--- a/redwingstream/control/instance.py
+++ b/redwingstream/control/instance.py
@@ -1,4 +1,4 @@
-"""A replica with its socket and its desk for members."""
+"""A replica with its socket and its service for members."""
 
 import asyncio
 import random
@@ -10,7 +10,7 @@
 from redwingstream.consensus import events
 from redwingstream.consensus.core import Consensus
 from redwingstream.consensus.messages import ReplicaMessage, Voter
-from redwingstream.control.members import MemberDesk
+from redwingstream.control.members import MemberService
 from redwingstream.control.replica import Replica, Surroundings
 from redwingstream.control.service import ControlService
 from redwingstream.control.settings import ControlSettings
@@ -52,7 +52,7 @@
             self._send, loop.time, loop.call_soon, self._fail
         )
         self._replica = _make_replica(settings, folder, surroundings)
-        self._desk = MemberDesk(
+        self._members = MemberService(
             self._replica, settings.lease, random.SystemRandom(), loop.time
         )
         self.service = ControlService(
@@ -75,9 +75,9 @@
         reply = partial(self._reply, source)
         match opened.payload:
             case Announce() as announce:
-                self._desk.on_announce(announce, opened.boot, reply)
+                self._members.on_announce(announce, opened.boot, reply)
             case Heartbeat() as beat:
-                self._desk.on_heartbeat(beat, opened.boot, reply)
+                self._members.on_heartbeat(beat, opened.boot, reply)
             case Probe():
                 reply(ProbeAck(self._replica.machine.state.revision))
             case message if isinstance(message, ReplicaMessage):
@@ -97,7 +97,7 @@
 
     def _tick(self) -> None:
         self._replica.step(events.Ticked())
-        self._desk.on_tick()
+        self._members.on_tick()
 
     async def _hand_over(self) -> None:
         if not self._replica.consensus.is_leader:
--- a/redwingstream/control/members.py
+++ b/redwingstream/control/members.py
@@ -30,7 +30,7 @@
 Reply = Callable[[object], None]
 
 
-class MemberDesk:
+class MemberService:
     """Answers members; decides on leases while its replica leads.
 
     Parameters
--- a/redwingstream/control/tests/test_members.py
+++ b/redwingstream/control/tests/test_members.py
@@ -5,7 +5,7 @@
 import attrs
 import pytest
 
-from redwingstream.control.members import MemberDesk
+from redwingstream.control.members import MemberService
 from redwingstream.control.tests.fakes import Fleet
 from redwingstream.membership.leases import DEFAULT_LEASE
 from redwingstream.membership.messages import (
@@ -23,7 +23,7 @@
 
 
 class Site:
-    """A fleet with a desk at its leader, and agents that it answers."""
+    """A fleet, the service for members at its leader, and its agents."""
 
     def __init__(self) -> None:
         self.fleet = Fleet(seed=5).begin()
@@ -31,11 +31,11 @@
         request = ChangeRequest('r', 0, Edits(set_pools=(POOL,)))
         self.fleet.propose(self.leader.name, request)
         self.fleet.pass_ticks(5)
-        self.desk = self.make_desk(self.leader)
+        self.service = self.make_service(self.leader)
 
-    def make_desk(self, node) -> MemberDesk:
-        """Return a desk at a replica."""
-        return MemberDesk(
+    def make_service(self, node) -> MemberService:
+        """Return a service at a replica."""
+        return MemberService(
             node.replica,
             DEFAULT_LEASE,
             random.Random(0),
@@ -45,7 +45,7 @@
     def ask(self, announce: Announce, boot: int) -> list[object]:
         """Announce once; return the answers, also those that come later."""
         answers: list[object] = []
-        self.desk.on_announce(announce, boot, answers.append)
+        self.service.on_announce(announce, boot, answers.append)
         return answers
 
     def admit(self, host: str, boot: int = 1) -> HeartbeatAck:
@@ -63,7 +63,7 @@
     def beat(self, beat: Heartbeat, boot: int = 1) -> HeartbeatAck:
         """Send a heartbeat."""
         answers: list[HeartbeatAck] = []
-        self.desk.on_heartbeat(beat, boot, answers.append)
+        self.service.on_heartbeat(beat, boot, answers.append)
         return answers[0]
 
     def live(self, seconds: float, *beats: Heartbeat) -> None:
@@ -72,7 +72,7 @@
         while self.fleet.now < end:
             for beat in beats:
                 self.beat(beat)
-            self.desk.on_tick()
+            self.service.on_tick()
             self.fleet.pass_ticks(2)
 
     def state(self) -> MachineState:
@@ -96,7 +96,7 @@
     return Site()
 
 
-class TestMemberDesk:
+class TestMemberService:
     """What members are told, and what is committed of them."""
 
     def test_a_silent_member_is_removed(self, site: Site) -> None:
@@ -168,7 +168,7 @@
         follower = next(
             node for node in site.fleet.nodes if node is not site.leader
         )
-        site.desk = site.make_desk(follower)
+        site.service = site.make_service(follower)
         answer = site.beat(Heartbeat('sward-1', ack.incarnation, 0))
         assert answer.leader == site.leader.name
         assert answer.incarnation == ack.incarnation
@@ -183,12 +183,12 @@
         site.leader.crash()
         site.fleet.pass_ticks(60)
         site.leader = site.fleet.leader()
-        site.desk = site.make_desk(site.leader)
+        site.service = site.make_service(site.leader)
         before = site.last_index()
         for number, ack in enumerate(acks):
             beat = Heartbeat(f'sward-{number}', ack.incarnation, 0)
             assert site.beat(beat).incarnation == ack.incarnation
-        site.desk.on_tick()
+        site.service.on_tick()
         assert site.last_index() == before
         assert len(site.members) == MANY
 
@@ -208,5 +208,5 @@
         for _ in range(30):
             site.fleet.now += 0.05
             site.beat(beat)
-            site.desk.on_tick()
+            site.service.on_tick()
         assert site.last_index() == before + 1
