Show a daemon's flags in the list of processes

Cause: after the daemon has become its role, its command line named the role only, so that nobody could tell which agent a process was. The flags are shown again; the settings still come from the environment.

--- a/redwingstream/daemon.py
+++ b/redwingstream/daemon.py
@@ -50,7 +50,10 @@
     for flag, text in flags.items():
         if text is not None:
             environment[variable_of(flag.replace('-', '_'))] = text
-    command_line = (sys.executable, '-m', 'redwingstream.running', role)
+    # The flags stand there for whoever lists processes; they are not read.
+    shown = sys.argv[2:]
+    module = 'redwingstream.running'
+    command_line = (sys.executable, '-m', module, role, *shown)
     sys.stdout.flush()
     sys.stderr.flush()
     os.execve(sys.executable, command_line, environment)
