Note what a peer was sent in one place; correct two comments

PeerLoads.choose and choose_for_established each counted what they sent; one method does it for both. Refuse said *not run*, which final_answer does not say of a non-idempotent request; final_answer named balancers without tables, which drop packets now. Behaviour is unchanged.

--- a/redwingstream/admission/choice.py
+++ b/redwingstream/admission/choice.py
@@ -131,9 +131,7 @@
         if not candidates:
             return None
         drawn = self._rng.sample(candidates, min(2, len(candidates)))
-        chosen = min(drawn, key=self._load_of)
-        self._by_host[chosen].sent_at.append(now)
-        return chosen
+        return self._note_sent(min(drawn, key=self._load_of), now)
 
     def expected_latency(self, now: float) -> float | None:
         """Return the median latency of warm servers, or None.
@@ -175,7 +173,9 @@
         )
         if not candidates:
             return None
-        chosen = min(candidates, key=self._feeds_of)
+        return self._note_sent(min(candidates, key=self._feeds_of), now)
+
+    def _note_sent(self, chosen: str, now: float) -> str:
         self._by_host[chosen].sent_at.append(now)
         return chosen
 
--- a/redwingstream/balancer/forwarder.py
+++ b/redwingstream/balancer/forwarder.py
@@ -28,7 +28,7 @@
 
 @attrs.frozen
 class Refuse:
-    """Tell the caller at once that the request was not run."""
+    """Answer the caller at once; see :func:`final_answer`."""
 
     reason: ResultCode
 
@@ -145,9 +145,9 @@
     -----
     Guards against a false *not run*: the request may be the replay of one that
     another balancer has passed on, or that this one did before its tables
-    changed, and it may have run.  It shows when a balancer has just started
-    and has no tables yet.  Of an idempotent one the answer concerns the copy
-    in hand, and to run it once more does no harm.
+    changed, and it may have run.  It shows when a route or a pool has just
+    been removed.  Of an idempotent one the answer concerns the copy in hand,
+    and to run it once more does no harm.
     """
     if coap.is_idempotent(request):
         return coap.refusal(request, reason, COME_BACK)
