Let new flows wait a moment for a server; elect the first leader sooner

Logs: balancers had no tables for 0.75 s, because the control group took that long to elect; servers were cold and got five flows a second each, the rest was refused and callers used up their three tries within 10 ms.

Ruled out: silence in place of a refusal (holds back what nobody will serve).

--- a/redwingstream/consensus/core.py
+++ b/redwingstream/consensus/core.py
@@ -86,7 +86,7 @@
         self._state = ReplicaState(
             myself, names, sizing, timing, jitter, Log(), role
         )
-        self._state.follow(now)
+        role.deadline = now + self._state.ask_timeout()
         self._state.next_hello = now
 
     def restore(
--- a/redwingstream/consensus/election.py
+++ b/redwingstream/consensus/election.py
@@ -70,7 +70,8 @@
 def _stand(
     state: ReplicaState, now: float, *, pre: bool, handed_over: bool
 ) -> None:
-    role = Candidate(now + state.election_timeout(), pre, {state.myself})
+    timeout = state.ask_timeout() if pre else state.election_timeout()
+    role = Candidate(now + timeout, pre, {state.myself})
     state.role = role
     if not pre:
         state.remember(state.term + 1, state.myself.name)
--- a/redwingstream/consensus/state.py
+++ b/redwingstream/consensus/state.py
@@ -16,6 +16,12 @@
 DEFAULT_HEARTBEAT = 0.1
 DEFAULT_ELECTION_MIN = 0.5
 DEFAULT_ELECTION_MAX = 1.0
+# A replica that has heard no leader since its start, or whose question whether
+# it would be elected had no answer, asks again after such a time.  Asking is
+# harmless: nobody's term changes, and who hears a leader says no.  A leader is
+# heard each 0.1 s, so one that runs is heard before.
+DEFAULT_ASK_MIN = 0.15
+DEFAULT_ASK_MAX = 0.35
 # Longer than an election and a restarted process take, so that a restart does
 # not cost a replica its place; shorter than what users allow a successor to
 # catch up (4 s), with the time for two entries left.
@@ -34,11 +40,16 @@
         A follower that hears no leader stands for election after a random
         time between these; a leader that hears no majority for the longer
         one stops leading.
+    ask_min, ask_max : float
+        Times between which a replica asks whether it would be elected, while
+        it has heard no leader at all.
     """
 
     heartbeat: float = DEFAULT_HEARTBEAT
     election_min: float = DEFAULT_ELECTION_MIN
     election_max: float = DEFAULT_ELECTION_MAX
+    ask_min: float = DEFAULT_ASK_MIN
+    ask_max: float = DEFAULT_ASK_MAX
 
 
 @attrs.frozen
@@ -289,6 +300,10 @@
         timing = self.timing
         return self.jitter.uniform(timing.election_min, timing.election_max)
 
+    def ask_timeout(self) -> float:
+        """Draw a random time in seconds until it is asked for votes again."""
+        return self.jitter.uniform(self.timing.ask_min, self.timing.ask_max)
+
     def commit_up_to(self, index: int) -> None:
         """Hand out the entries that are now known as accepted."""
         if index <= self.commit:
--- a/redwingstream/directory/view.py
+++ b/redwingstream/directory/view.py
@@ -110,6 +110,11 @@
             self._sort_by_pool()
         return changed
 
+    def replace_all(self, agents: Iterable[Agent]) -> None:
+        """Know just these agents; for whoever has them from elsewhere."""
+        self._agent_by_address = {agent.address: agent for agent in agents}
+        self._sort_by_pool()
+
     def forget_old(self, now: float) -> None:
         """Forget agents that all control instances have long lost."""
         for address, agent in tuple(self._agent_by_address.items()):
--- a/redwingstream/fleet/agent.py
+++ b/redwingstream/fleet/agent.py
@@ -1,5 +1,6 @@
 """The agent: sockets and timers round the carrying of packets."""
 
+import asyncio
 import contextlib
 from collections.abc import AsyncIterator
 
@@ -22,13 +23,16 @@
 from redwingstream.packets.flow import PacketCodec, address_of
 from redwingstream.packets.flowbook import FlowBook
 from redwingstream.packets.site import Place, Site
-from redwingstream.tables.rows import Pool
 from redwingstream.tables.snapshot import Tables
 from redwingstream.wire.datagrams import open_datagrams
 
 HOUSEKEEPING = 0.25
 """Seconds between two looks at old flows."""
 
+RELEASE_EVERY = 0.02
+"""Seconds between two looks at new flows that wait: half of the time in which a
+server ends a request."""
+
 
 class Agent:
     """One agent.
@@ -53,11 +57,16 @@
         self._process = process
         self._beside: Beside = beside
         self._sequence = 0
+        self._releasing: asyncio.TimerHandle | None = None
         self._address = address_of(packets.host, packets.port)
         inquirer = Inquirer(
             deployment.seed_addresses, beside.pool, process.clock()
         )
-        self.gate = Gate(deployment.cold_limit, deployment.report_interval)
+        self.gate = Gate(
+            deployment.cold_limit,
+            deployment.report_interval,
+            process.started_at,
+        )
         self.following = Following(
             inquirer, process.codec, self._learn, self._make_record
         )
@@ -133,18 +142,19 @@
         if not learned.has_new_tables:
             return
         tables = inquirer.history.tables
-        self.site.revision = tables.revision
+        self.site.refusing.revision = tables.revision
         if tables.generation is not None:
             self.site.flows.keep_for(tables.generation.idle_timeout)
         self._set_around(tables)
         note_tables(self._process, inquirer)
 
     def _set_around(self, tables: Tables) -> None:
-        pool = tables.pool_by_name.get(self._beside.pool)
-        out = tables.is_zone_out(self._process.deployment.zone)
-        if self.gate.around.is_zone_out and not out:
+        around = Surroundings.of(
+            tables, self._beside.pool, self._process.deployment.zone
+        )
+        if self.gate.around.is_zone_out and not around.is_zone_out:
             self.gate.doubt_warmth(self._process.clock())
-        self.gate.around = _surroundings(pool, is_zone_out=out)
+        self.gate.around = around
 
     def _take_packet(self, datagram: bytes, source: tuple[str, int]) -> None:
         try:
@@ -157,6 +167,17 @@
             self.site.counters.malformed += 1
             return
         self.outlet.send_all(sending)
+        self._release_soon()
+
+    def _release_soon(self) -> None:
+        if len(self.site.waiting) and self._releasing is None:
+            loop = asyncio.get_running_loop()
+            self._releasing = loop.call_later(RELEASE_EVERY, self._release)
+
+    def _release(self) -> None:
+        self._releasing = None
+        self.outlet.send_all(self.carrying.release(self._process.clock()))
+        self._release_soon()
 
     def _take_from_server(self, packet: bytes, source: tuple[str, int]) -> None:
         try:
@@ -174,9 +195,3 @@
     def _keep_house(self, now: float) -> None:
         self.carrying.tick(now)
         self.following.inquirer.view.forget_old(now)
-
-
-def _surroundings(pool: Pool | None, *, is_zone_out: bool) -> Surroundings:
-    if pool is None:
-        return Surroundings(is_zone_out)
-    return Surroundings(is_zone_out, pool.cold_rate, pool.max_flows)
--- a/redwingstream/fleet/registry.py
+++ b/redwingstream/fleet/registry.py
@@ -16,6 +16,15 @@
 then asked ten times a second together, and a change is in force everywhere well
 within a second."""
 
+UNCONFIRMED_PAUSE = 0.1
+"""Seconds after which a process is to ask again while this instance does not
+know whether its tables are the newest: after a restart of all instances,
+callers wait for the tables."""
+
+UNCONFIRMED_AGE = 1.0
+"""Seconds since when the tables were last known to be the newest, from which
+that is so; a leader that is cut off notices within this time."""
+
 MAX_INQUIRIES = 500
 """Inquiries a second that a control instance wants at most; with more processes
 each of them asks less often."""
@@ -98,9 +107,14 @@
             tables.confirmed_age,
             now - self._started_at,
             self._controls.running(now),
-            self._pause,
+            self._pause_for(tables),
         )
 
+    def _pause_for(self, tables: TableSource) -> float:
+        if tables.confirmed_age > UNCONFIRMED_AGE and self._pause <= PAUSE:
+            return UNCONFIRMED_PAUSE
+        return self._pause
+
     def _count(self, now: float) -> None:
         self._asked += 1
         passed = now - self._asked_since
--- /dev/null
+++ b/redwingstream/openings/expectation.py
@@ -0,0 +1,69 @@
+"""How long a new flow would wait for a server, as far as that is known.
+
+An agent offers to hold a new flow only when it can say that its server will
+take it soon.  A caller whose first packet is refused has lost that try at once;
+one whose packet waits a moment is served.  A flow that would wait longer than
+its caller does is refused at once.
+"""
+
+from collections.abc import Sequence
+
+MAX_WAIT = 1.0
+"""Seconds that a new flow waits at most.  Its caller gives up 1.4 s after the
+first packet; the rest is for the way there and for the server's answer."""
+
+RUN_SECONDS = 0.04
+"""Seconds that a server works on a request before it begins to answer, as long
+as nothing has been measured: the mean of the users' workloads is 6 to 50 ms."""
+
+
+def wait_for_slot(waiting: int, slots: int, run: float) -> float:
+    """Return the expected seconds until a server begins with one more request.
+
+    Parameters
+    ----------
+    waiting : int
+        Requests that it has not begun to answer.
+    slots : int
+        Requests that it runs at once.
+    run : float
+        Seconds that it works on one.
+    """
+    ahead = waiting - slots + 1
+    return max(0, ahead) * run / slots
+
+
+def wait_for_pace(
+    opened_at: Sequence[float],
+    allowed: int,
+    queued: int,
+    window: float,
+    now: float,
+) -> float:
+    """Return the seconds until a cold server may be given one more new flow.
+
+    Parameters
+    ----------
+    opened_at : sequence of float
+        When it was given those of the last window, oldest first.
+    allowed : int
+        How many it may be given within a window.
+    queued : int
+        How many wait before this one.
+    window : float
+        Seconds of the window.
+    now : float
+        The time.
+
+    Returns
+    -------
+    float
+        Infinite when it may be given none.
+    """
+    if allowed <= 0:
+        return float('inf')
+    rounds, place = divmod(len(opened_at) + queued, allowed)
+    if rounds == 0:
+        return 0
+    before = opened_at[place] if place < len(opened_at) else now
+    return max(0, before + rounds * window - now)
--- a/redwingstream/openings/gate.py
+++ b/redwingstream/openings/gate.py
@@ -5,13 +5,23 @@
 import attrs
 
 from redwingstream.directory.messages import Readiness
-from redwingstream.openings.pacing import ColdLimit, Pacer
+from redwingstream.openings.expectation import (
+    RUN_SECONDS,
+    wait_for_pace,
+    wait_for_slot,
+)
+from redwingstream.openings.pacing import WINDOW, ColdLimit, Pacer
 from redwingstream.openings.reports import ServerReport, ServerState
+from redwingstream.tables.snapshot import Tables
 
 SILENT_REPORTS = 2.5
 """Reports that may be missing before the server counts as silent; one report
 that is lost or late must not close it."""
 
+SERVER_QUEUE = 2
+"""Requests for each slot that may wait at the server itself.  Servers queue a
+few and refuse more; with two a slot the next one is there when one ends."""
+
 FULL_FOR = 0.05
 """Seconds for which a server that has handed a new flow back is left alone:
 about the time in which one of its requests ends."""
@@ -38,9 +48,14 @@
     NOT_ANSWERING = 'not_answering'
 
     @property
-    def is_open(self) -> bool:
-        """Whether the server could take the flow, now or after waiting."""
-        return self in {Verdict.TAKE, Verdict.BUSY}
+    def may_pass(self) -> bool:
+        """Whether the server may take the flow after a moment."""
+        return self in _PASSING
+
+
+_PASSING = frozenset(
+    (Verdict.TAKE, Verdict.BUSY, Verdict.COLD, Verdict.FULL, Verdict.UNHEARD)
+)
 
 
 @attrs.define
@@ -61,6 +76,15 @@
     cold_rate: float = 0
     max_flows: int = 0
 
+    @classmethod
+    def of(cls, tables: Tables, pool_name: str, zone: str) -> 'Surroundings':
+        """Return what tables say of a pool and a zone."""
+        is_out = tables.is_zone_out(zone)
+        pool = tables.pool_by_name.get(pool_name)
+        if pool is None:
+            return cls(is_out)
+        return cls(is_out, pool.cold_rate, pool.max_flows)
+
 
 @attrs.frozen
 class Load:
@@ -72,10 +96,13 @@
         Requests that it has not begun to answer.
     flows : int
         Flows that it holds.
+    queued : int
+        New flows that wait for it at the agent.
     """
 
     waiting: int
     flows: int
+    queued: int = 0
 
 
 class Gate:
@@ -87,6 +114,8 @@
         What a cold server may get.
     report_interval : float
         Seconds between two reports of a server.
+    started_at : float
+        When the agent started.
 
     Notes
     -----
@@ -95,11 +124,14 @@
     every new flow of this server passes here.
     """
 
-    def __init__(self, cold_limit: ColdLimit, report_interval: float) -> None:
+    def __init__(
+        self, cold_limit: ColdLimit, report_interval: float, started_at: float
+    ) -> None:
         self.state = ServerState()
         self.around = Surroundings()
         self._cold_limit = cold_limit
         self._silent_after = report_interval * SILENT_REPORTS
+        self._heard_by = started_at + report_interval
         self._pacer = Pacer()
         self._cold_until = float('-inf')
         self._full_until = float('-inf')
@@ -143,6 +175,32 @@
                 return Verdict.COLD
         return Verdict.BUSY if load.waiting >= self.slots else Verdict.TAKE
 
+    def may_queue(self, load: Load) -> bool:
+        """Whether a busy server may be given one more request to wait for."""
+        return load.waiting < self.slots * (1 + SERVER_QUEUE)
+
+    def expected_wait(self, load: Load, now: float) -> float:
+        """Return the seconds until the server is expected to take a new flow.
+
+        Returns
+        -------
+        float
+            Infinite when it will not, or nobody can say when.
+        """
+        match self._closed(load, now):
+            case None:
+                pace = self._wait_for_warmth(load, now)
+            case Verdict.UNHEARD:
+                pace = self._heard_by - now
+                if pace < 0:
+                    return float('inf')
+            case Verdict.FULL:
+                pace = self._full_until - now
+            case _:
+                return float('inf')
+        waiting = load.waiting + load.queued
+        return pace + wait_for_slot(waiting, self.slots, RUN_SECONDS)
+
     def note_opened(self, now: float) -> None:
         """Count a packet that opens a flow, on its way to the server."""
         self._pacer.note(now)
@@ -157,6 +215,16 @@
         """The server has handed a new flow back."""
         self._full_until = now + FULL_FOR
 
+    def _wait_for_warmth(self, load: Load, now: float) -> float:
+        if not self.is_cold(now):
+            return 0
+        allowed = self._cold_limit.allowed(self.around.cold_rate)
+        opened_at = self._pacer.opened_at(now)
+        pace = wait_for_pace(opened_at, allowed, load.queued, WINDOW, now)
+        if self._doubted_at >= self.state.heard_at:
+            return pace
+        return min(pace, self._cold_until - now)
+
     def _closed(self, load: Load, now: float) -> Verdict | None:
         said = self._closed_as_said(now)
         if said is not None:
--- a/redwingstream/openings/pacing.py
+++ b/redwingstream/openings/pacing.py
@@ -42,6 +42,11 @@
             self._opened_at.popleft()
         return len(self._opened_at)
 
+    def opened_at(self, now: float) -> tuple[float, ...]:
+        """Return when there were new flows within the window, oldest first."""
+        self.count(now)
+        return tuple(self._opened_at)
+
     def note(self, now: float) -> None:
         """Count a new flow; :meth:`count` keeps the record short."""
         self._opened_at.append(now)
--- a/redwingstream/packets/admitting.py
+++ b/redwingstream/packets/admitting.py
@@ -3,10 +3,11 @@
 import attrs
 
 from redwingstream.directory.messages import Readiness
+from redwingstream.openings.expectation import MAX_WAIT
 from redwingstream.openings.gate import Verdict
 from redwingstream.packets import events
-from redwingstream.packets.effects import Sending, ToCaller, ToServer
-from redwingstream.packets.envelopes import Envelope
+from redwingstream.packets.effects import Sending, ToServer
+from redwingstream.packets.envelopes import NO_OFFER, Envelope, Kind
 from redwingstream.packets.flow import (
     NO_ADDRESS,
     Address,
@@ -18,6 +19,7 @@
 from redwingstream.packets.flowbook import Carried, Standing
 from redwingstream.packets.ranking import pool_hash, ranked
 from redwingstream.packets.site import Site, peer_datagram
+from redwingstream.packets.waiting import Held
 
 MAX_TRIES = 4
 """Agents that look at a new flow.  With random loads the least loaded of four
@@ -43,22 +45,35 @@
         site = self._site
         head = site.codec.read(envelope.packet)
         flow = head.inbound
+        if flow in site.waiting:
+            return []
+        if envelope.pool != self._pool:
+            site.counters.foreign += 1
+            return site.refusing.refuse(head, 'another pool', envelope.hops + 1)
         carried = site.flows.carried(flow, now)
         if carried is not None and _is_copy(head, carried):
             return [ToServer(envelope.packet)]
-        if carried is not None:
-            site.flows.forget(carried)
-        if envelope.pool != self._pool:
-            site.counters.foreign += 1
-            return self._refuse(envelope, head, 'another pool')
         known = site.flows.elsewhere(flow, now)
-        if known is not None and head.acknowledged:
+        is_known = known is not None and known not in envelope.visited
+        if is_known and head.acknowledged:
             return [peer_datagram(envelope, known)]
-        verdict = site.gate.judge(site.flows.load, now)
-        is_forced = envelope.best == site.place.address
-        if verdict is Verdict.TAKE or (is_forced and verdict.is_open):
-            return self._open(envelope, flow, now)
-        return self.pass_on(envelope, head, verdict, now)
+        if carried is not None:
+            site.flows.forget(carried)
+        return self._take_new(envelope, head, now)
+
+    def release(self, now: float) -> list[Sending]:
+        """Let those go on that wait and need not any more."""
+        site = self._site
+        sending: list[Sending] = []
+        held = site.waiting.first()
+        while held is not None:
+            verdict = site.gate.judge(site.load(), now)
+            ended = self._end_of_wait(held, verdict, now)
+            if ended is None:
+                break
+            sending.extend(ended)
+            held = site.waiting.first()
+        return sending
 
     def returned(
         self, head: Head, carried: Carried | None, now: float
@@ -66,7 +81,7 @@
         """Take an opening packet that the server hands back."""
         site = self._site
         if carried is None:
-            return drop(site, head, 'handed back twice')
+            return site.refusing.drop(head, 'handed back twice')
         site.flows.forget(carried)
         site.gate.note_full(now)
         return self.pass_on(carried.envelope, head, Verdict.FULL, now)
@@ -82,13 +97,14 @@
             hops=envelope.hops + 1,
             visited=(*envelope.visited, own),
         )
-        if verdict is Verdict.BUSY and site.own_load() < envelope.load:
-            passed = attrs.evolve(passed, best=own, load=site.own_load())
-        target = self._next(head.inbound, passed.visited) or passed.best
-        if target in {own, NO_ADDRESS} or envelope.hops > MAX_TRIES:
-            if target == own and verdict.is_open:
-                return self._open(envelope, head.inbound, now)
-            return self._refuse(envelope, head, verdict.value)
+        offer = NO_OFFER if site.waiting.is_full else site.offer(now)
+        if offer < envelope.offer:
+            passed = attrs.evolve(passed, best=own, offer=offer)
+        target = self._next(head.inbound, passed) or passed.best
+        if target == own:
+            return self._take_forced(envelope, head, verdict, now)
+        if target == NO_ADDRESS or envelope.hops > MAX_TRIES:
+            return site.refusing.refuse(head, verdict.value, envelope.hops + 1)
         site.counters.passed_on += 1
         site.flows.note_elsewhere(head.inbound, target, now)
         site.log(
@@ -100,7 +116,82 @@
                 site.flows.waiting,
             ),
         )
-        return [peer_datagram(passed, target)]
+        return [peer_datagram(passed, target), *self._tell(envelope, target)]
+
+    def _tell(self, envelope: Envelope, target: Address) -> list[Sending]:
+        """Tell the balancer to whom a new flow was passed on.
+
+        When the target does not answer, the balancer doubts it, and not this
+        agent; the caller's copy then goes to neither.
+        """
+        word = attrs.evolve(
+            envelope,
+            kind=Kind.PASSED,
+            packet=self._site.codec.head_only(envelope.packet),
+            best=target,
+            visited=(),
+        )
+        return [peer_datagram(word, envelope.origin)]
+
+    def _take_new(
+        self, envelope: Envelope, head: Head, now: float
+    ) -> list[Sending]:
+        site = self._site
+        verdict = site.gate.judge(site.load(), now)
+        if verdict is Verdict.TAKE and not site.waiting:
+            return self._open(envelope, head.inbound, now)
+        if envelope.best == site.place.address:
+            return self._take_forced(envelope, head, verdict, now)
+        return self.pass_on(envelope, head, verdict, now)
+
+    def _take_forced(
+        self, envelope: Envelope, head: Head, verdict: Verdict, now: float
+    ) -> list[Sending]:
+        """Take a flow that no other agent would take sooner."""
+        site = self._site
+        load = site.load()
+        if verdict is Verdict.BUSY and site.gate.may_queue(load):
+            return self._open(envelope, head.inbound, now)
+        if not verdict.may_pass or site.waiting.is_full:
+            return site.refusing.refuse(head, verdict.value, envelope.hops + 1)
+        site.waiting.add(head.inbound, Held(envelope, head, now))
+        site.counters.held += 1
+        expected = round(site.gate.expected_wait(load, now), 3)
+        site.log(
+            events.FlowHeld(
+                flow_text(head.inbound),
+                verdict.value,
+                expected,
+                len(site.waiting),
+            ),
+        )
+        # The balancer is told, so that it sends copies here and does not take
+        # this agent for silent.
+        return list(site.announce(envelope))
+
+    def _end_of_wait(
+        self, held: Held, verdict: Verdict, now: float
+    ) -> list[Sending] | None:
+        """Return what becomes of a flow that waits; None while it waits."""
+        site = self._site
+        is_taken = verdict is Verdict.TAKE or (
+            verdict is Verdict.BUSY and site.gate.may_queue(site.load())
+        )
+        if is_taken:
+            site.waiting.pop()
+            return self._open(held.envelope, held.head.inbound, now)
+        if now - held.since > MAX_WAIT:
+            site.waiting.pop()
+            return site.refusing.refuse(
+                held.head, verdict.value, held.envelope.hops + 1
+            )
+        if verdict.may_pass:
+            return None
+        site.waiting.pop()
+        again = attrs.evolve(
+            held.envelope, hops=0, visited=(), best=NO_ADDRESS, offer=NO_OFFER
+        )
+        return self.pass_on(again, held.head, verdict, now)
 
     def _open(
         self, envelope: Envelope, flow: FlowId, now: float
@@ -117,54 +208,25 @@
                 text_of(envelope.origin),
                 envelope.hops,
                 site.flows.waiting,
-                site.flows.load.flows,
+                site.flows.count,
                 site.gate.is_cold(now),
             ),
         )
         return [ToServer(envelope.packet)]
 
-    def _next(
-        self, flow: FlowId, visited: tuple[Address, ...]
-    ) -> Address | None:
-        if len(visited) >= MAX_TRIES:
+    def _next(self, flow: FlowId, passed: Envelope) -> Address | None:
+        if passed.hops >= MAX_TRIES:
             return None
         usable = [
             agent
             for agent in self._site.peers()
-            if agent.address not in visited
+            if agent.address not in passed.visited
             and agent.readiness is Readiness.READY
             and not agent.is_silent
         ]
         order = ranked(flow, usable, self._site.place.zone)
         return order[0].address if order else None
 
-    def _refuse(
-        self, envelope: Envelope, head: Head, reason: str
-    ) -> list[Sending]:
-        # Only the first packet of a flow is answered with a reset.  A copy may
-        # meet a flow that another agent has just been given: the reset would
-        # reach the caller after the flow has opened, and break it.
-        site = self._site
-        if head.acknowledged:
-            return drop(site, head, reason)
-        site.counters.refused += 1
-        site.log(
-            events.FlowRefused(
-                flow_text(head.inbound),
-                reason,
-                site.revision,
-                len(envelope.visited) + 1,
-            ),
-        )
-        return [ToCaller(site.codec.reset_for(head), head.source)]
-
-
-def drop(site: Site, head: Head, reason: str) -> list[Sending]:
-    """Drop a packet, and say so."""
-    site.counters.dropped += 1
-    site.log(events.FlowDropped(flow_text(head.inbound), reason, site.revision))
-    return []
-
 
 def _is_copy(head: Head, carried: Carried) -> bool:
     # A caller that uses its port again begins with a first copy.
--- a/redwingstream/packets/carrying.py
+++ b/redwingstream/packets/carrying.py
@@ -67,6 +67,10 @@
             site.flows.settle(carried)
         return sending
 
+    def release(self, now: float) -> list[Sending]:
+        """Let new flows go on that wait and need not any more."""
+        return self._admitting.release(now)
+
     def tick(self, now: float) -> None:
         """Forget what is old."""
         self.site.flows.forget_old(now)
--- a/redwingstream/packets/choosing.py
+++ b/redwingstream/packets/choosing.py
@@ -8,6 +8,10 @@
 from redwingstream.tables.rows import Route
 from redwingstream.tables.snapshot import Tables
 
+MAX_NAMED = 8
+"""Doubted agents that an opening packet names; half of the agents that it has
+room for."""
+
 _WANTED = 0
 _PASSES_ON = 1
 _TRIED = 2
@@ -77,6 +81,18 @@
                     return home
         return None
 
+    def doubted(
+        self, pool: str, target: Address, now: float
+    ) -> tuple[Address, ...]:
+        """Return agents to which the target is not to pass a new flow on."""
+        found = [
+            agent.address
+            for agent in self._view.of_pool(pool)
+            if agent.address != target
+            and self._trust.is_doubted(agent.address, now)
+        ]
+        return tuple(found[:MAX_NAMED])
+
     def _home_in(self, flow: FlowId, pool: str, now: float) -> Address | None:
         order = ranked(flow, self._present(pool), self._zone)
         order.sort(key=lambda agent: self._is_silent(agent, now))
--- a/redwingstream/packets/envelopes.py
+++ b/redwingstream/packets/envelopes.py
@@ -4,7 +4,7 @@
 and writes one of these for each packet, so they are no msgpack messages: a
 trial took 0.9 us for a struct and 2.6 us for a msgpack message of these fields.
 
-Layout, big-endian: magic (1 byte), kind (1), hops (1), load (1), pool (4),
+Layout, big-endian: magic (1 byte), kind (1), hops (1), offer (1), pool (4),
 revision (8), origin (6), home (6), best (6), number of visited agents (1),
 the visited agents (6 each), the packet.
 """
@@ -24,16 +24,20 @@
 """Agents that one packet may visit; a pool's flows are found in fewer hops
 unless as many agents joined it within one flow's life."""
 
-MAX_LOAD = 255
-"""Highest load that an envelope names, in sixteenths of a server's slots."""
+OFFER_UNIT = 0.005
+"""Seconds in which an envelope names an expected wait."""
+
+NO_OFFER = 255
+"""Stands for no wait at all that an agent would offer."""
 
 
 class Kind(enum.IntEnum):
     """What an envelope is about.
 
     ``OPENING`` and ``ONGOING`` carry a caller's packet.  ``CARRIED`` says that
-    the agent ``best`` carries the packet's flow, ``NOT_CARRIED`` that no agent
-    of the pool does.  ``PING`` asks for a ``PONG``.
+    the agent ``best`` carries the packet's flow, ``PASSED`` that the opening
+    packet was passed on to it, ``NOT_CARRIED`` that no agent of the pool
+    carries the flow.  ``PING`` asks for a ``PONG``.
     """
 
     OPENING = 1
@@ -42,6 +46,7 @@
     NOT_CARRIED = 4
     PING = 5
     PONG = 6
+    PASSED = 7
 
 
 _KIND_BY_NUMBER = MappingProxyType({int(kind): kind for kind in Kind})
@@ -54,7 +59,7 @@
     magic: int
     kind: int
     hops: int
-    load: int
+    offer: int
     pool: int
     revision: int
     origin: bytes
@@ -84,13 +89,14 @@
         Revision of the tables by which the pool was chosen.
     hops : int
         Agents that passed the packet on before.
-    load : int
-        Load of ``best``, see ``MAX_LOAD``.
+    offer : int
+        Expected wait of an opening packet at ``best``, see ``OFFER_UNIT``.
     best : Address
-        Least loaded agent so far that could take an opening packet but would
-        let it wait; none when there was no such agent.
+        Agent with the shortest wait so far; none when no agent would let the
+        packet wait.
     visited : tuple of Address
-        Agents that have looked at the packet.
+        Agents that have looked at the packet, and those that the balancer
+        takes for lost.
     """
 
     kind: Kind
@@ -100,7 +106,7 @@
     pool: int = 0
     revision: int = 0
     hops: int = 0
-    load: int = MAX_LOAD
+    offer: int = NO_OFFER
     best: Address = NO_ADDRESS
     visited: tuple[Address, ...] = ()
 
@@ -112,7 +118,7 @@
         MAGIC,
         envelope.kind,
         envelope.hops,
-        envelope.load,
+        envelope.offer,
         envelope.pool,
         envelope.revision,
         envelope.origin.to_bytes(_ADDRESS_SIZE),
@@ -152,7 +158,7 @@
         head.pool,
         head.revision,
         head.hops,
-        head.load,
+        head.offer,
         _address(head.best),
         _visited(datagram, head.count) if head.count else (),
     )
--- a/redwingstream/packets/events.py
+++ b/redwingstream/packets/events.py
@@ -69,6 +69,16 @@
     waiting: int
 
 
+@attrs.frozen
+class FlowHeld:
+    """A new flow waits at this agent until its server takes it."""
+
+    flow: str
+    reason: str
+    expected_wait: float
+    waiting: int
+
+
 @attrs.frozen
 class FlowLost:
     """The server beside this agent lost a flow that it held."""
--- a/redwingstream/packets/flowbook.py
+++ b/redwingstream/packets/flowbook.py
@@ -4,7 +4,6 @@
 
 import attrs
 
-from redwingstream.openings.gate import Load
 from redwingstream.packets.bounded import BoundedTable
 from redwingstream.packets.envelopes import Envelope
 from redwingstream.packets.flow import Address, FlowId
@@ -76,9 +75,9 @@
         )
 
     @property
-    def load(self) -> Load:
-        """What the server has to do."""
-        return Load(self.waiting, len(self._carried))
+    def count(self) -> int:
+        """How many flows of this server are known."""
+        return len(self._carried)
 
     def keep_for(self, idle_timeout: float) -> None:
         """Go by another time-out from now on."""
--- a/redwingstream/packets/searching.py
+++ b/redwingstream/packets/searching.py
@@ -9,7 +9,6 @@
 import attrs
 
 from redwingstream.packets import events
-from redwingstream.packets.admitting import drop
 from redwingstream.packets.bounded import BoundedTable
 from redwingstream.packets.effects import Sending, ToCaller, ToServer
 from redwingstream.packets.envelopes import (
@@ -77,7 +76,7 @@
             # The caller has acknowledged another server's answer.
             site.flows.forget(carried)
         if searched is None:
-            return drop(site, head, 'handed back without a search')
+            return site.refusing.drop(head, 'handed back without a search')
         return self._search_on(searched, head)
 
     def forget_old(self, now: float) -> None:
@@ -111,7 +110,7 @@
     ) -> list[Sending]:
         site = self._site
         if carried.is_ending:
-            return drop(site, head, 'the flow has ended')
+            return site.refusing.drop(head, 'the flow has ended')
         # The server held this flow and does not any more, so it has been
         # restarted or has given the flow up.  The caller is told at once.
         site.flows.forget(carried)
--- a/redwingstream/packets/site.py
+++ b/redwingstream/packets/site.py
@@ -7,18 +7,20 @@
 
 from redwingstream.directory.messages import Readiness
 from redwingstream.directory.view import Agent, AgentView
-from redwingstream.openings.gate import Gate
+from redwingstream.openings.expectation import MAX_WAIT
+from redwingstream.openings.gate import Gate, Load
 from redwingstream.packets.effects import ToPeer
 from redwingstream.packets.envelopes import (
-    MAX_LOAD,
+    NO_OFFER,
+    OFFER_UNIT,
     Envelope,
     Kind,
     pack_envelope,
 )
 from redwingstream.packets.flow import NO_ADDRESS, Address, PacketCodec
 from redwingstream.packets.flowbook import FlowBook
-
-_LOAD_UNIT = 16
+from redwingstream.packets.refusing import Refusing
+from redwingstream.packets.waiting import WaitingRoom
 
 
 @attrs.frozen
@@ -47,8 +49,7 @@
     opened: int = 0
     accepted: int = 0
     passed_on: int = 0
-    refused: int = 0
-    dropped: int = 0
+    held: int = 0
     handed_back: int = 0
     found: int = 0
     not_found: int = 0
@@ -75,10 +76,12 @@
         The flows that it knows.
     log : callable
         Takes events.
-    revision : int
-        Revision of the tables that it goes by.
+    waiting : WaitingRoom
+        New flows that wait for the server.
     counters : CarryingCounters
         What passed since the start.
+    refusing : Refusing
+        Ends packets that cannot be forwarded.
     """
 
     place: Place
@@ -87,13 +90,28 @@
     view: AgentView
     flows: FlowBook
     log: Callable[[Any], None]
-    revision: int = 0
+    waiting: WaitingRoom = attrs.field(factory=WaitingRoom)
     counters: CarryingCounters = attrs.field(factory=CarryingCounters)
-
-    def own_load(self) -> int:
-        """Return the server's load as an envelope names it."""
-        load = self.flows.waiting * _LOAD_UNIT // self.gate.slots
-        return min(MAX_LOAD, load)
+    refusing: Refusing = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Make what ends packets that cannot be forwarded."""
+        self.refusing = Refusing(self.codec, self.log)
+
+    def load(self) -> Load:
+        """Return what the server has to do."""
+        return Load(self.flows.waiting, self.flows.count, len(self.waiting))
+
+    def offer(self, now: float) -> int:
+        """Return how soon the server would take a new flow.
+
+        Returns
+        -------
+        int
+            As an envelope names it; ``NO_OFFER`` when not soon enough.
+        """
+        wait = self.gate.expected_wait(self.load(), now)
+        return round(wait / OFFER_UNIT) if wait <= MAX_WAIT else NO_OFFER
 
     def peers(self) -> list[Agent]:
         """Return the other agents of the pool."""
--- a/redwingstream/packets/steering.py
+++ b/redwingstream/packets/steering.py
@@ -15,7 +15,7 @@
 from redwingstream.packets import events
 from redwingstream.packets.bounded import BoundedTable
 from redwingstream.packets.choosing import Choosing, pool_for
-from redwingstream.packets.effects import Sending, ToCaller, ToPeer
+from redwingstream.packets.effects import Sending, ToPeer
 from redwingstream.packets.envelopes import (
     Envelope,
     Kind,
@@ -31,6 +31,7 @@
     text_of,
 )
 from redwingstream.packets.ranking import pool_hash
+from redwingstream.packets.refusing import Refusing
 from redwingstream.packets.trust import Trust
 from redwingstream.tables.rows import Route
 from redwingstream.tables.snapshot import Tables
@@ -56,11 +57,26 @@
 instance several times within this time."""
 
 
+@attrs.frozen
+class _Try:
+    """An agent that was sent an opening packet, and when."""
+
+    agent: Address
+    sent_at: float
+
+
 @attrs.define
 class _Opening:
-    tried: tuple[Address, ...]
+    """A new flow that no agent has taken yet."""
+
+    tries: list[_Try] = attrs.field(factory=list)
     is_answered: bool = False
 
+    @property
+    def tried(self) -> tuple[Address, ...]:
+        """The agents that were sent the opening packet."""
+        return tuple(one.agent for one in self.tries)
+
 
 @attrs.define
 class SteeringCounters:
@@ -69,8 +85,6 @@
     packets: int = 0
     opened: int = 0
     copies: int = 0
-    refused: int = 0
-    dropped: int = 0
     by_hint: int = 0
     by_home: int = 0
     not_carried: int = 0
@@ -112,6 +126,7 @@
         self._codec = codec
         self._log = log
         self.trust = Trust(log)
+        self.refusing = Refusing(codec, log)
         self._choosing = Choosing(zone, view, self.trust)
         self.hints: BoundedTable[FlowId, Address] = BoundedTable(
             MAX_HINTS, idle_timeout
@@ -130,6 +145,7 @@
         """Go by newer tables from now on."""
         self.tables = tables
         self._choosing.tables = tables
+        self.refusing.revision = tables.revision
         self._route_by_service = route_by_service
 
     def take_packet(self, packet: bytes, now: float) -> list[Sending]:
@@ -148,6 +164,8 @@
         match envelope.kind:
             case Kind.CARRIED:
                 self._note_carried(envelope, now)
+            case Kind.PASSED:
+                self._note_passed(envelope, now)
             case Kind.NOT_CARRIED:
                 self._note_not_carried(envelope, now)
             case Kind.PING:
@@ -171,15 +189,17 @@
             self.counters.copies += 1
             hint = self.hints.get(flow, now)
             if hint is not None:
-                return [self._opening_to(hint, packet, pool_for(route, flow))]
+                return [
+                    self._opening_to(hint, packet, pool_for(route, flow), now)
+                ]
         pool = pool_for(route, flow)
-        opening = self._opening.get(flow, now) or _Opening(())
-        if not opening.is_answered:
-            self.trust.doubt(opening.tried, now)
+        opening = self._opening.get(flow, now) or _Opening()
+        self._doubt_silent(opening, now)
         target = self._choosing.for_opening(flow, pool, opening.tried, now)
         if target is None:
-            return self._refuse(head, 'no agent')
-        self._opening.put(flow, _Opening((*opening.tried, target)), now)
+            return self.refusing.refuse(head, 'no agent', 0)
+        opening.tries.append(_Try(target, now))
+        self._opening.put(flow, opening, now)
         self.trust.note_sent(target, now)
         self.counters.opened += 1
         self._log(
@@ -189,12 +209,21 @@
                 text_of(target),
                 self.tables.revision,
                 head.acknowledged,
-                len(opening.tried),
+                len(opening.tries) - 1,
             ),
         )
-        return [self._opening_to(target, packet, pool)]
+        return [self._opening_to(target, packet, pool, now)]
 
-    def _opening_to(self, target: Address, packet: bytes, pool: str) -> ToPeer:
+    def _doubt_silent(self, opening: _Opening, now: float) -> None:
+        if opening.is_answered:
+            return
+        for one in opening.tries:
+            if not self.trust.heard_since(one.agent, one.sent_at):
+                self.trust.doubt(one.agent, now)
+
+    def _opening_to(
+        self, target: Address, packet: bytes, pool: str, now: float
+    ) -> ToPeer:
         envelope = Envelope(
             Kind.OPENING,
             packet,
@@ -202,35 +231,15 @@
             target,
             pool_hash(pool),
             self.tables.revision,
+            visited=self._choosing.doubted(pool, target, now),
         )
         return self._to_peer(envelope, target)
 
     def _refuse_unknown(self, head: Head, now: float) -> list[Sending]:
         if now - self.confirmed_at > CONFIRMED_WITHIN:
             # The route may be new; the caller sends a copy soon.
-            return self._drop(head, 'no route, tables not confirmed')
-        return self._refuse(head, 'no route')
-
-    def _refuse(self, head: Head, reason: str) -> list[Sending]:
-        # A copy is never answered with a reset, see Carrying.
-        if head.acknowledged:
-            return self._drop(head, reason)
-        self.counters.refused += 1
-        self._log(
-            events.FlowRefused(
-                flow_text(head.inbound), reason, self.tables.revision, 0
-            ),
-        )
-        return [ToCaller(self._codec.reset_for(head), head.source)]
-
-    def _drop(self, head: Head, reason: str) -> list[Sending]:
-        self.counters.dropped += 1
-        self._log(
-            events.FlowDropped(
-                flow_text(head.inbound), reason, self.tables.revision
-            ),
-        )
-        return []
+            return self.refusing.drop(head, 'no route, tables not confirmed')
+        return self.refusing.refuse(head, 'no route', 0)
 
     def _go_on(self, head: Head, packet: bytes, now: float) -> list[Sending]:
         flow = head.inbound
@@ -240,11 +249,11 @@
             return [self._ongoing_to(hint, packet)]
         route = self._route_by_service.get(head.target)
         if route is None:
-            return self._drop(head, 'no route')
+            return self.refusing.drop(head, 'no route')
         missed = self._missed.get(flow, now) or ()
         home = self._choosing.home(flow, route, missed, now)
         if home is None:
-            return self._drop(head, 'no agent')
+            return self.refusing.drop(head, 'no agent')
         self.counters.by_home += 1
         self.trust.note_sent(home, now)
         return [self._ongoing_to(home, packet)]
@@ -268,6 +277,13 @@
         if opening is not None:
             opening.is_answered = True
 
+    def _note_passed(self, envelope: Envelope, now: float) -> None:
+        flow = self._codec.read(envelope.packet).inbound
+        opening = self._opening.get(flow, now)
+        if opening is not None:
+            opening.tries.append(_Try(envelope.best, now))
+            self.trust.note_sent(envelope.best, now)
+
     def _note_not_carried(self, envelope: Envelope, now: float) -> None:
         self.counters.not_carried += 1
         flow = self._codec.read(envelope.packet).inbound
--- a/redwingstream/packets/trust.py
+++ b/redwingstream/packets/trust.py
@@ -83,16 +83,15 @@
             contact.doubted_until = now
             self._log(events.AgentTrusted(text_of(address)))
 
-    def doubt(self, addresses: Iterable[Address], now: float) -> None:
-        """Doubt agents that did not answer for a new flow.
-
-        An agent that was heard since then is not doubted: it may have passed
-        the flow on to one that is gone.
-        """
-        for address in addresses:
-            contact = self._contact_by_address.setdefault(address, _Contact())
-            if contact.heard_at < contact.sent_at:
-                self._begin_doubt(address, contact, now)
+    def heard_since(self, address: Address, since: float) -> bool:
+        """Whether an agent has said something since a time."""
+        contact = self._contact_by_address.get(address)
+        return contact is not None and contact.heard_at >= since
+
+    def doubt(self, address: Address, now: float) -> None:
+        """Doubt an agent that did not answer for a new flow."""
+        contact = self._contact_by_address.setdefault(address, _Contact())
+        self._begin_doubt(address, contact, now)
 
     def due(self, now: float) -> list[Address]:
         """Return the agents that are to be pinged, and count the pings."""
