--- a/redwingstream/fleet/replication.py
+++ b/redwingstream/fleet/replication.py
@@ -253,7 +253,9 @@
             Sizing(deployment.group_size, deployment.zone),
         )
         loop = asyncio.get_running_loop()
-        around = Surroundings(self._send, loop.time, loop.call_soon, self._fail)
+        around = Surroundings(
+            self._send_outgoing, loop.time, loop.call_soon, self._fail
+        )
         self.replica = Replica(consensus, store, loaded, around)
         after = round(self._process.clock() - self._process.started_at, 3)
         self._process.log.write(ProcessReady(after))
