--- a/redwingstream/admission/latency.py
+++ b/redwingstream/admission/latency.py
@@ -12,6 +12,10 @@
 # against the mean, each tenth request of an ordinary service with a long tail
 # would pass for a cold start.
 JUMP_FACTOR = 2.5
+# A run proves its server warm only up to this multiple of the 90th percentile.
+# A server that has turned cold while it ran requests is warmed by them; what
+# it runs next can be late by less than a jump.
+PROOF_FACTOR = 1.5
 _PERCENTILE = 0.9
 
 
@@ -34,6 +38,12 @@
         """Whether a latency, or that of a run so far, is out of all bounds."""
         return self.bound is not None and latency > self.bound
 
+    def is_proof(self, latency: float) -> bool:
+        """Whether only a warm server answers after so long."""
+        if self.bound is None:
+            return True
+        return latency <= self.bound / JUMP_FACTOR * PROOF_FACTOR
+
     def has_risen(self, latency: float) -> bool:
         """Take a latency in time; whether the newest ones are high together.
 
--- a/redwingstream/admission/tests/test_limit.py
+++ b/redwingstream/admission/tests/test_limit.py
@@ -3,6 +3,7 @@
 import pytest
 
 from redwingstream.admission.evidence import FIRST_EVIDENCE
+from redwingstream.admission.latency import PROOF_FACTOR
 from redwingstream.admission.limit import (
     COLD_LIMIT,
     ConcurrencyLimit,
@@ -155,9 +156,18 @@
     def test_end_of_a_run_proves_nothing_since_its_start(self):
         warmth = Warmth(LATENCY)
         bound = warmth.reference.bound
-        assert warmth.judge(bound, 10, is_cold=True) is Sign.IN_TIME
+        took = PROOF_FACTOR * LATENCY
+        assert warmth.judge(took, 10, is_cold=True) is Sign.IN_TIME
+        started = 10 - took
         assert warmth.is_proven(10)
-        assert not warmth.is_proven(10 + LATENCY)
+        assert warmth.is_proven(started + bound)
+        assert not warmth.is_proven(started + 1.01 * bound)
+
+    def test_a_run_that_is_nearly_late_proves_nothing(self):
+        warmth = Warmth(LATENCY)
+        bound = warmth.reference.bound
+        assert warmth.judge(bound, 10, is_cold=True) is Sign.IN_TIME
+        assert not warmth.is_proven(10)
 
     def test_restart_gives_the_least_whatever_was_reached(self):
         driver = warm()
--- a/redwingstream/admission/warmth.py
+++ b/redwingstream/admission/warmth.py
@@ -51,7 +51,8 @@
             return self._jumped(latency)
         if self.reference.has_risen(latency):
             return Sign.COLD
-        self._warm_at = max(self._warm_at, now - latency)
+        if self.reference.is_proof(latency):
+            self._warm_at = max(self._warm_at, now - latency)
         if not is_cold:
             # A jump between runs in time was a long request, and belongs to
             # what is to be expected.
--- a/redwingstream/fleet/agent.py
+++ b/redwingstream/fleet/agent.py
@@ -160,7 +160,7 @@
             self.gate.doubt_warmth(self._process.clock())
         self.gate.around = around
         self.site.timeout_by_service = {
-            service: route.timeout
+            service: route.rules.timeout
             for service, route in routes_by_service(tables).items()
             if self._beside.pool in route.pools
         }
--- a/redwingstream/openings/gate.py
+++ b/redwingstream/openings/gate.py
@@ -81,9 +81,9 @@
         """Return what tables say of a pool and a zone."""
         is_out = tables.is_zone_out(zone)
         pool = tables.pool_by_name.get(pool_name)
-        if pool is None:
+        if pool is None or pool.limits is None:
             return cls(is_out)
-        return cls(is_out, pool.cold_rate, pool.max_flows)
+        return cls(is_out, pool.limits.cold_rate, pool.limits.max_flows)
 
 
 @attrs.frozen
--- a/redwingstream/packets/choosing.py
+++ b/redwingstream/packets/choosing.py
@@ -74,7 +74,7 @@
             The time in seconds.
         """
         first = pool_for(route, flow)
-        for pool in dict.fromkeys((first, *route.pools, *route.earlier)):
+        for pool in dict.fromkeys((first, *route.pools, *route.rules.earlier)):
             if pool_hash(pool) not in missed:
                 home = self._home_in(flow, pool, now)
                 if home is not None:
@@ -123,11 +123,12 @@
 
 def pool_for(route: Route, flow: FlowId) -> str:
     """Return the pool that serves a new flow, by the route's shares."""
-    if not route.shares:
+    shares = route.rules.shares
+    if not shares:
         return route.pool
-    total = sum(share.weight for share in route.shares)
+    total = sum(share.weight for share in shares)
     point = share_point(flow, max(total, 1))
-    for share in route.shares:
+    for share in shares:
         point -= share.weight
         if point < 0:
             return share.pool
--- a/redwingstream/tables/machine/replacements.py
+++ b/redwingstream/tables/machine/replacements.py
@@ -6,7 +6,6 @@
 """
 
 import hashlib
-import itertools
 import zlib
 
 import attrs
@@ -104,9 +103,10 @@
     former = state.route_by_key.get(route.key)
     if former is None:
         return route
-    names = dict.fromkeys(itertools.chain(former.pools, former.earlier))
+    names = dict.fromkeys((*former.pools, *former.rules.earlier))
     earlier = [name for name in names if name not in route.pools]
-    return attrs.evolve(route, earlier=tuple(earlier[:MAX_EARLIER]))
+    kept = tuple(earlier[:MAX_EARLIER])
+    return attrs.evolve(route, flows=attrs.evolve(route.rules, earlier=kept))
 
 
 def _replace_rows(
--- a/redwingstream/tables/rows.py
+++ b/redwingstream/tables/rows.py
@@ -48,6 +48,31 @@
     weight: int
 
 
+@attrs.frozen
+class FlowRules:
+    """What a route says of its flows besides the pool.
+
+    Parameters
+    ----------
+    shares : tuple of PoolShare
+        How new flows are divided where several pools serve the route; empty
+        when one serves it alone.
+    earlier : tuple of str
+        Pools that served the route before, newest first.  Flows that were
+        established under them stay where they are.
+    timeout : float
+        Seconds after which a caller gives a request up; 0 where operators
+        state none.
+    """
+
+    shares: tuple[PoolShare, ...] = ()
+    earlier: tuple[str, ...] = ()
+    timeout: float = 0
+
+
+PLAIN_FLOWS = FlowRules()
+
+
 @attrs.frozen
 class Route:
     """Which pool the traffic to a service address belongs to.
@@ -61,30 +86,27 @@
     callers : str
         Network of callers in CIDR form; the longest one that holds a caller
         wins.
-    shares : tuple of PoolShare
-        How new flows are divided where several pools serve the route; empty
-        when ``pool`` serves it alone.
-    timeout : float
-        Seconds after which a caller gives a request up; 0 where operators
-        state none.
-    earlier : tuple of str
-        Pools that served the route before, newest first.  Flows that were
-        established under them stay where they are.
+    flows : FlowRules or None
+        What else is said of its flows; None for nothing, so that a row without
+        it stays small.
     """
 
     service: str
     pool: str
     callers: str = ANY_CALLER
-    shares: tuple[PoolShare, ...] = ()
-    earlier: tuple[str, ...] = ()
-    timeout: float = 0
+    flows: FlowRules | None = None
+
+    @property
+    def rules(self) -> FlowRules:
+        """What is said of its flows."""
+        return self.flows or PLAIN_FLOWS
 
     @property
     def pools(self) -> tuple[str, ...]:
         """Names of the pools that serve new flows."""
-        if not self.shares:
+        if not self.rules.shares:
             return (self.pool,)
-        return tuple(share.pool for share in self.shares)
+        return tuple(share.pool for share in self.rules.shares)
 
     @property
     def key(self) -> str:
@@ -92,6 +114,22 @@
         return f'{self.service}|{self.callers}'
 
 
+@attrs.frozen
+class ServerLimits:
+    """What a server of a pool bears.
+
+    Parameters
+    ----------
+    cold_rate : float
+        New flows a second after a cold start; 0 where operators state none.
+    max_flows : int
+        Flows at once; 0 where operators state none.
+    """
+
+    cold_rate: float = 0
+    max_flows: int = 0
+
+
 @attrs.frozen
 class Pool:
     """Which backend servers may serve a service.
@@ -106,18 +144,14 @@
     buckets : int
         Into how many parts its flows are divided; a power of two, fixed for
         the life of the pool.
-    cold_rate : float
-        New flows a second that a server bears after a cold start; 0 where
-        operators state none.
-    max_flows : int
-        Flows that a server holds at once; 0 where operators state none.
+    limits : ServerLimits or None
+        What a server of it bears; None where operators state nothing.
     """
 
     name: str
     admits: tuple[str, ...]
     buckets: int = DEFAULT_BUCKETS
-    cold_rate: float = 0
-    max_flows: int = 0
+    limits: ServerLimits | None = None
 
     @property
     def key(self) -> str:
