--- a/demo/processes.py
+++ b/demo/processes.py
@@ -27,9 +27,14 @@
         factory=dict
     )
 
-    async def start(self, name: str, command: Sequence[str]) -> None:
+    async def start(
+        self,
+        name: str,
+        command: Sequence[str],
+        variables: Mapping[str, str] | None = None,
+    ) -> None:
         """Start one process; its output goes to its log."""
-        environ = {**os.environ, 'PYTHONUNBUFFERED': '1'}
+        environ = {**os.environ, 'PYTHONUNBUFFERED': '1', **(variables or {})}
         with self.log_of(name).open('ab') as log:
             self.process_by_name[name] = await asyncio.create_subprocess_exec(
                 *command,
--- a/processes/conftest.py
+++ b/processes/conftest.py
@@ -7,7 +7,6 @@
 
 import pytest
 
-
 WORKERS = 2
 
 
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -15,8 +15,8 @@
 
 from redwingstream.endpoints import Endpoint, parse_endpoint
 from standins import processes
-from standins.client import Client, submission_to
 from standins.blocks import Whole
+from standins.client import Client, submission_to
 from standins.outcomes import Answered
 from standins.resources import etag_of
 
--- /dev/null
+++ b/standins/packets/callers.py
@@ -0,0 +1,287 @@
+"""Callers, and the routers that spread their packets over balancers."""
+
+import asyncio
+import contextlib
+import random
+import socket
+import time
+from collections.abc import AsyncIterator, Iterable
+
+import attrs
+
+from standins.packets.calls import call
+from standins.packets.header import (
+    ACK,
+    FIN,
+    RST,
+    SYN,
+    End,
+    Packet,
+    read_packet,
+)
+from standins.packets.settings import PACKET_PORT, READY_PORT
+
+PROBE_SECONDS = 0.5
+MISSES = 2
+COPIES_AFTER = (0.2, 0.6)
+PATIENCE = 1.4
+FIRST_REPEAT = 0.2
+MAX_REPEAT = 1.6
+MAX_DATAGRAM = 2048
+POLL = 0.02
+
+
+class FlowEndedError(Exception):
+    """A flow that did not open, was reset, or gave no answer in time.
+
+    Parameters
+    ----------
+    reason : str
+        ``not opened``, ``refused``, ``reset`` or ``deadline``.
+    """
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+
+class Router:
+    """Spreads packets over the balancers that are in rotation.
+
+    Parameters
+    ----------
+    balancers : iterable of str
+        IP addresses of the balancers.
+    """
+
+    def __init__(self, balancers: Iterable[str]) -> None:
+        self.balancers = list(balancers)
+        self._misses_by_host: dict[str, int] = {}
+
+    @property
+    def rotation(self) -> list[str]:
+        """The balancers that packets go to."""
+        ready = [
+            host
+            for host in self.balancers
+            if self._misses_by_host.get(host, MISSES) < MISSES
+        ]
+        few = 2 * len(ready) < len(self.balancers)
+        return self.balancers if few else ready
+
+    def choose(self, flow: tuple[End, End]) -> str:
+        """Return the balancer of a flow."""
+        rotation = self.rotation
+        return rotation[hash(flow) % len(rotation)]
+
+    async def probe(self) -> None:
+        """Ask all balancers whether they are ready."""
+        await asyncio.gather(*map(self._probe_one, self.balancers))
+
+    @contextlib.asynccontextmanager
+    async def probing(self) -> AsyncIterator[None]:
+        """Ask them again and again until the end of the block."""
+        task = asyncio.create_task(self._keep_probing())
+        try:
+            yield
+        finally:
+            task.cancel()
+
+    async def _keep_probing(self) -> None:
+        while True:
+            await self.probe()
+            await asyncio.sleep(PROBE_SECONDS)
+
+    async def _probe_one(self, host: str) -> None:
+        address = f'{host}:{READY_PORT}'
+        answer = await call('GET', address, '/api/ready', seconds=PROBE_SECONDS)
+        misses = self._misses_by_host.get(host, MISSES)
+        self._misses_by_host[host] = 0 if answer.is_ok else misses + 1
+
+
+@attrs.define
+class CallerCounters:
+    """What callers saw that must not be."""
+
+    forged: int = 0
+    resets_on_open: int = 0
+
+
+class CallerSite:
+    """The socket of one caller's IP address, and its flows.
+
+    Parameters
+    ----------
+    host : str
+        The IP address.
+    router : Router
+        Takes the packets.
+    """
+
+    def __init__(self, host: str, router: Router) -> None:
+        self.host = host
+        self.router = router
+        self.counters = CallerCounters()
+        self.flow_by_port: dict[int, CallerFlow] = {}
+        self._next_port = random.randrange(1024, 30000)
+        self._sock: socket.socket | None = None
+
+    @contextlib.asynccontextmanager
+    async def open(self) -> AsyncIterator['CallerSite']:
+        """Take packets until the end of the block."""
+        loop = asyncio.get_running_loop()
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            sock.setblocking(False)
+            sock.bind((self.host, PACKET_PORT))
+            self._sock = sock
+            loop.add_reader(sock, self._read)
+            try:
+                yield self
+            finally:
+                loop.remove_reader(sock)
+                self._sock = None
+
+    def flow(self, service: End) -> 'CallerFlow':
+        """Return a new flow to a service."""
+        self._next_port += 1
+        flow = CallerFlow(self, End(self.host, self._next_port), service)
+        self.flow_by_port[self._next_port] = flow
+        return flow
+
+    def send(self, packet: Packet) -> None:
+        """Hand a packet to the router."""
+        target = (self.router.choose(packet.flow), PACKET_PORT)
+        with contextlib.suppress(OSError):
+            if self._sock is not None:
+                self._sock.sendto(packet.pack(), target)
+
+    def _read(self) -> None:
+        with contextlib.suppress(BlockingIOError):
+            while self._sock is not None:
+                self._take(self._sock.recv(MAX_DATAGRAM))
+
+    def _take(self, datagram: bytes) -> None:
+        received = read_packet(datagram)
+        packet = received.packet
+        is_reset = packet.flags & RST and not packet.data
+        if not received.is_genuine and not is_reset:
+            self.counters.forged += 1
+            return
+        flow = self.flow_by_port.get(packet.target.port)
+        if flow is not None and flow.service == packet.source:
+            flow.take(packet)
+
+
+class CallerFlow:
+    """One flow of a caller."""
+
+    def __init__(self, site: CallerSite, end: End, service: End) -> None:
+        self.service = service
+        self.is_reset = False
+        self._site = site
+        self._end = end
+        self._accepted: asyncio.Future[int] = _future()
+        self._seq = 1
+        self._answer_by_seq: dict[int, asyncio.Future[bytes]] = {}
+
+    @property
+    def name(self) -> str:
+        """The flow as logs name it."""
+        caller = f'{self._end.host}:{self._end.port}'
+        return f'{caller}>{self.service.host}:{self.service.port}'
+
+    @property
+    def is_open(self) -> bool:
+        """Whether a server has accepted it."""
+        return self._accepted.done() and not self.is_reset
+
+    async def open(self) -> None:
+        """Open the flow; raise ``FlowEndedError`` when it does not open."""
+        started = time.monotonic()
+        for copy, after in enumerate((0, *COPIES_AFTER)):
+            await self._wait_accepted(started + after)
+            if self._accepted.done():
+                break
+            self._send_opening(copy)
+        await self._wait_accepted(started + PATIENCE)
+        if self.is_reset:
+            raise FlowEndedError('refused')
+        if not self._accepted.done():
+            raise FlowEndedError('not opened')
+        self._send(0, ACK)
+
+    async def ask(self, request: str, seconds: float = 3) -> str:
+        """Send a request and return its answer."""
+        self._seq += 1
+        seq = self._seq
+        answer: asyncio.Future[bytes] = _future()
+        self._answer_by_seq[seq] = answer
+        repeating = asyncio.create_task(self._repeat(seq, request.encode()))
+        try:
+            async with asyncio.timeout(seconds):
+                return (await self._answer_or_reset(answer)).decode()
+        except TimeoutError as error:
+            raise FlowEndedError('deadline') from error
+        finally:
+            repeating.cancel()
+
+    def close(self) -> None:
+        """End the flow."""
+        if self.is_open:
+            self._send(self._seq + 1, ACK | FIN)
+        self._site.flow_by_port.pop(self._end.port, None)
+
+    def take(self, packet: Packet) -> None:
+        """Take a packet."""
+        if packet.flags & RST:
+            self._take_reset()
+        elif packet.flags & (SYN | ACK) == SYN | ACK:
+            self._take_accepting(packet)
+        elif packet.data:
+            self._take_answer(packet)
+
+    def _take_accepting(self, packet: Packet) -> None:
+        if not self._accepted.done() and not self.is_reset:
+            self._accepted.set_result(packet.seq)
+
+    def _take_answer(self, packet: Packet) -> None:
+        answer = self._answer_by_seq.get(packet.ack)
+        if answer is not None and not answer.done():
+            answer.set_result(packet.data)
+
+    def _take_reset(self) -> None:
+        if self._accepted.done():
+            self._site.counters.resets_on_open += 1
+        self.is_reset = True
+
+    async def _repeat(self, seq: int, request: bytes) -> None:
+        pause = FIRST_REPEAT
+        while not self.is_reset:
+            self._send(seq, ACK, request)
+            await asyncio.sleep(pause)
+            pause = min(2 * pause, MAX_REPEAT)
+
+    async def _answer_or_reset(self, answer: 'asyncio.Future[bytes]') -> bytes:
+        while not answer.done():
+            if self.is_reset:
+                raise FlowEndedError('reset')
+            await asyncio.wait((answer,), timeout=POLL)
+        return answer.result()
+
+    async def _wait_accepted(self, until: float) -> None:
+        while time.monotonic() < until and not self.is_reset:
+            left = until - time.monotonic()
+            await asyncio.wait((self._accepted,), timeout=min(left, POLL))
+            if self._accepted.done():
+                return
+
+    def _send_opening(self, copy: int) -> None:
+        self._site.send(Packet(self._end, self.service, 1, copy, SYN))
+
+    def _send(self, seq: int, flags: int, data: bytes = b'') -> None:
+        ack = self._accepted.result()
+        self._site.send(Packet(self._end, self.service, seq, ack, flags, data))
+
+
+def _future() -> 'asyncio.Future[object]':
+    return asyncio.get_running_loop().create_future()
--- /dev/null
+++ b/standins/packets/servers.py
@@ -0,0 +1,244 @@
+"""A backend server beside an agent."""
+
+import asyncio
+import contextlib
+import json
+import random
+import socket
+import time
+from collections.abc import AsyncIterator
+
+import attrs
+
+from standins.packets.calls import call
+from standins.packets.header import (
+    ACK,
+    BOUNCED,
+    FIN,
+    SYN,
+    End,
+    Packet,
+    read_packet,
+)
+from standins.packets.settings import (
+    APP_PORT,
+    CONTROL_PORT,
+    OUTBOUND_PORT,
+    Machine,
+)
+
+BEAT_SECONDS = 1.2
+RETRY_SECONDS = 0.2
+COLD_SECONDS = 2.0
+MAX_DATAGRAM = 2048
+
+
+@attrs.define
+class _Flow:
+    """A flow at this server.
+
+    Parameters
+    ----------
+    seq : int
+        With which it was accepted.
+    answer_by_request : dict
+        What was answered, by the caller's number of the request.
+    """
+
+    seq: int
+    is_open: bool = False
+    answer_by_request: dict[int, bytes] = attrs.field(factory=dict)
+
+
+@attrs.define
+class Run:
+    """A request that a server has run."""
+
+    request: str
+    server: str
+    service: str
+    at: float
+
+
+class PacketServer:
+    """A backend server: takes flows, answers requests, reports itself.
+
+    Parameters
+    ----------
+    machine : Machine
+        Where it is; its agent is beside it.
+    work : float
+        Seconds that it works on a request.
+    slots : int
+        Requests that it runs at once.
+    runs : list of Run
+        Where it notes what it has run.
+    """
+
+    def __init__(
+        self,
+        machine: Machine,
+        runs: list[Run],
+        work: float = 0.02,
+        slots: int = 3,
+    ) -> None:
+        self.machine = machine
+        self.runs = runs
+        self.work = work
+        self.state = 'ready'
+        self.forged = 0
+        self.opened: list[tuple[float, End]] = []
+        self.drain_acknowledged_at: float | None = None
+        self.is_silent = False
+        self._slots = asyncio.Semaphore(slots)
+        self._slot_count = slots
+        self._flow_by_caller: dict[tuple[End, End], _Flow] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._sock: socket.socket | None = None
+        self.restart()
+
+    def restart(self) -> None:
+        """Begin anew under a new name, knowing nothing."""
+        self.name = f'i-{random.getrandbits(40):010x}'
+        self.born = time.time_ns() // 1_000_000
+        self.cold_until = time.monotonic() + COLD_SECONDS
+        self.sequence = 0
+        self.state = 'ready'
+        self.drain_acknowledged_at = None
+        self._flow_by_caller.clear()
+
+    @property
+    def agent(self) -> str:
+        """Address that takes its reports."""
+        return f'{self.machine.host}:{CONTROL_PORT}'
+
+    @contextlib.asynccontextmanager
+    async def serving(self, is_cold: bool = False) -> AsyncIterator[None]:
+        """Run until the end of the block."""
+        if not is_cold:
+            self.cold_until = 0
+        loop = asyncio.get_running_loop()
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            sock.setblocking(False)
+            sock.bind((self.machine.host, APP_PORT))
+            self._sock = sock
+            loop.add_reader(sock, self._read)
+            beating = asyncio.create_task(self._beat())
+            try:
+                yield
+            finally:
+                loop.remove_reader(sock)
+                self._end(beating)
+
+    async def report(self) -> bool:
+        """Report itself once; return whether that was acknowledged."""
+        self.sequence += 1
+        cold = max(0, self.cold_until - time.monotonic())
+        beat = {
+            'service': self.machine.service,
+            'address': f'{self.machine.host}:{APP_PORT}',
+            'zone': self.machine.zone,
+            'version': 'v1',
+            'slots': self._slot_count,
+            'state': self.state,
+            'cold_remaining_ms': round(cold * 1000),
+            'sequence': self.sequence,
+            'born': self.born,
+        }
+        path = f'/api/Instances.Heartbeat/{self.name}'
+        answer = await call('POST', self.agent, path, json.dumps(beat).encode())
+        if answer.is_ok and self.state == 'draining':
+            self.drain_acknowledged_at = (
+                self.drain_acknowledged_at or time.monotonic()
+            )
+        return answer.is_ok
+
+    async def leave(self) -> bool:
+        """Say that it ends."""
+        path = f'/api/Instances.Leave/{self.name}'
+        return (await call('POST', self.agent, path)).is_ok
+
+    def _end(self, beating: 'asyncio.Task[None]') -> None:
+        for task in (beating, *self._tasks):
+            task.cancel()
+        self._sock = None
+
+    async def _beat(self) -> None:
+        while True:
+            if not self.is_silent:
+                await self.report()
+            await asyncio.sleep(BEAT_SECONDS)
+
+    def _read(self) -> None:
+        with contextlib.suppress(BlockingIOError):
+            while self._sock is not None:
+                self._take(self._sock.recv(MAX_DATAGRAM))
+
+    def _take(self, datagram: bytes) -> None:
+        received = read_packet(datagram)
+        packet = received.packet
+        if not received.is_genuine or packet.flags & BOUNCED:
+            self.forged += 1
+            return
+        flow = self._flow_by_caller.get(packet.flow)
+        if packet.flags & (SYN | ACK) == SYN:
+            self._take_opening(packet, flow)
+        elif flow is None or (not flow.is_open and packet.ack != flow.seq):
+            self._bounce(packet)
+        else:
+            flow.is_open = True
+            self._take_data(packet, flow)
+
+    def _take_opening(self, packet: Packet, flow: _Flow | None) -> None:
+        if flow is None:
+            flow = _Flow(random.getrandbits(32))
+            self._flow_by_caller[packet.flow] = flow
+            self.opened.append((time.monotonic(), packet.source))
+        self._send(
+            Packet(
+                packet.target, packet.source, flow.seq, packet.seq, SYN | ACK
+            ),
+        )
+
+    def _take_data(self, packet: Packet, flow: _Flow) -> None:
+        if packet.flags & FIN:
+            self._flow_by_caller.pop(packet.flow, None)
+            self._send(Packet(packet.target, packet.source, 0, packet.seq, ACK))
+        elif packet.data:
+            task = asyncio.create_task(self._answer(packet, flow))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _answer(self, packet: Packet, flow: _Flow) -> None:
+        known = flow.answer_by_request.get(packet.seq)
+        if known == b'':
+            return
+        if known is None:
+            flow.answer_by_request[packet.seq] = b''
+            known = await self._run(packet.data)
+            flow.answer_by_request[packet.seq] = known
+        self._send(
+            Packet(
+                packet.target, packet.source, flow.seq, packet.seq, ACK, known
+            ),
+        )
+
+    async def _run(self, request: bytes) -> bytes:
+        async with self._slots:
+            name = request.decode()
+            self.runs.append(
+                Run(name, self.name, self.machine.service, time.monotonic())
+            )
+            await asyncio.sleep(self.work)
+            return f'{name} by {self.name}'.encode()
+
+    def _bounce(self, packet: Packet) -> None:
+        returned = attrs.evolve(packet, flags=packet.flags | BOUNCED, pad=0)
+        self._send(returned)
+
+    def _send(self, packet: Packet) -> None:
+        if self._sock is None:
+            return
+        target = (self.machine.host, OUTBOUND_PORT)
+        with contextlib.suppress(OSError):
+            self._sock.sendto(packet.pack(), target)
