--- a/processes/test_packets.py
+++ b/processes/test_packets.py
@@ -9,6 +9,7 @@
 import pytest_asyncio
 
 from standins.packets.callers import CallerFlow, FlowEndedError
+from standins.packets.calls import call
 from standins.packets.header import End
 from standins.packets.operators import RouteText, document
 from standins.packets.site import PacketSite, Plan, running_site
@@ -83,6 +84,29 @@
         flow.close()
 
 
+class TestMetrics:
+    """Each process shows what it counts."""
+
+    @pytest.mark.parametrize(
+        ('port', 'family'),
+        [
+            (9101, 'redwingstream_replica{what="term"}'),
+            (9102, 'redwingstream_packets_total{what="opened"}'),
+        ],
+    )
+    async def test_front_machines(self, site, port, family):
+        address = f'{site.controls[0].host}:{port}'
+        answer = await call('GET', address, '/metrics', seconds=5)
+        assert family in answer.body.decode()
+
+    async def test_agents(self, site):
+        address = f'{site.servers[0].machine.host}:9103'
+        answer = await call('GET', address, '/metrics', seconds=5)
+        text = answer.body.decode()
+        assert 'redwingstream_server{what="readiness"} 1.0' in text
+        assert 'redwingstream_opening_to_answer_seconds_count' in text
+
+
 class TestConfiguration:
     """The highest version wins; what is not valid changes nothing."""
 
--- /dev/null
+++ b/properties/test_resizing.py
@@ -0,0 +1,156 @@
+"""A group that nobody names, under losses, replacements, cuts and crashes.
+
+Five replicas run, three of them count.  Replicas crash, lose their disks, are
+frozen, are cut off, and are taken away for good while an empty one comes at
+another address.  As many disks are lost at once as three replicas bear: one of
+those that count, and the next one only when all that count have theirs.
+"""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from redwingstream.control.tests.fakes import Fleet
+from redwingstream.errors import ResultCode
+from redwingstream.storage.tests.fakes import FakeFolder
+from redwingstream.tables.edits import ChangeRequest, Edits, SetZone
+from redwingstream.tables.rows import ZoneMark
+
+NAMES = ('a', 'b', 'c', 'd', 'e')
+SIZE = 3
+numbers = st.integers(0, len(NAMES) - 1)
+
+
+def _disks_are_whole(machine: 'ResizingFaults') -> bool:
+    """Whether every replica that counts still has the disk it counts by."""
+    fleet = machine.fleet
+    identity_by_name = fleet.identity_by_name()
+    return all(
+        identity_by_name.get(name) == identity
+        for name, identity in fleet.witness.group.items()
+        if identity
+    )
+
+
+class ResizingFaults(RuleBasedStateMachine):
+    """Any faults in any order; accepted entries stay."""
+
+    fleet: Fleet
+    requests: int
+    replaced: int
+
+    @initialize(seed=st.integers(0, 2**32))
+    def begin(self, seed: int) -> None:
+        self.fleet = Fleet(seed, NAMES, SIZE).begin()
+        self.requests = 0
+        self.replaced = 0
+
+    @rule(ticks=st.integers(1, 80), loss=st.sampled_from((0, 0.1, 0.6)))
+    def let_time_pass(self, ticks: int, loss: float) -> None:
+        for _ in range(ticks):
+            self.fleet.pass_tick(loss, repeat=0.1)
+
+    @rule(count=st.integers(1, 6))
+    def change(self, count: int) -> None:
+        for _ in range(count):
+            self.requests += 1
+            mark = ZoneMark(f'z{self.requests % 5}', bool(self.requests % 2))
+            for node in self.fleet.nodes:
+                if node.replica is not None:
+                    request = ChangeRequest(
+                        f'r{self.requests}-{node.name}',
+                        node.config_revision(),
+                        Edits(set_zones=(SetZone(mark),)),
+                    )
+                    self.fleet.propose(node.name, request)
+            self.fleet.pass_tick(loss=0.1, repeat=0.1)
+
+    @rule(number=numbers)
+    def crash(self, number: int) -> None:
+        self._node(number).crash()
+
+    @rule(number=numbers, operations=st.integers(0, 12))
+    def crash_within_a_write(self, number: int, operations: int) -> None:
+        self._node(number).folder.operations_left = operations
+
+    @rule(number=numbers)
+    def restart(self, number: int) -> None:
+        node = self._node(number)
+        if node.replica is None:
+            node.start()
+
+    @precondition(_disks_are_whole)
+    @rule(number=numbers)
+    def lose_disk(self, number: int) -> None:
+        node = self._node(number)
+        node.crash()
+        node.folder = FakeFolder(self.fleet.chance)
+        node.start()
+
+    @precondition(_disks_are_whole)
+    @rule(number=numbers)
+    def replace_for_good(self, number: int) -> None:
+        self.replaced += 1
+        gone = self._node(number).name
+        self.fleet.replace(gone, f'{gone[0]}{self.replaced}')
+
+    @rule(number=numbers)
+    def freeze(self, number: int) -> None:
+        node = self._node(number)
+        node.frozen = node.replica is not None
+
+    @rule(number=numbers)
+    def thaw(self, number: int) -> None:
+        self._node(number).frozen = False
+
+    @rule(source=numbers, receiver=numbers)
+    def cut_one_way(self, source: int, receiver: int) -> None:
+        names = (self._node(source).name, self._node(receiver).name)
+        self.fleet.cut.add(names)
+
+    @rule(number=numbers)
+    def cut_off(self, number: int) -> None:
+        self.fleet.isolate(self._node(number).name)
+
+    @rule()
+    def mend_cuts(self) -> None:
+        self.fleet.cut.clear()
+
+    @invariant()
+    def one_leader_a_term(self) -> None:
+        if hasattr(self, 'fleet'):
+            self.fleet.see_leaders()
+
+    def teardown(self) -> None:
+        """After all faults are over, a change is accepted everywhere."""
+        if not hasattr(self, 'fleet'):
+            return
+        fleet = self.fleet
+        fleet.calm_down()
+        leader = fleet.leader()
+        assert leader is not None
+        edits = Edits(set_zones=(SetZone(ZoneMark('last', out=True)),))
+        request = ChangeRequest('last', leader.config_revision(), edits)
+        for name in fleet.names:
+            fleet.propose(name, request)
+        fleet.pass_ticks(20)
+        assert fleet.witness.answer_by_request['last'].code == ResultCode.OK
+        assert len({node.packed() for node in fleet.nodes}) == 1
+        counting = [name for name, one in fleet.witness.group.items() if one]
+        assert len(counting) == SIZE
+        assert _disks_are_whole(self)
+
+    def _node(self, number: int):
+        return self.fleet.nodes[number]
+
+
+ResizingFaults.TestCase.settings = settings(
+    max_examples=90, stateful_step_count=40
+)
+TestResizingFaults = ResizingFaults.TestCase
--- /dev/null
+++ b/redwingstream/control/opening.py
@@ -0,0 +1,58 @@
+"""Opens the replica of a data folder."""
+
+import random
+import secrets
+from functools import partial
+
+import attrs
+
+from redwingstream.consensus.core import Consensus
+from redwingstream.consensus.messages import Voter
+from redwingstream.consensus.state import Sizing, Timing
+from redwingstream.control.replica import Replica, Surroundings
+from redwingstream.storage.folder import Folder
+from redwingstream.storage.store import IDENTITY_BITS, Store
+
+
+@attrs.frozen
+class OpenedReplica:
+    """A replica and the identity that its folder gives it."""
+
+    identity: int
+    replica: Replica
+
+
+def make_replica(
+    folder: Folder, name: str, sizing: Sizing, around: Surroundings
+) -> OpenedReplica:
+    """Read a data folder, or begin with an empty one.
+
+    Parameters
+    ----------
+    folder : Folder
+        Durable state.
+    name : str
+        ``IP:PORT`` of the replica.
+    sizing : Sizing
+        How its group is resized.
+    around : Surroundings
+        Network, clock and loop.
+
+    Raises
+    ------
+    StorageError
+        When the folder cannot be read or written.
+    """
+    store = Store(folder)
+    loaded = store.load(partial(secrets.randbits, IDENTITY_BITS))
+    consensus = Consensus(
+        Voter(name, loaded.identity),
+        (),
+        Timing(),
+        random.SystemRandom(),
+        around.clock(),
+        sizing,
+    )
+    return OpenedReplica(
+        loaded.identity, Replica(consensus, store, loaded, around)
+    )
--- a/redwingstream/control/tests/fakes.py
+++ b/redwingstream/control/tests/fakes.py
@@ -1,4 +1,4 @@
-"""Three replicas in memory, with the faults of their network and disks."""
+"""Replicas in memory, with the faults of their network and disks."""
 
 import random
 from collections.abc import Callable
@@ -6,10 +6,17 @@
 import attrs
 
 from redwingstream.consensus.core import Consensus
-from redwingstream.consensus.events import Outgoing, Received, Ticked
+from redwingstream.consensus.events import (
+    GroupFounded,
+    Outgoing,
+    Peer,
+    PeersHeard,
+    Received,
+    Ticked,
+)
 from redwingstream.consensus.log import READMIT_KIND
 from redwingstream.consensus.messages import Entry, Voter
-from redwingstream.consensus.state import Timing
+from redwingstream.consensus.state import Sizing, Timing
 from redwingstream.control.replica import Replica, SnapshotRule, Surroundings
 from redwingstream.errors import CallFailedError, ResultCode, StorageError
 from redwingstream.storage.store import Loaded, Store
@@ -41,6 +48,7 @@
         self.entry_by_index: dict[int, Entry] = {}
         self.state_by_index: dict[int, bytes] = {}
         self.group: dict[str, int] = {}
+        self.group_index = 0
         self.leader_by_term: dict[int, str] = {}
         self.answer_by_request: dict[str, ChangeAnswer] = {}
         self.winner_by_revision: dict[int, str] = {}
@@ -49,9 +57,11 @@
         """Two replicas never apply different entries at one index."""
         assert self.entry_by_index.setdefault(entry.index, entry) == entry
         assert self.state_by_index.setdefault(entry.index, state) == state
-        if entry.kind == READMIT_KIND:
-            voter = messages.decode(entry.kind, entry.body).voter
-            self.group[voter.name] = voter.identity
+        if entry.kind == READMIT_KIND and entry.index > self.group_index:
+            change = messages.decode(entry.kind, entry.body)
+            self.group_index = entry.index
+            self.group.pop(change.instead_of, None)
+            self.group[change.voter.name] = change.voter.identity
 
     def see_leader(self, term: int, name: str) -> None:
         """No term has two leaders."""
@@ -87,6 +97,7 @@
 
     def __init__(self, name: str, fleet: 'Fleet') -> None:
         self.name = name
+        self.zone = f'zone-{ord(name[0]) % 3}'
         self.fleet = fleet
         self.folder = FakeFolder(fleet.chance)
         self.replica: Replica | None = None
@@ -113,6 +124,17 @@
         except PowerCutError:
             self.crash()
 
+    def found(self, founded: GroupFounded) -> None:
+        """Join the first group."""
+        self.run(lambda replica: replica.step(founded))
+
+    def tick(self) -> None:
+        """Let the replica look at its timers."""
+        if self.fleet.size:
+            heard = PeersHeard(self.fleet.peers_of(self.name))
+            self.run(lambda replica: replica.step(heard))
+        self.run(lambda replica: replica.step(Ticked()))
+
     def crash(self) -> None:
         """Lose everything that was not synced."""
         self.replica = None
@@ -132,10 +154,11 @@
         self.identity = loaded.identity
         consensus = Consensus(
             Voter(self.name, loaded.identity),
-            NAMES,
+            () if fleet.size else fleet.names,
             Timing(),
             fleet.chance,
             fleet.now,
+            Sizing(fleet.size, self.zone),
         )
         around = Surroundings(
             send=lambda out: fleet.flying.append(Sent(self.name, out)),
@@ -153,18 +176,34 @@
 
 
 class Fleet:
-    """Three replicas and the messages between them."""
-
-    def __init__(self, seed: int) -> None:
+    """Replicas and the messages between them.
+
+    Parameters
+    ----------
+    seed : int
+        Of everything that happens by chance.
+    names : tuple of str
+        The replicas.
+    size : int
+        How many of them count; 0 when the settings name them all.
+    """
+
+    def __init__(
+        self, seed: int, names: tuple[str, ...] = NAMES, size: int = 0
+    ) -> None:
+        self.names = names
+        self.size = size
         self.chance = random.Random(seed)
         self.now: float = 0
         self.flying: list[Sent] = []
         self.cut: set[tuple[str, str]] = set()
         self.witness = Witness()
-        self.node_by_name = {name: Node(name, self) for name in NAMES}
+        self.node_by_name = {name: Node(name, self) for name in names}
         for node in self.nodes:
             node.start()
         self.witness.group = self.identity_by_name()
+        if size:
+            self._found()
 
     @property
     def nodes(self) -> list[Node]:
@@ -176,17 +215,12 @@
         self.now += TICK
         for node in self.nodes:
             if not node.frozen:
-                node.run(_tick)
+                node.tick()
         flying = self.flying
         self.flying = []
         self.chance.shuffle(flying)
         for sent in flying:
-            if self.chance.random() < loss:
-                self._lose_or_delay(sent)
-                continue
-            self._deliver(sent)
-            if self.chance.random() < repeat:
-                self.flying.append(sent)
+            self._pass_on(sent, loss, repeat)
         self.see_leaders()
 
     def identity_by_name(self) -> dict[str, int]:
@@ -242,7 +276,7 @@
 
     def isolate(self, name: str) -> None:
         """Cut a replica off from the others, both ways."""
-        for other in NAMES:
+        for other in self.names:
             self.cut.update({(name, other), (other, name)})
 
     def calm_down(self) -> None:
@@ -255,14 +289,48 @@
                 node.start()
         self.pass_ticks(CALM_TICKS)
 
-    def _lose_or_delay(self, sent: Sent) -> None:
-        if self.chance.getrandbits(1):
+    def replace(self, gone: str, fresh: str) -> None:
+        """Take a replica away for good; start an empty one instead."""
+        self.node_by_name.pop(gone).crash()
+        self.names = tuple(name for name in self.names if name != gone)
+        self.names = (*self.names, fresh)
+        self.node_by_name[fresh] = Node(fresh, self)
+        self.node_by_name[fresh].start()
+
+    def peers_of(self, own: str) -> tuple[Peer, ...]:
+        """Return the others that run and can be heard."""
+        return tuple(
+            Peer(Voter(node.name, node.identity), node.zone)
+            for node in self.nodes
+            if node.name != own
+            and node.replica is not None
+            and not node.frozen
+            and (node.name, own) not in self.cut
+        )
+
+    def _pass_on(self, sent: Sent, loss: float, repeat: float) -> None:
+        if self.chance.random() < loss:
+            is_delayed = self.chance.getrandbits(1)
+            self.flying.extend((sent,) if is_delayed else ())
+            return
+        self._deliver(sent)
+        if self.chance.random() < repeat:
             self.flying.append(sent)
 
+    def _found(self) -> None:
+        founders = self.nodes[: self.size]
+        group = tuple(Voter(node.name, node.identity) for node in founders)
+        self.witness.group = {node.name: node.identity for node in founders}
+        founded = GroupFounded(group)
+        for node in founders:
+            node.found(founded)
+
     def _deliver(self, sent: Sent) -> None:
         if (sent.source, sent.outgoing.target) in self.cut:
             return
-        node = self.node_by_name[sent.outgoing.target]
+        node = self.node_by_name.get(sent.outgoing.target)
+        if node is None:
+            return
         if node.frozen:
             self.flying.append(sent)
             return
@@ -272,9 +340,5 @@
         node.run(lambda replica: replica.step(Received(message)))
 
 
-def _tick(replica: Replica) -> None:
-    replica.step(Ticked())
-
-
 def _term_of(node: Node) -> int:
     return node.replica.consensus.term
--- a/redwingstream/directory/inquiry.py
+++ b/redwingstream/directory/inquiry.py
@@ -11,6 +11,7 @@
 from redwingstream.packets.flow import Address
 from redwingstream.tables.history import TablesHistory
 from redwingstream.tables.messages import TablesUpdate
+from redwingstream.telemetry.histogram import Histogram
 
 FIRST_PAUSE = 0.2
 """Seconds between two inquiries to a control instance that has not said how
@@ -100,6 +101,7 @@
         self.history = TablesHistory()
         self.confirmed_at = float('-inf')
         self.is_warm = False
+        self.in_force_seconds = Histogram()
         self._pool = pool
         self._number = 0
         self._control_by_address = {
@@ -153,6 +155,8 @@
         has_new_tables = bool(report.update) and self.history.take(
             unpack_update(report.update)
         )
+        if has_new_tables and self.history.tables.revision == report.revision:
+            self.in_force_seconds.note(report.revision_age)
         return Learned(tuple(agents), has_new_tables)
 
     def _ask(
--- a/redwingstream/directory/messages.py
+++ b/redwingstream/directory/messages.py
@@ -111,6 +111,8 @@
         The tables' changes, packed; empty when there are none.
     revision : int
         Revision of the tables that the control instance has.
+    revision_age : float
+        Seconds since it has had that revision.
     confirmed_age : float
         Seconds since the control instance last knew that its tables were the
         newest ones.
@@ -130,6 +132,7 @@
     records: tuple[HeardRecord, ...]
     update: bytes
     revision: int
+    revision_age: float
     confirmed_age: float
     uptime: float
     controls: tuple[int, ...]
--- a/redwingstream/fleet/agent.py
+++ b/redwingstream/fleet/agent.py
@@ -58,7 +58,7 @@
                 'an agent needs a server beside it and an address for '
                 'packets; the settings name none',
             )
-        self._process = process
+        self.process = process
         self._beside: Beside = beside
         self._sequence = 0
         self._releasing: asyncio.TimerHandle | None = None
@@ -101,7 +101,7 @@
     @contextlib.asynccontextmanager
     async def opened(self) -> AsyncIterator['Agent']:
         """Open the sockets and run until the end of the block."""
-        deployment = self._process.deployment
+        deployment = self.process.deployment
         with (
             open_datagrams(
                 deployment.listening.packets, self._take_packet
@@ -115,9 +115,9 @@
         ):
             self.outlet.attach(callers=packets, peers=packets)
             self.following.attach(inside)
-            async with self._process.running(
-                self._process.every(TICK, self.following.tick, 'following'),
-                self._process.every(
+            async with self.process.running(
+                self.process.every(TICK, self.following.tick, 'following'),
+                self.process.every(
                     HOUSEKEEPING, self._keep_house, 'housekeeping'
                 ),
             ):
@@ -128,13 +128,13 @@
         self.following.tell_all()
 
     def _make_record(self) -> AgentRecord:
-        now = self._process.clock()
+        now = self.process.clock()
         self._sequence += 1
         return AgentRecord(
             self._address,
-            self._process.deployment.zone,
+            self.process.deployment.zone,
             self._beside.pool,
-            self._process.codec.boot,
+            self.process.codec.boot,
             self._sequence,
             self.gate.state.readiness,
             self.gate.is_cold(now),
@@ -142,7 +142,7 @@
 
     def _learn(self, learned: Learned) -> None:
         inquirer = self.following.inquirer
-        note_agents(self._process, learned.agents)
+        note_agents(self.process, learned.agents)
         if not learned.has_new_tables:
             return
         tables = inquirer.history.tables
@@ -150,14 +150,14 @@
         if tables.generation is not None:
             self.site.flows.keep_for(tables.generation.idle_timeout)
         self._set_around(tables)
-        note_tables(self._process, inquirer)
+        note_tables(self.process, inquirer)
 
     def _set_around(self, tables: Tables) -> None:
         around = Surroundings.of(
-            tables, self._beside.pool, self._process.deployment.zone
+            tables, self._beside.pool, self.process.deployment.zone
         )
         if self.gate.around.is_zone_out and not around.is_zone_out:
-            self.gate.doubt_warmth(self._process.clock())
+            self.gate.doubt_warmth(self.process.clock())
         self.gate.around = around
         self.site.timeout_by_service = {
             service: route.rules.timeout
@@ -170,7 +170,7 @@
             sending = self.carrying.take(
                 unpack_envelope(datagram),
                 address_of(*source),
-                self._process.clock(),
+                self.process.clock(),
             )
         except WireError:
             self.site.counters.malformed += 1
@@ -185,13 +185,13 @@
 
     def _release(self) -> None:
         self._releasing = None
-        self.outlet.send_all(self.carrying.release(self._process.clock()))
+        self.outlet.send_all(self.carrying.release(self.process.clock()))
         self._release_soon()
 
     def _take_from_server(self, packet: bytes, source: tuple[str, int]) -> None:
         try:
             sending = self.carrying.take_from_server(
-                packet, self._process.clock()
+                packet, self.process.clock()
             )
         except WireError:
             self.site.counters.malformed += 1
--- a/redwingstream/fleet/balancer.py
+++ b/redwingstream/fleet/balancer.py
@@ -53,7 +53,7 @@
 
     def __init__(self, process: Process, codec: PacketCodec) -> None:
         deployment = process.deployment
-        self._process = process
+        self.process = process
         self._ready_logged = False
         own = deployment.internal(BALANCER_OFFSET)
         inquirer = Inquirer(deployment.seed_addresses, '', process.clock())
@@ -76,7 +76,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether it may be sent packets."""
-        if self._process.stopping.is_set() or not self._has_tables:
+        if self.process.stopping.is_set() or not self._has_tables:
             return False
         self._note_ready()
         return True
@@ -84,7 +84,7 @@
     @contextlib.asynccontextmanager
     async def opened(self) -> AsyncIterator['Balancer']:
         """Open the sockets and run until the end of the block."""
-        deployment = self._process.deployment
+        deployment = self.process.deployment
         packets = deployment.listening.packets
         internal = deployment.internal(BALANCER_OFFSET)
         with (
@@ -93,9 +93,9 @@
         ):
             self.outlet.attach(callers=outside, peers=inside)
             self.following.attach(inside)
-            async with self._process.running(
-                self._process.every(TICK, self.following.tick, 'following'),
-                self._process.every(
+            async with self.process.running(
+                self.process.every(TICK, self.following.tick, 'following'),
+                self.process.every(
                     HOUSEKEEPING, self._keep_house, 'housekeeping'
                 ),
             ):
@@ -103,7 +103,7 @@
 
     async def leave(self) -> None:
         """Go on forwarding until the fabric has taken this balancer out."""
-        grace = self._process.deployment.grace
+        grace = self.process.deployment.grace
         await asyncio.sleep(max(0, min(LEAVING, grace - EXIT_MARGIN)))
 
     @property
@@ -113,30 +113,30 @@
             return False
         if inquirer.is_warm and inquirer.confirmed_at > float('-inf'):
             return True
-        age = self._process.clock() - self._process.started_at
+        age = self.process.clock() - self.process.started_at
         return age >= UNCONFIRMED_AFTER
 
     def _note_ready(self) -> None:
         if not self._ready_logged:
             self._ready_logged = True
-            after = self._process.clock() - self._process.started_at
-            self._process.log.write(ProcessReady(round(after, 3)))
+            after = self.process.clock() - self.process.started_at
+            self.process.log.write(ProcessReady(round(after, 3)))
 
     def _learn(self, learned: Learned) -> None:
         inquirer = self.following.inquirer
         self.steering.confirmed_at = inquirer.confirmed_at
-        note_agents(self._process, learned.agents)
+        note_agents(self.process, learned.agents)
         if not learned.has_new_tables:
             return
         tables = inquirer.history.tables
         self.steering.go_by(tables, routes_by_service(tables))
         if tables.generation is not None:
             self.steering.hints.age = tables.generation.idle_timeout
-        note_tables(self._process, inquirer)
+        note_tables(self.process, inquirer)
 
     def _take_packet(self, packet: bytes, source: tuple[str, int]) -> None:
         try:
-            sending = self.steering.take_packet(packet, self._process.clock())
+            sending = self.steering.take_packet(packet, self.process.clock())
         except WireError:
             self.steering.counters.malformed += 1
             return
@@ -150,7 +150,7 @@
             sending = self.steering.take(
                 unpack_envelope(datagram),
                 address_of(*source),
-                self._process.clock(),
+                self.process.clock(),
             )
         except WireError:
             self.steering.counters.malformed += 1
--- a/redwingstream/fleet/control.py
+++ b/redwingstream/fleet/control.py
@@ -13,9 +13,10 @@
 from redwingstream.errors import WireError
 from redwingstream.fleet.deployment import CONTROL_OFFSET
 from redwingstream.fleet.following import Following
+from redwingstream.fleet.outcomes import Waiter
 from redwingstream.fleet.process import Process
 from redwingstream.fleet.registry import Registry, TableSource
-from redwingstream.fleet.replication import Replication, Waiter
+from redwingstream.fleet.replication import Replication
 from redwingstream.packets.events import AgentSilent
 from redwingstream.packets.flow import address_of, pair_of, text_of
 from redwingstream.tables.machine.messages import MarkZone, Replacement
@@ -40,18 +41,18 @@
         endpoint = deployment.internal(CONTROL_OFFSET)
         own = address_of(endpoint.host, endpoint.port)
         now = process.clock()
-        self._process = process
+        self.process = process
         self._own = own
-        self._book = AgentBook()
+        self.book = AgentBook()
         self._controls = Controls(own, deployment.seed_addresses)
         self._registry = Registry(
-            own, process.codec.boot, now, self._book, self._controls
+            own, process.codec.boot, now, self.book, self._controls
         )
         self._inquirer = Inquirer((), '', now)
         self._following = Following(
             self._inquirer, process.codec, lambda learned: None, lambda: None
         )
-        self._replication = Replication(process, self._send)
+        self.replication = Replication(process, self._send)
         self._socket: DatagramSocket | None = None
         self._next_hello = now
         process.when_reloaded(
@@ -68,13 +69,13 @@
         CallFailedError
             When it is not known whether it will come into force.
         """
-        replica = self._replication.leading()
+        replica = self.replication.leading()
         version = replacement.generation.version
         current = replica.machine.state.generation
         if current is not None and version <= current.version:
             return
         commands = split_replacement(replacement)
-        await self._replication.accept(f'version {version}', commands)
+        await self.replication.accept(f'version {version}', commands)
 
     async def mark_zone(self, zone: str, *, out: bool) -> None:
         """Take an availability zone out of service or back in.
@@ -85,7 +86,7 @@
             As :meth:`replace`.
         """
         what = f'zone {zone} {"out" if out else "in"}'
-        await self._replication.accept(what, (MarkZone(zone, out),))
+        await self.replication.accept(what, (MarkZone(zone, out),))
 
     async def read_document(self) -> bytes:
         """Return the configuration in force as operators wrote it.
@@ -96,7 +97,7 @@
             When another instance has to be asked, or nobody can say which
             configuration is the newest.
         """
-        replica = self._replication.leading()
+        replica = self.replication.leading()
         waiter = Waiter()
         replica.read(waiter.take)
         await waiter.wait()
@@ -105,25 +106,36 @@
     @contextlib.asynccontextmanager
     async def opened(self) -> AsyncIterator['Control']:
         """Open socket and disk and run until the end of the block."""
-        endpoint = self._process.deployment.internal(CONTROL_OFFSET)
+        endpoint = self.process.deployment.internal(CONTROL_OFFSET)
         with (
-            contextlib.closing(self._replication),
+            contextlib.closing(self.replication),
             open_datagrams(endpoint, self._receive) as datagrams,
         ):
             self._socket = datagrams
             self._following.attach(datagrams)
-            async with self._process.running(
-                self._process.every(TICK, self._tick, 'control'),
+            async with self.process.running(
+                self.process.every(TICK, self._tick, 'control'),
             ):
                 yield self
 
     async def leave(self) -> None:
         """Hand leadership over."""
-        await self._replication.hand_over()
+        await self.replication.hand_over()
+
+    def table_source(self, now: float) -> TableSource:
+        """Return where this instance has its tables from."""
+        replica = self.replication.replica
+        if replica is None:
+            history = self._inquirer.history
+            age = now - self._inquirer.confirmed_at
+            return TableSource(history.tables.revision, age, history.since)
+        machine = replica.machine
+        age = replica.consensus.confirmed_age(now)
+        return TableSource(machine.state.revision, age, machine.update_since)
 
     def _tick(self, now: float) -> None:
-        self._replication.tick(self._controls.peers(now), now)
-        if self._replication.replica is None:
+        self.replication.tick(self._controls.peers(now), now)
+        if self.replication.replica is None:
             # Without a disk the tables come from those that have one.
             others = self._controls.running(now)[1:]
             self._inquirer.follow_seeds(others, now)
@@ -131,57 +143,47 @@
         if now >= self._next_hello:
             self._next_hello = now + HELLO_EVERY
             self._say_hello(now)
-        for record in self._book.notice_silence(now):
+        for record in self.book.notice_silence(now):
             silent = AgentSilent(text_of(record.address), record.pool)
-            self._process.log.write(silent)
-
-    def _tables(self, now: float) -> TableSource:
-        replica = self._replication.replica
-        if replica is None:
-            history = self._inquirer.history
-            age = now - self._inquirer.confirmed_at
-            return TableSource(history.tables.revision, age, history.since)
-        machine = replica.machine
-        age = replica.consensus.confirmed_age(now)
-        return TableSource(machine.state.revision, age, machine.update_since)
+            self.process.log.write(silent)
 
     def _say_hello(self, now: float) -> None:
         hello = ControlHello(
             self._own,
-            self._process.codec.boot,
-            self._process.deployment.zone,
-            self._replication.name,
-            self._replication.is_fresh,
+            self.process.codec.boot,
+            self.process.deployment.zone,
+            self.replication.name,
+            self.replication.is_fresh,
             controls=self._controls.running(now),
         )
-        if self._process.deployment.is_first_start:
-            size = self._process.deployment.group_size
+        if self.process.deployment.is_first_start:
+            size = self.process.deployment.group_size
             founding = self._controls.choose_founders(hello, size, now)
             hello = attrs.evolve(hello, founding=founding)
-            self._replication.found(founding)
+            self.replication.found(founding)
         for target in self._controls.targets(now):
             self._send(hello, pair_of(target))
 
     def _receive(self, datagram: bytes, source: tuple[str, int]) -> None:
         try:
-            opened = self._process.codec.open(datagram)
+            opened = self.process.codec.open(datagram)
         except WireError:
             self._following.malformed += 1
             return
-        now = self._process.clock()
+        now = self.process.clock()
         match opened.payload:
             case Inquiry() as inquiry:
-                tables = self._tables(now)
+                tables = self.table_source(now)
                 report = self._registry.answer(inquiry, tables, now)
                 self._send(report, source)
             case ControlHello() as hello:
                 self._controls.hear(hello, now)
-                self._replication.found(hello.founding)
+                self.replication.found(hello.founding)
             case Report() as report:
                 self._inquirer.take(report, now)
             case message if isinstance(message, ReplicaMessage):
-                self._replication.receive(message)
+                self.replication.receive(message)
 
     def _send(self, message: object, target: tuple[str, int]) -> None:
         if self._socket is not None:
-            self._socket.send(self._process.codec.seal(message), target)
+            self._socket.send(self.process.codec.seal(message), target)
--- /dev/null
+++ b/redwingstream/fleet/observed/agent.py
@@ -0,0 +1,44 @@
+"""What an agent shows."""
+
+from collections.abc import Iterator
+
+from redwingstream.fleet.agent import Agent
+from redwingstream.fleet.observed.common import inquirer_samples
+from redwingstream.telemetry.families import (
+    FLOWS,
+    OPENING_SECONDS,
+    PACKETS,
+    REFUSALS,
+    SERVER,
+    Sample,
+    counted,
+)
+
+
+def agent_samples(agent: Agent) -> Iterator[Sample]:
+    """Return what an agent shows."""
+    site = agent.site
+    inquirer = agent.following.inquirer
+    now = agent.process.clock()
+    load = site.load()
+    state = agent.gate.state
+    yield counted(PACKETS, site.counters)
+    yield counted(REFUSALS, site.refusing.counters)
+    yield Sample(
+        FLOWS,
+        {
+            'carried': load.flows,
+            'unanswered': load.waiting,
+            'held': load.queued,
+        },
+    )
+    yield Sample(
+        SERVER,
+        {
+            'readiness': int(state.readiness),
+            'is_cold': int(agent.gate.is_cold(now)),
+            'report_age': now - state.heard_at,
+        },
+    )
+    yield from inquirer_samples(inquirer, now)
+    yield Sample(OPENING_SECONDS, histogram=site.opening_seconds)
--- /dev/null
+++ b/redwingstream/fleet/observed/common.py
@@ -0,0 +1,60 @@
+"""What several roles show."""
+
+from collections import Counter
+from collections.abc import Iterable, Iterator
+
+from redwingstream.directory.inquiry import Inquirer
+from redwingstream.eventlog.lines import EventLog
+from redwingstream.httpd.server import HttpServer
+from redwingstream.telemetry.families import (
+    AGENTS,
+    CALLS,
+    IN_FORCE_SECONDS,
+    LOG_LINES,
+    TABLES,
+    Sample,
+    counted,
+)
+
+
+def process_samples(
+    log: EventLog, servers: Iterable[HttpServer]
+) -> Iterator[Sample]:
+    """Return what every process shows."""
+    yield counted(LOG_LINES, log.counters)
+    calls: Counter[str] = Counter()
+    for server in servers:
+        calls.update(counted(CALLS, server.counters).level_by_label)
+    yield Sample(CALLS, dict(calls))
+
+
+def inquirer_samples(inquirer: Inquirer, now: float) -> Iterator[Sample]:
+    """Return what is known from the control instances."""
+    yield _tables(inquirer, now)
+    yield _agents(inquirer)
+    yield Sample(IN_FORCE_SECONDS, histogram=inquirer.in_force_seconds)
+
+
+def _tables(inquirer: Inquirer, now: float) -> Sample:
+    tables = inquirer.history.tables
+    generation = tables.generation
+    zones_out = [mark for mark in tables.zone_by_name.values() if mark.out]
+    return Sample(
+        TABLES,
+        {
+            'revision': tables.revision,
+            'version': 0 if generation is None else generation.version,
+            'routes': len(tables.route_by_key),
+            'zones_out': len(zones_out),
+            'confirmed_age': now - inquirer.confirmed_at,
+        },
+    )
+
+
+def _agents(inquirer: Inquirer) -> Sample:
+    counts: Counter[str] = Counter()
+    for agent in inquirer.view.agent_by_address.values():
+        counts[agent.readiness.name.lower()] += 1
+        counts['cold'] += agent.is_cold
+        counts['silent'] += agent.is_silent
+    return Sample(AGENTS, dict(counts))
--- /dev/null
+++ b/redwingstream/fleet/observed/control.py
@@ -0,0 +1,40 @@
+"""What a control instance shows."""
+
+from collections.abc import Iterator
+
+from redwingstream.fleet.control import Control
+from redwingstream.telemetry.families import (
+    AGENTS,
+    CHANGE_SECONDS,
+    REPLICA,
+    SYNC_SECONDS,
+    TABLES,
+    Sample,
+)
+
+
+def control_samples(control: Control) -> Iterator[Sample]:
+    """Return what a control instance shows."""
+    replication = control.replication
+    now = control.process.clock()
+    source = control.table_source(now)
+    yield Sample(
+        TABLES,
+        {'revision': source.revision, 'confirmed_age': source.confirmed_age},
+    )
+    yield Sample(AGENTS, {'heard': len(control.book)})
+    if replication.replica is not None:
+        consensus = replication.replica.consensus
+        counting = [one for one in consensus.log.group if one.identity]
+        yield Sample(
+            REPLICA,
+            {
+                'term': consensus.term,
+                'is_leader': int(consensus.is_leader),
+                'accepted_index': consensus.commit,
+                'counting': len(counting),
+                'confirmed_age': consensus.confirmed_age(now),
+            },
+        )
+    yield Sample(SYNC_SECONDS, histogram=replication.sync_seconds)
+    yield Sample(CHANGE_SECONDS, histogram=replication.change_seconds)
--- /dev/null
+++ b/redwingstream/fleet/outcomes.py
@@ -0,0 +1,48 @@
+"""Waits for what becomes of a change or a read."""
+
+import asyncio
+
+from redwingstream.errors import (
+    CallFailedError,
+    RedwingstreamError,
+    ResultCode,
+)
+from redwingstream.tables.machine.machine import Outcome
+
+CHANGE_TIMEOUT = 3.0
+"""Seconds that a change may wait for a majority until its sender is told that
+the outcome is not known; operators give a call up after a second or two."""
+
+
+class Waiter:
+    """Waits for the outcome of one change or read."""
+
+    def __init__(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._future: asyncio.Future[None] = loop.create_future()
+
+    def take(self, outcome: Outcome | RedwingstreamError) -> None:
+        """Take the outcome."""
+        if self._future.done():
+            return
+        if isinstance(outcome, RedwingstreamError):
+            self._future.set_exception(outcome)
+        else:
+            self._future.set_result(None)
+
+    async def wait(self) -> None:
+        """Wait for the outcome, for a while.
+
+        Raises
+        ------
+        CallFailedError
+            When it is not known in time.
+        """
+        try:
+            await asyncio.wait_for(self._future, CHANGE_TIMEOUT)
+        except TimeoutError as error:
+            raise CallFailedError(
+                f'no majority within {CHANGE_TIMEOUT} s; the change may still '
+                'be accepted: send it again',
+                ResultCode.NO_QUORUM,
+            ) from error
--- a/redwingstream/fleet/registry.py
+++ b/redwingstream/fleet/registry.py
@@ -86,6 +86,8 @@
         self._asked = 0
         self._asked_since = started_at
         self._pause = PAUSE
+        self._revision = 0
+        self._revision_since = started_at
 
     def answer(
         self, inquiry: Inquiry, tables: TableSource, now: float
@@ -104,6 +106,7 @@
             page.records,
             self._update(inquiry.revision, tables),
             tables.revision,
+            self._revision_age(tables.revision, now),
             tables.confirmed_age,
             now - self._started_at,
             self._controls.running(now),
@@ -115,6 +118,12 @@
             return UNCONFIRMED_PAUSE
         return self._pause
 
+    def _revision_age(self, revision: int, now: float) -> float:
+        if revision != self._revision:
+            self._revision = revision
+            self._revision_since = now
+        return now - self._revision_since
+
     def _count(self, now: float) -> None:
         self._asked += 1
         passed = now - self._asked_since
--- a/redwingstream/fleet/replication.py
+++ b/redwingstream/fleet/replication.py
@@ -2,15 +2,12 @@
 
 import asyncio
 import contextlib
-import random
-import secrets
 from collections.abc import Callable
-from functools import partial
 
 from redwingstream.consensus import events
-from redwingstream.consensus.core import Consensus
 from redwingstream.consensus.messages import ReplicaMessage, Voter
-from redwingstream.consensus.state import Sizing, Timing
+from redwingstream.consensus.state import Sizing
+from redwingstream.control.opening import make_replica
 from redwingstream.control.replica import Replica, Surroundings
 from redwingstream.directory.messages import ReplicaName
 from redwingstream.endpoints import parse_endpoint
@@ -22,18 +19,15 @@
 )
 from redwingstream.eventlog.lines import event
 from redwingstream.fleet.deployment import CONTROL_OFFSET
+from redwingstream.fleet.outcomes import Waiter
 from redwingstream.fleet.process import Process, ProcessReady
 from redwingstream.storage.disk import DiskFolder, open_folder
-from redwingstream.storage.store import IDENTITY_BITS, Store
 from redwingstream.tables.machine.machine import Outcome
+from redwingstream.telemetry.histogram import Histogram
 
 REOPEN_AFTER = 0.5
 """Seconds after which a replica whose disk has failed is opened again."""
 
-CHANGE_TIMEOUT = 3.0
-"""Seconds that a change may wait for a majority until its sender is told that
-the outcome is not known; operators give a call up after a second or two."""
-
 HAND_OVER_TIMEOUT = 1.0
 """Seconds that a leader that stops waits for another one to take over."""
 
@@ -116,6 +110,8 @@
         send: Callable[[object, tuple[str, int]], None],
     ) -> None:
         self.replica: Replica | None = None
+        self.sync_seconds = Histogram()
+        self.change_seconds = Histogram()
         self._process = process
         self._send = send
         self._endpoint = process.deployment.internal(CONTROL_OFFSET)
@@ -208,6 +204,7 @@
         try:
             await _propose_all(replica, commands, waiter)
             outcome = 'accepted'
+            self.change_seconds.note(self._process.clock() - begun)
         except RedwingstreamError as error:
             outcome = error.code.name.lower()
             raise
@@ -235,28 +232,24 @@
             return
         self._reopen_at = now + REOPEN_AFTER
         try:
-            self._start(self._folders.enter_context(open_folder(folder)))
+            self._start(
+                self._folders.enter_context(
+                    open_folder(folder, self.sync_seconds.note)
+                )
+            )
         except StorageError as error:
             self._fail(error)
 
     def _start(self, folder: DiskFolder) -> None:
         deployment = self._process.deployment
-        store = Store(folder)
-        loaded = store.load(partial(secrets.randbits, IDENTITY_BITS))
-        self._identity = loaded.identity
-        consensus = Consensus(
-            Voter(str(self._endpoint), loaded.identity),
-            (),
-            Timing(),
-            random.SystemRandom(),
-            self._process.clock(),
-            Sizing(deployment.group_size, deployment.zone),
-        )
         loop = asyncio.get_running_loop()
         around = Surroundings(
             self._send_outgoing, loop.time, loop.call_soon, self._fail
         )
-        self.replica = Replica(consensus, store, loaded, around)
+        sizing = Sizing(deployment.group_size, deployment.zone)
+        made = make_replica(folder, str(self._endpoint), sizing, around)
+        self._identity = made.identity
+        self.replica = made.replica
         after = round(self._process.clock() - self._process.started_at, 3)
         self._process.log.write(ProcessReady(after))
 
@@ -289,40 +282,6 @@
         )
 
 
-class Waiter:
-    """Waits for the outcome of one change or read."""
-
-    def __init__(self) -> None:
-        loop = asyncio.get_running_loop()
-        self._future: asyncio.Future[None] = loop.create_future()
-
-    def take(self, outcome: Outcome | RedwingstreamError) -> None:
-        """Take the outcome."""
-        if self._future.done():
-            return
-        if isinstance(outcome, RedwingstreamError):
-            self._future.set_exception(outcome)
-        else:
-            self._future.set_result(None)
-
-    async def wait(self) -> None:
-        """Wait for the outcome, for a while.
-
-        Raises
-        ------
-        CallFailedError
-            When it is not known in time.
-        """
-        try:
-            await asyncio.wait_for(self._future, CHANGE_TIMEOUT)
-        except TimeoutError as error:
-            raise CallFailedError(
-                f'no majority within {CHANGE_TIMEOUT} s; the change may still '
-                'be accepted: send it again',
-                ResultCode.NO_QUORUM,
-            ) from error
-
-
 async def _propose_all(
     replica: Replica, commands: tuple[object, ...], waiter: Waiter
 ) -> None:
--- a/redwingstream/packets/carrying.py
+++ b/redwingstream/packets/carrying.py
@@ -61,10 +61,7 @@
             sending.extend(self._accept(carried))
         else:
             carried.standing = Standing.ESTABLISHED
-        if head.is_end or head.is_reset:
-            carried.is_ending = True
-        if head.size or carried.is_ending:
-            site.flows.settle(carried)
+        self._note_progress(carried, head, now)
         return sending
 
     def release(self, now: float) -> list[Sending]:
@@ -76,6 +73,15 @@
         self.site.flows.forget_old(now)
         self._searching.forget_old(now)
 
+    def _note_progress(self, carried: Carried, head: Head, now: float) -> None:
+        if head.is_end or head.is_reset:
+            carried.is_ending = True
+        if head.size and not carried.has_answered:
+            carried.has_answered = True
+            self.site.opening_seconds.note(now - carried.opened_at)
+        if head.size or carried.is_ending:
+            self.site.flows.settle(carried)
+
     def _take_returned(self, head: Head, now: float) -> list[Sending]:
         self.site.counters.handed_back += 1
         carried = self.site.flows.carried(head.inbound, now)
@@ -101,5 +107,7 @@
         if head.is_accepting:
             standing = Standing.ACCEPTED
         carried = Carried(flow, Envelope(Kind.ONGOING, b''), standing, now)
+        # When it was opened is not known.
+        carried.has_answered = True
         self.site.flows.add(carried, now)
         return carried
--- a/redwingstream/packets/flowbook.py
+++ b/redwingstream/packets/flowbook.py
@@ -54,6 +54,8 @@
         Since when the server owes an answer.
     has_asked : bool
         True once the caller has sent data.
+    has_answered : bool
+        True once the server has sent data.
     is_ending : bool
         True once the server has sent its last packet.
     """
@@ -64,6 +66,7 @@
     opened_at: float
     waits_since: float | None = None
     has_asked: bool = False
+    has_answered: bool = False
     is_ending: bool = False
 
     def is_given_up(self, now: float) -> bool:
--- a/redwingstream/packets/site.py
+++ b/redwingstream/packets/site.py
@@ -26,6 +26,7 @@
 from redwingstream.packets.flowbook import FlowBook
 from redwingstream.packets.refusing import Refusing
 from redwingstream.packets.waiting import WaitingRoom
+from redwingstream.telemetry.histogram import Histogram
 
 
 @attrs.frozen
@@ -85,6 +86,8 @@
         New flows that wait for the server.
     counters : CarryingCounters
         What passed since the start.
+    opening_seconds : Histogram
+        From opening packets to the server's first data.
     timeout_by_service : dict
         Seconds after which callers of a service give a request up.
     refusing : Refusing
@@ -99,6 +102,7 @@
     log: Callable[[Any], None]
     waiting: WaitingRoom = attrs.field(factory=WaitingRoom)
     counters: CarryingCounters = attrs.field(factory=CarryingCounters)
+    opening_seconds: Histogram = attrs.field(factory=Histogram)
     timeout_by_service: dict[Address, float] = attrs.field(factory=dict)
     refusing: Refusing = attrs.field(init=False)
 
--- a/redwingstream/storage/disk.py
+++ b/redwingstream/storage/disk.py
@@ -4,7 +4,8 @@
 import errno
 import fcntl
 import os
-from collections.abc import Iterator
+import time
+from collections.abc import Callable, Iterator
 from pathlib import Path
 
 from redwingstream.errors import ResultCode, StorageError
@@ -14,6 +15,13 @@
 _FULL_ERRORS = frozenset((errno.ENOSPC, errno.EDQUOT))
 
 
+SyncNoted = Callable[[float], None]
+
+
+def _not_noted(seconds: float) -> None:
+    """Leave the time of a sync alone."""
+
+
 class DiskFolder:
     """A data folder; see :class:`redwingstream.storage.folder.Folder`.
 
@@ -21,6 +29,8 @@
     ----------
     path : Path
         Existing folder; :func:`open_folder` makes and locks it.
+    sync_noted : callable
+        Takes how many seconds each sync of a file took.
 
     Notes
     -----
@@ -28,8 +38,9 @@
     record would double the system calls of a synced append.
     """
 
-    def __init__(self, path: Path) -> None:
+    def __init__(self, path: Path, sync_noted: SyncNoted) -> None:
         self._path = path
+        self._sync_noted = sync_noted
         self._open_name = ''
         self._open_file = -1
 
@@ -59,8 +70,10 @@
 
     def sync(self, name: str) -> None:
         """Make the contents of a file durable."""
+        begun = time.monotonic()
         with _reported(f'sync {name}'):
             os.fdatasync(self._descriptor(name))
+        self._sync_noted(time.monotonic() - begun)
 
     def rename(self, source: str, target: str) -> None:
         """Give a file another name; a file of that name is replaced."""
@@ -93,13 +106,17 @@
 
 
 @contextlib.contextmanager
-def open_folder(path: Path) -> Iterator[DiskFolder]:
+def open_folder(
+    path: Path, sync_noted: SyncNoted = _not_noted
+) -> Iterator[DiskFolder]:
     """Make a data folder if there is none, lock it, and release it at the end.
 
     Parameters
     ----------
     path : Path
         The data folder.
+    sync_noted : callable, optional
+        Takes how many seconds each sync of a file took.
 
     Yields
     ------
@@ -119,7 +136,7 @@
     with _reported(f'open {path.name}'):
         path.mkdir(parents=True, exist_ok=True)
         lock = os.open(path / _LOCK_NAME, os.O_RDWR | os.O_CREAT, _OWNER_ONLY)
-    folder = DiskFolder(path)
+    folder = DiskFolder(path, sync_noted)
     try:
         _take_lock(lock, path)
         yield folder
--- a/redwingstream/storage/tests/fakes.py
+++ b/redwingstream/storage/tests/fakes.py
@@ -6,7 +6,6 @@
 
 from redwingstream.errors import ResultCode, StorageError
 
-
 FLIPPED_BITS = 0xFF
 
 
--- /dev/null
+++ b/redwingstream/telemetry/families.py
@@ -0,0 +1,157 @@
+"""Every family that a role shows, with its meaning.
+
+``docs/metrics.md`` is checked against this module.
+"""
+
+import enum
+
+import attrs
+
+from redwingstream.telemetry.histogram import Histogram
+
+
+class Kind(enum.StrEnum):
+    """What kind of family it is."""
+
+    COUNTER = 'counter'
+    GAUGE = 'gauge'
+    HISTOGRAM = 'histogram'
+
+
+@attrs.frozen
+class Family:
+    """A family of series.
+
+    Parameters
+    ----------
+    name : str
+        Without the prefix ``redwingstream_``.
+    kind : Kind
+        What it is.
+    meaning : str
+        For operators.
+    """
+
+    name: str
+    kind: Kind
+    meaning: str
+
+
+@attrs.frozen
+class Sample:
+    """A family's numbers now.
+
+    Parameters
+    ----------
+    family : Family
+        Which one.
+    level_by_label : dict
+        A number for each label ``what``; one with the empty label where the
+        family has no parts.
+    histogram : Histogram or None
+        For a histogram.
+    """
+
+    family: Family
+    level_by_label: dict[str, float] = attrs.field(factory=dict)
+    histogram: Histogram | None = None
+
+
+PACKETS = Family(
+    'packets',
+    Kind.COUNTER,
+    'What became of packets and new flows; `what` names the decision.',
+)
+REFUSALS = Family(
+    'refusals',
+    Kind.COUNTER,
+    'New flows refused at once, and packets dropped without an answer.',
+)
+LOG_LINES = Family(
+    'log_lines',
+    Kind.COUNTER,
+    'Lines of the event log: written, left out over the budget of their kind, '
+    'and lost because nobody read them.',
+)
+FLOWS = Family(
+    'flows',
+    Kind.GAUGE,
+    'Flows that are known: hints of a balancer; flows at the server beside an '
+    'agent, requests that it has not begun to answer, new flows that wait.',
+)
+TABLES = Family(
+    'tables',
+    Kind.GAUGE,
+    'Revision and version in force here, routes, zones out, and seconds since '
+    'the tables were last known to be the newest.',
+)
+AGENTS = Family(
+    'agents',
+    Kind.GAUGE,
+    'Agents that are known, by what is known of them.',
+)
+SERVER = Family(
+    'server',
+    Kind.GAUGE,
+    'The server beside an agent: its readiness (0 unknown, 1 ready, '
+    '2 draining, 3 gone), whether it is cold, seconds since its last report.',
+)
+REPLICA = Family(
+    'replica',
+    Kind.GAUGE,
+    'The replica of a control instance: its term, whether it leads or counts, '
+    'last accepted index, replicas that count, seconds since its log was last '
+    'known to be the newest.',
+)
+CALLS = Family(
+    'calls',
+    Kind.COUNTER,
+    "HTTP requests of the readiness, report and operators' interfaces.",
+)
+OPENING_SECONDS = Family(
+    'opening_to_answer_seconds',
+    Kind.HISTOGRAM,
+    'From the opening packet of a flow at its agent to the first data of the '
+    'server.',
+)
+IN_FORCE_SECONDS = Family(
+    'tables_in_force_seconds',
+    Kind.HISTOGRAM,
+    'From the moment a control instance had newer tables until they were in '
+    'force in this process.',
+)
+SYNC_SECONDS = Family(
+    'sync_seconds',
+    Kind.HISTOGRAM,
+    'How long a control instance waited for a sync of its disk.',
+)
+CHANGE_SECONDS = Family(
+    'change_seconds',
+    Kind.HISTOGRAM,
+    'From a change at the leader until a majority had accepted it.',
+)
+
+FAMILIES = (
+    PACKETS,
+    REFUSALS,
+    LOG_LINES,
+    CALLS,
+    FLOWS,
+    TABLES,
+    AGENTS,
+    SERVER,
+    REPLICA,
+    OPENING_SECONDS,
+    IN_FORCE_SECONDS,
+    SYNC_SECONDS,
+    CHANGE_SECONDS,
+)
+"""All families, in the order of the page."""
+
+
+def counted(family: Family, *counters: object) -> Sample:
+    """Return a sample of the fields of ``attrs`` counters, by their names."""
+    level_by_label: dict[str, float] = {}
+    for one in counters:
+        level_by_label.update(attrs.asdict(one))
+    return Sample(family, level_by_label)
