--- a/redwingstream/control/tests/fakes.py
+++ b/redwingstream/control/tests/fakes.py
@@ -203,7 +203,7 @@
             node.start()
         self.witness.group = self.identity_by_name()
         if size:
-            self._found()
+            _found(self)
 
     @property
     def nodes(self) -> list[Node]:
@@ -317,14 +317,6 @@
         if self.chance.random() < repeat:
             self.flying.append(sent)
 
-    def _found(self) -> None:
-        founders = self.nodes[: self.size]
-        group = tuple(Voter(node.name, node.identity) for node in founders)
-        self.witness.group = {node.name: node.identity for node in founders}
-        founded = GroupFounded(group)
-        for node in founders:
-            node.found(founded)
-
     def _deliver(self, sent: Sent) -> None:
         if (sent.source, sent.outgoing.target) in self.cut:
             return
@@ -342,3 +334,13 @@
 
 def _term_of(node: Node) -> int:
     return node.replica.consensus.term
+
+
+def _found(fleet: Fleet) -> None:
+    """Let the first replicas be the group."""
+    founders = fleet.nodes[: fleet.size]
+    group = tuple(Voter(node.name, node.identity) for node in founders)
+    fleet.witness.group = {node.name: node.identity for node in founders}
+    founded = GroupFounded(group)
+    for node in founders:
+        node.found(founded)
