--- /dev/null
+++ b/redwingstream/directory/tests/test_view.py
@@ -0,0 +1,110 @@
+"""What a process makes of several control instances' records."""
+
+import attrs
+import pytest
+
+from redwingstream.directory.messages import (
+    AgentRecord,
+    HeardRecord,
+    Readiness,
+)
+from redwingstream.directory.view import (
+    FORGOTTEN_AFTER,
+    TRUSTED_FOR,
+    AgentView,
+)
+from redwingstream.packets.flow import Address
+
+FIRST = Address(101)
+SECOND = Address(102)
+AGENT = Address(1)
+RECORD = AgentRecord(
+    AGENT, 'north', 'feed', 7, 1, Readiness.READY, is_cold=False
+)
+
+
+def _heard(record: AgentRecord = RECORD, age: float = 0) -> HeardRecord:
+    return HeardRecord(record, age, is_silent=False)
+
+
+def _silent(record: AgentRecord = RECORD, age: float = 2) -> HeardRecord:
+    return HeardRecord(record, age, is_silent=True)
+
+
+class TestAgentView:
+    """Opinions that differ."""
+
+    @pytest.fixture
+    def view(self) -> AgentView:
+        made = AgentView()
+        made.take(FIRST, 1, (_heard(),), 10)
+        made.take(SECOND, 1, (_heard(),), 10)
+        return made
+
+    def test_knows_agents_by_pool(self, view) -> None:
+        assert [agent.address for agent in view.of_pool('feed')] == [AGENT]
+        assert not view.of_pool('reports')
+
+    def test_one_that_is_cut_off_does_not_decide(self, view) -> None:
+        """An agent is not given up because one control instance lost it.
+
+        That instance is cut off from the agent and calls it silent, while the
+        other one hears it.
+        """
+        view.take(FIRST, 1, (_silent(),), 12)
+        view.take(SECOND, 1, (), 12)
+        assert not view.of_pool('feed')[0].is_silent
+
+    def test_silent_when_all_say_so(self, view) -> None:
+        view.take(FIRST, 1, (_silent(),), 12)
+        view.take(SECOND, 1, (_silent(),), 12)
+        assert view.of_pool('feed')[0].is_silent
+
+    def test_one_that_does_not_answer_is_not_asked_for_long(self, view) -> None:
+        """A dead agent is seen although a control instance died with it.
+
+        A zone is lost: the agent and one control instance.  What the dead
+        instance last said must not keep the agent alive.
+        """
+        late = 10.1 + TRUSTED_FOR
+        view.take(FIRST, 1, (_silent(),), late)
+        assert view.of_pool('feed')[0].is_silent
+
+    def test_silence_that_came_before_the_death_counts_later(
+        self, view
+    ) -> None:
+        """As above, but the silence is told before the other one is doubted.
+
+        Nothing new is said about the agent afterwards; looking again is what
+        finds it silent.
+        """
+        view.take(FIRST, 1, (_silent(),), 12)
+        view.take(FIRST, 1, (), 14)
+        view.refresh(14)
+        assert view.of_pool('feed')[0].is_silent
+
+    def test_the_newest_word_of_a_run_counts(self, view) -> None:
+        draining = attrs.evolve(
+            RECORD, sequence=2, readiness=Readiness.DRAINING
+        )
+        view.take(FIRST, 1, (_heard(draining),), 11)
+        view.take(SECOND, 1, (_heard(),), 11)
+        assert view.of_pool('feed')[0].readiness is Readiness.DRAINING
+
+    def test_a_later_run_replaces_a_former_one(self, view) -> None:
+        again = attrs.evolve(RECORD, boot=8, pool='reports')
+        view.take(FIRST, 1, (_heard(again),), 11)
+        view.take(SECOND, 1, (_heard(age=1),), 11)
+        assert not view.of_pool('feed')
+        assert len(view.of_pool('reports')) == 1
+
+    def test_another_run_of_a_control_instance_begins_anew(self, view) -> None:
+        changed = view.take(FIRST, 2, (_heard(age=0.1),), 11)
+        assert not changed
+        assert len(view.of_pool('feed')) == 1
+
+    def test_forgets_what_all_have_long_lost(self, view) -> None:
+        view.take(FIRST, 1, (_silent(),), 12)
+        view.take(SECOND, 1, (_silent(),), 12)
+        view.refresh(13 + FORGOTTEN_AFTER)
+        assert not view.of_pool('feed')
--- a/redwingstream/directory/view.py
+++ b/redwingstream/directory/view.py
@@ -115,14 +115,25 @@
         self._agent_by_address = {agent.address: agent for agent in agents}
         self._sort_by_pool()
 
-    def forget_old(self, now: float) -> None:
-        """Forget agents that all control instances have long lost."""
+    def refresh(self, now: float) -> list[Agent]:
+        """Judge all agents anew, and forget those that are long lost.
+
+        Returns
+        -------
+        list of Agent
+            Those that have changed.  A control instance that does not answer
+            any more stops counting without a word.
+        """
+        changed = []
         for address, agent in tuple(self._agent_by_address.items()):
-            opinions = self._opinions(address)
-            last = max(opinion.heard_at for opinion in opinions)
-            if agent.is_silent and now - last > FORGOTTEN_AFTER:
+            judged = self._judge(address, now) or agent
+            last = self._last_heard(address)
+            if judged.is_silent and now - last > FORGOTTEN_AFTER:
                 self._drop(address)
+            elif self._keep(judged):
+                changed.append(judged)
         self._sort_by_pool()
+        return changed
 
     def _judge(self, address: Address, now: float) -> Agent | None:
         opinions = [
@@ -160,12 +171,15 @@
         self._agent_by_address[agent.address] = agent
         return changed
 
-    def _opinions(self, address: Address) -> list[_Opinion]:
-        return [
-            source.opinion_by_address[address]
-            for source in self._source_by_control.values()
-            if address in source.opinion_by_address
-        ]
+    def _last_heard(self, address: Address) -> float:
+        return max(
+            (
+                source.opinion_by_address[address].heard_at
+                for source in self._source_by_control.values()
+                if address in source.opinion_by_address
+            ),
+            default=float('-inf'),
+        )
 
     def _drop(self, address: Address) -> None:
         self._agent_by_address.pop(address)
--- a/redwingstream/fleet/agent.py
+++ b/redwingstream/fleet/agent.py
@@ -72,7 +72,11 @@
             process.started_at,
         )
         self.following = Following(
-            inquirer, process.codec, self._learn, self._make_record
+            inquirer,
+            process.codec,
+            self._learn,
+            process.log.write,
+            self._make_record,
         )
         self.site = Site(
             Place(self._address, deployment.zone, beside.pool),
@@ -203,4 +207,3 @@
 
     def _keep_house(self, now: float) -> None:
         self.carrying.tick(now)
-        self.following.inquirer.view.forget_old(now)
--- a/redwingstream/fleet/balancer.py
+++ b/redwingstream/fleet/balancer.py
@@ -58,7 +58,7 @@
         own = deployment.internal(BALANCER_OFFSET)
         inquirer = Inquirer(deployment.seed_addresses, '', process.clock())
         self.following = Following(
-            inquirer, process.codec, self._learn, lambda: None
+            inquirer, process.codec, self._learn, process.log.write
         )
         self.steering = Steering(
             address_of(own.host, own.port),
@@ -160,7 +160,6 @@
     def _keep_house(self, now: float) -> None:
         self.outlet.send_all(self.steering.tick(now))
         view = self.following.inquirer.view
-        view.forget_old(now)
         self.steering.trust.forget(view.agent_by_address)
 
 
--- a/redwingstream/fleet/control.py
+++ b/redwingstream/fleet/control.py
@@ -50,7 +50,10 @@
         )
         self._inquirer = Inquirer((), '', now)
         self._following = Following(
-            self._inquirer, process.codec, lambda learned: None, lambda: None
+            self._inquirer,
+            process.codec,
+            lambda learned: None,
+            process.log.write,
         )
         self.replication = Replication(process, self._send)
         self._socket: DatagramSocket | None = None
--- a/redwingstream/fleet/following.py
+++ b/redwingstream/fleet/following.py
@@ -6,6 +6,7 @@
 from redwingstream.directory.inquiry import Inquirer, Learned
 from redwingstream.directory.messages import AgentRecord, Report
 from redwingstream.errors import WireError
+from redwingstream.eventlog.lines import event
 from redwingstream.packets.flow import Address, pair_of
 from redwingstream.wire.datagrams import DatagramSocket
 from redwingstream.wire.frames import FrameCodec
@@ -14,6 +15,29 @@
 """Seconds between two looks at what is due; a quarter of the shortest pause
 between two inquiries."""
 
+REFRESH_EVERY = 1.0
+"""Seconds between two looks at all agents, since a control instance that does
+not answer any more stops counting without a word."""
+
+LOST_AFTER = 2.0
+"""Seconds without any answer after which the control instances count as lost:
+several of them are each asked more than twice a second."""
+
+
+@event
+class DependencyLost:
+    """Something that this process depends on gives no answer any more."""
+
+    dependency: str
+    silent_for: float
+
+
+@event
+class DependencyRegained:
+    """Something that was lost answers again."""
+
+    dependency: str
+
 
 class Following:
     """Sends inquiries when they are due and takes the answers.
@@ -26,9 +50,10 @@
         Seals and opens what passes between processes.
     learned : callable
         Takes what each answer brought.
+    log : callable
+        Takes events.
     record : callable
-        Returns what this process says of itself; None from others than
-        agents.
+        Returns what this process says of itself; only agents say anything.
     """
 
     def __init__(
@@ -36,15 +61,20 @@
         inquirer: Inquirer,
         codec: FrameCodec,
         learned: Callable[[Learned], None],
-        record: Callable[[], AgentRecord | None],
+        log: Callable[[object], None],
+        record: Callable[[], AgentRecord] | None = None,
     ) -> None:
         self.inquirer = inquirer
         self.reports = 0
         self.malformed = 0
         self._codec = codec
         self._learned = learned
+        self._log = log
         self._record = record
         self._socket: DatagramSocket | None = None
+        self._refresh_at = float('-inf')
+        self._heard_at: float | None = None
+        self._is_lost = False
 
     def attach(self, socket: DatagramSocket) -> None:
         """Send through this socket from now on."""
@@ -61,22 +91,42 @@
             return False
         self.reports += 1
         now = asyncio.get_running_loop().time()
+        self._heard_at = now
         self._learned(self.inquirer.take(opened.payload, now))
         return True
 
     def tick(self, now: float) -> None:
-        """Ask whom it is time to ask."""
-        self._send(self.inquirer.due(now, self._record()))
+        """Ask whom it is time to ask; look at the agents again."""
+        self._send(self.inquirer.due(now, self._own_record()))
+        self._note_dependency(now)
+        if now >= self._refresh_at:
+            self._refresh_at = now + REFRESH_EVERY
+            changed = self.inquirer.view.refresh(now)
+            self._learned(Learned(tuple(changed), has_new_tables=False))
 
     def tell_all(self) -> None:
         """Tell every control instance at once what this process is."""
-        self._send(self.inquirer.all(self._record()))
+        self._send(self.inquirer.all(self._own_record()))
 
     def follow_seeds(self, seeds: Iterable[Address]) -> None:
         """Take the control instances that the settings name now."""
         now = asyncio.get_running_loop().time()
         self.inquirer.follow_seeds(seeds, now)
 
+    def _own_record(self) -> AgentRecord | None:
+        return None if self._record is None else self._record()
+
+    def _note_dependency(self, now: float) -> None:
+        if self._heard_at is None:
+            return
+        silent_for = now - self._heard_at
+        is_lost = silent_for > LOST_AFTER
+        if is_lost and not self._is_lost:
+            self._log(DependencyLost('control', round(silent_for, 3)))
+        elif self._is_lost and not is_lost:
+            self._log(DependencyRegained('control'))
+        self._is_lost = is_lost
+
     def _send(self, asks: Iterable[object]) -> None:
         if self._socket is None:
             return
--- /dev/null
+++ b/redwingstream/openings/tests/test_gate.py
@@ -0,0 +1,161 @@
+"""The decision whether a server is given a new flow.
+
+The figures are those of the users' deployments: a report each 1.2 s, no stated
+rate for cold servers, a factor of 1.5 and a slack of 5.
+"""
+
+import attrs
+import pytest
+
+from redwingstream.directory.messages import Readiness
+from redwingstream.openings.gate import (
+    FULL_FOR,
+    SILENT_REPORTS,
+    UNANSWERED_FOR,
+    Gate,
+    Load,
+    Surroundings,
+    Verdict,
+)
+from redwingstream.openings.pacing import WINDOW, ColdLimit
+from redwingstream.openings.reports import ServerReport
+
+INTERVAL = 1.2
+LIMIT = ColdLimit(1.5, 5)
+IDLE = Load(0, 0)
+REPORT = ServerReport('i-1', 1000, 1, 'feed', Readiness.READY, 0, 2)
+
+
+@pytest.fixture
+def gate() -> Gate:
+    """A gate that has heard its server at 10."""
+    made = Gate(LIMIT, INTERVAL, 0)
+    made.take_report(REPORT, 10)
+    return made
+
+
+class TestVerdicts:
+    """What becomes of a new flow."""
+
+    def test_taken(self, gate) -> None:
+        assert gate.judge(IDLE, 10) is Verdict.TAKE
+
+    def test_unheard(self) -> None:
+        assert Gate(LIMIT, INTERVAL, 0).judge(IDLE, 0) is Verdict.UNHEARD
+
+    def test_silent(self, gate) -> None:
+        late = 10 + INTERVAL * SILENT_REPORTS
+        assert gate.judge(IDLE, late) is Verdict.TAKE
+        assert gate.judge(IDLE, late + 0.1) is Verdict.SILENT
+
+    @pytest.mark.parametrize(
+        ('readiness', 'verdict'),
+        [
+            (Readiness.DRAINING, Verdict.DRAINING),
+            (Readiness.READY, Verdict.TAKE),
+        ],
+    )
+    def test_as_reported(self, gate, readiness, verdict) -> None:
+        gate.take_report(
+            attrs.evolve(REPORT, sequence=2, readiness=readiness), 11
+        )
+        assert gate.judge(IDLE, 11) is verdict
+
+    def test_gone(self, gate) -> None:
+        gate.state.leave('i-1')
+        assert gate.judge(IDLE, 11) is Verdict.GONE
+
+    def test_zone_out(self, gate) -> None:
+        gate.around = Surroundings(is_zone_out=True)
+        assert gate.judge(IDLE, 11) is Verdict.ZONE_OUT
+
+    def test_busy(self, gate) -> None:
+        assert gate.judge(Load(2, 2), 11) is Verdict.BUSY
+
+    def test_as_many_flows_as_it_holds(self, gate) -> None:
+        gate.around = Surroundings(max_flows=7)
+        assert gate.judge(Load(0, 6), 11) is Verdict.TAKE
+        assert gate.judge(Load(0, 7), 11) is Verdict.MAX_FLOWS
+
+    def test_full_for_a_moment(self, gate) -> None:
+        gate.note_full(11)
+        assert gate.judge(IDLE, 11) is Verdict.FULL
+        assert gate.judge(IDLE, 11 + FULL_FOR) is Verdict.TAKE
+
+    def test_not_answering(self, gate) -> None:
+        """A server that has crashed gets no more new flows.
+
+        It was given a flow and has said nothing since; its next report is not
+        due yet.
+        """
+        gate.note_opened(11)
+        late = 11 + UNANSWERED_FOR + 0.01
+        assert gate.judge(IDLE, late) is Verdict.NOT_ANSWERING
+        gate.note_answered()
+        assert gate.judge(IDLE, late) is Verdict.TAKE
+
+
+class TestColdServer:
+    """What a cold server is given."""
+
+    @pytest.mark.parametrize(('rate', 'allowed'), [(0, 5), (1, 6), (4, 11)])
+    def test_as_many_within_a_second_as_it_bears(
+        self, gate, rate, allowed
+    ) -> None:
+        gate.around = Surroundings(cold_rate=rate)
+        gate.take_report(attrs.evolve(REPORT, sequence=2, cold_for=3), 11)
+        for _ in range(allowed):
+            assert gate.judge(IDLE, 11) is Verdict.TAKE
+            gate.note_opened(11)
+            gate.note_answered()
+        assert gate.judge(IDLE, 11) is Verdict.COLD
+        assert gate.judge(IDLE, 11 + WINDOW) is Verdict.COLD
+        assert gate.judge(IDLE, 11.01 + WINDOW) is Verdict.TAKE
+
+    def test_until_it_is_warm(self, gate) -> None:
+        gate.take_report(attrs.evolve(REPORT, sequence=2, cold_for=0.5), 11)
+        assert gate.is_cold(11.4)
+        assert not gate.is_cold(11.5)
+
+    def test_in_doubt_until_its_next_report(self, gate) -> None:
+        gate.doubt_warmth(11)
+        assert gate.is_cold(12)
+        gate.take_report(attrs.evolve(REPORT, sequence=2), 12)
+        assert not gate.is_cold(12)
+
+
+class TestExpectedWait:
+    """How long a new flow would wait."""
+
+    def test_none_for_an_idle_server(self, gate) -> None:
+        assert gate.expected_wait(IDLE, 11) == 0
+
+    def test_grows_with_what_waits(self, gate) -> None:
+        waits = [gate.expected_wait(Load(some, some), 11) for some in range(6)]
+        assert waits == sorted(waits)
+        assert waits[-1] > 0
+
+    def test_until_a_cold_server_is_warm(self, gate) -> None:
+        gate.take_report(attrs.evolve(REPORT, sequence=2, cold_for=0.5), 11)
+        for _ in range(5):
+            gate.note_opened(11)
+        assert gate.expected_wait(IDLE, 11) == pytest.approx(0.5)
+
+    def test_until_a_cold_server_may_get_one_more(self, gate) -> None:
+        gate.take_report(attrs.evolve(REPORT, sequence=2, cold_for=9), 11)
+        for _ in range(5):
+            gate.note_opened(11)
+        assert gate.expected_wait(IDLE, 11) == pytest.approx(WINDOW)
+        queued = Load(0, 0, queued=5)
+        assert gate.expected_wait(queued, 11) >= 2 * WINDOW
+
+    def test_until_the_first_report(self) -> None:
+        fresh = Gate(LIMIT, INTERVAL, 0)
+        assert fresh.expected_wait(IDLE, 1) == pytest.approx(INTERVAL - 1)
+
+    def test_for_ever_when_the_server_drains(self, gate) -> None:
+        draining = attrs.evolve(
+            REPORT, sequence=2, readiness=Readiness.DRAINING
+        )
+        gate.take_report(draining, 11)
+        assert gate.expected_wait(IDLE, 11) == float('inf')
--- /dev/null
+++ b/redwingstream/openings/tests/test_reports.py
@@ -0,0 +1,63 @@
+"""Which of a server's reports counts."""
+
+import attrs
+import pytest
+
+from redwingstream.directory.messages import Readiness
+from redwingstream.openings.reports import ServerReport, ServerState
+
+FIRST = ServerReport('i-1', 1000, 5, 'feed', Readiness.READY, 0, 3)
+
+
+class TestServerState:
+    """Late reports and further runs of a server."""
+
+    @pytest.fixture
+    def state(self) -> ServerState:
+        known = ServerState()
+        known.take(FIRST, 10)
+        return known
+
+    def test_the_next_report_counts(self, state) -> None:
+        draining = attrs.evolve(FIRST, sequence=6, readiness=Readiness.DRAINING)
+        assert state.take(draining, 11)
+        assert state.readiness is Readiness.DRAINING
+
+    @pytest.mark.parametrize('sequence', [4, 5])
+    def test_a_late_one_does_not(self, state, sequence) -> None:
+        late = attrs.evolve(
+            FIRST, sequence=sequence, readiness=Readiness.DRAINING
+        )
+        assert not state.take(late, 11)
+        assert state.readiness is Readiness.READY
+
+    def test_a_later_run_begins_its_count_anew(self, state) -> None:
+        """A server that starts again under its name is heard at once.
+
+        It counts its reports from one again; taken for late ones, it would
+        get no work until its count had passed the former run's.
+        """
+        again = attrs.evolve(FIRST, born=2000, sequence=1)
+        assert state.take(again, 11)
+
+    def test_a_former_run_is_not_heard_any_more(self, state) -> None:
+        """A report of a run that has ended does not speak for the next one.
+
+        It was held up on its way, and comes after its sender has ended and
+        another run has reported at the same address.
+        """
+        state.take(attrs.evolve(FIRST, server='i-2', born=2000), 11)
+        late = attrs.evolve(FIRST, sequence=99, readiness=Readiness.DRAINING)
+        assert not state.take(late, 12)
+        assert state.readiness is Readiness.READY
+
+    def test_leaving(self, state) -> None:
+        assert state.leave('i-1')
+        assert state.readiness is Readiness.GONE
+
+    def test_another_server_cannot_leave_for_it(self, state) -> None:
+        assert not state.leave('i-9')
+        assert state.readiness is Readiness.READY
+
+    def test_nothing_is_known_before_the_first(self) -> None:
+        assert ServerState().readiness is Readiness.UNKNOWN
