Tell a flow's story from the logs; test how places change hands

redwingstream explain logs FLOW FILES: each decision in the order of time, with what its decider knew. Tests on recorded lines of three kinds of failed request.

--- /dev/null
+++ b/redwingstream/consensus/tests/test_resizing.py
@@ -0,0 +1,146 @@
+"""How a group that nobody names keeps its size."""
+
+import pytest
+
+from redwingstream.consensus.messages import VACANT
+from redwingstream.consensus.state import DEFAULT_REPLACE_AFTER
+from redwingstream.control.tests.fakes import TICK, Fleet, Node
+from redwingstream.storage.tests.fakes import FakeFolder
+
+SIZE = 3
+NAMES = ('a', 'b', 'c', 'd')
+SOON = 40
+LONG = 120
+
+
+def _counting(node: Node) -> set[str]:
+    group = node.replica.consensus.log.group
+    return {voter.name for voter in group if voter.identity != VACANT}
+
+
+def _cut(fleet: Fleet, one: str, other: str) -> None:
+    fleet.cut.update({(one, other), (other, one)})
+
+
+def _led_by(name: str, names: tuple[str, ...] = NAMES) -> Fleet:
+    """Return a fleet that a replica leads; seeds are tried in order."""
+    for seed in range(50):
+        fleet = Fleet(seed, names, SIZE).begin()
+        leader = fleet.leader()
+        if leader is not None and leader.name == name:
+            return fleet
+    raise AssertionError(f'{name} leads with no seed')
+
+
+class TestGroup:
+    """Who counts."""
+
+    def test_three_of_four_count(self) -> None:
+        fleet = Fleet(1, NAMES, SIZE).begin()
+        fleet.pass_ticks(SOON)
+        assert _counting(fleet.leader()) == {'a', 'b', 'c'}
+
+    def test_the_others_follow(self) -> None:
+        fleet = Fleet(1, NAMES, SIZE).begin()
+        fleet.pass_ticks(SOON)
+        assert len({node.packed() for node in fleet.nodes}) == 1
+
+    def test_a_group_that_is_too_small_grows(self) -> None:
+        fleet = Fleet(1, ('a', 'b', 'c', 'd', 'e'), 3).begin()
+        fleet.size = 5
+        for node in fleet.nodes:
+            node.crash()
+            node.start()
+        fleet.pass_ticks(LONG)
+        assert len(_counting(fleet.leader())) == 5
+
+
+class TestSilentReplica:
+    """A replica that is gone for good loses its place."""
+
+    def test_another_one_takes_its_place(self) -> None:
+        fleet = Fleet(1, NAMES, SIZE).begin()
+        gone = next(
+            node for node in fleet.nodes[:SIZE] if node is not fleet.leader()
+        )
+        gone.crash()
+        fleet.pass_ticks(LONG)
+        assert _counting(fleet.leader()) == set(NAMES) - {gone.name}
+
+    def test_a_restart_does_not_cost_it(self) -> None:
+        fleet = Fleet(1, NAMES, SIZE).begin()
+        restarted = next(
+            node for node in fleet.nodes[:SIZE] if node is not fleet.leader()
+        )
+        restarted.crash()
+        fleet.pass_ticks(int(DEFAULT_REPLACE_AFTER / TICK / 2))
+        restarted.start()
+        fleet.pass_ticks(LONG)
+        assert _counting(fleet.leader()) == {'a', 'b', 'c'}
+
+    def test_nobody_takes_it_while_nobody_is_there(self) -> None:
+        fleet = Fleet(1, ('a', 'b', 'c'), SIZE).begin()
+        gone = next(node for node in fleet.nodes if node is not fleet.leader())
+        gone.crash()
+        fleet.pass_ticks(LONG)
+        assert _counting(fleet.leader()) == {'a', 'b', 'c'}
+
+    def test_one_that_returns_follows(self) -> None:
+        fleet = Fleet(1, NAMES, SIZE).begin()
+        gone = next(
+            node for node in fleet.nodes[:SIZE] if node is not fleet.leader()
+        )
+        gone.crash()
+        fleet.pass_ticks(LONG)
+        gone.start()
+        fleet.pass_ticks(LONG)
+        assert len(_counting(fleet.leader())) == SIZE
+        assert len({node.packed() for node in fleet.nodes}) == 1
+
+    def test_its_place_is_vacated_before_another_one_fills_it(self) -> None:
+        """Operators lose a change when a place changes hands in one step.
+
+        The leader a has not heard c for long and is about to give its place
+        to d.  Just then it loses b as well.  Were c replaced by d at once, a
+        and d would be two of three and accept entries, while b and c, who
+        know of no change, elect another leader and accept others.
+        """
+        fleet = _led_by('a')
+        fleet.pass_ticks(SOON)
+        _cut(fleet, 'a', 'c')
+        fleet.pass_ticks(int(DEFAULT_REPLACE_AFTER / TICK) - 4)
+        assert fleet.leader().name == 'a'
+        _cut(fleet, 'a', 'b')
+        _cut(fleet, 'd', 'b')
+        _cut(fleet, 'd', 'c')
+        fleet.pass_ticks(LONG)
+        fleet.calm_down()
+        assert len({node.packed() for node in fleet.nodes}) == 1
+
+
+class TestLostDisk:
+    """A replica whose disk was lost counts again under its new identity."""
+
+    @pytest.mark.parametrize('seed', range(5))
+    def test_is_readmitted(self, seed) -> None:
+        fleet = Fleet(seed, ('a', 'b', 'c'), SIZE).begin()
+        lost = fleet.nodes[seed % SIZE]
+        lost.crash()
+        lost.folder = FakeFolder(fleet.chance)
+        lost.start()
+        fleet.pass_ticks(LONG)
+        assert fleet.all_count()
+
+
+class TestZones:
+    """A zone never holds more places than it has to."""
+
+    def test_a_crowded_zone_gives_one_up(self) -> None:
+        names = ('a', 'd', 'g', 'b')
+        fleet = Fleet(2, names, SIZE)
+        zones = [fleet.node_by_name[name].zone for name in names]
+        assert len(set(zones[:SIZE])) == 1
+        assert zones[SIZE] not in zones[:SIZE]
+        fleet.begin()
+        fleet.pass_ticks(LONG)
+        assert 'b' in _counting(fleet.leader())
--- a/redwingstream/control/replica.py
+++ b/redwingstream/control/replica.py
@@ -1,9 +1,9 @@
 """Carries out what the consensus decides: stores, sends, applies."""
 
+import logging
 from collections.abc import Callable
 
 import attrs
-from absl import logging
 
 from redwingstream.consensus.core import Consensus
 from redwingstream.consensus.events import (
@@ -27,6 +27,8 @@
 from redwingstream.tables.machine.machine import Machine, Outcome
 from redwingstream.wire import messages
 
+_logger = logging.getLogger(__name__)
+
 SNAPSHOT_EVERY = 1000
 KEPT_ENTRIES = 500
 
@@ -211,7 +213,7 @@
 
     def _stop(self, error: StorageError) -> None:
         self._stopped = True
-        logging.error('control: storage failed, this replica stops. %s', error)
+        _logger.error('control: storage failed, this replica stops. %s', error)
         self._give_up_waiters()
         self._around.failed(error)
 
--- a/redwingstream/fleet/process.py
+++ b/redwingstream/fleet/process.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import hashlib
+import logging
 import signal
 from collections.abc import AsyncIterator, Callable
 from pathlib import Path
@@ -65,6 +66,29 @@
 KEY_SIZE = 32
 """Bytes of the key of frames; BLAKE2b takes 16 to 64."""
 
+
+@event
+class LibraryLogged:
+    """A line of a library or of a module that several products share."""
+
+    logger: str
+    level: str
+    text: str
+
+
+class _ToEventLog(logging.Handler):
+    """Hands lines of the standard library's loggers to the event log."""
+
+    def __init__(self, log: EventLog) -> None:
+        super().__init__(logging.INFO)
+        self._log = log
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one line."""
+        text = record.getMessage()
+        self._log.write(LibraryLogged(record.name, record.levelname, text))
+
+
 Reader = Callable[[], Deployment]
 
 
@@ -89,6 +113,9 @@
         self.clock = loop.time
         self.started_at = loop.time()
         self.log = EventLog(deployment.node, role, loop.time, standard_output())
+        logging.basicConfig(
+            level=logging.INFO, handlers=(_ToEventLog(self.log),)
+        )
         self.codec = FrameCodec(_key(deployment))
         self.stopping = asyncio.Event()
         self._reread = reread
--- /dev/null
+++ b/redwingstream/operators/tests/test_story.py
@@ -0,0 +1,199 @@
+"""The story of a flow, from recorded lines of three kinds of failed request."""
+
+import json
+import random
+
+import pytest
+from cleo.testers.application_tester import ApplicationTester
+
+from redwingstream.errors import ResultCode
+from redwingstream.operators.story import read_lines, story_lines, story_of
+from redwingstream.operators.tool import make_application
+
+FLOW = '100.64.0.7:40001>198.18.0.1:443'
+OTHER = '100.64.0.7:40002>198.18.0.1:443'
+
+
+def _line(
+    time: float, node: str, role: str, event: str, **fields: object
+) -> str:
+    common = {'time': time, 'clock': time, 'node': node, 'role': role}
+    return json.dumps(
+        {**common, 'event': event, **fields}, separators=(',', ':')
+    )
+
+
+def _started(time: float, node: str, role: str) -> str:
+    return _line(time, node, role, 'process_started', host='10.1.0.1')
+
+
+def _tables(time: float, node: str, role: str) -> str:
+    return _line(
+        time,
+        node,
+        role,
+        'tables_changed',
+        revision=15,
+        version=32,
+        routes=3,
+        zones_out='',
+        confirmed_age=0.1,
+    )
+
+
+NEVER_OPENED = [
+    _started(1, 'front-1', 'balancer'),
+    _line(
+        2,
+        'front-1',
+        'balancer',
+        'flow_dropped',
+        flow=FLOW,
+        reason='no route, tables not confirmed',
+        revision=0,
+    ),
+    _line(
+        2.2,
+        'front-1',
+        'balancer',
+        'flow_dropped',
+        flow=FLOW,
+        reason='no route, tables not confirmed',
+        revision=0,
+        left_out_before=4,
+    ),
+]
+OPENED_THEN_SILENT = [
+    _tables(1, 'front-1', 'balancer'),
+    _tables(1, 'side-1', 'agent'),
+    _line(
+        1.5,
+        'side-1',
+        'agent',
+        'server_reported',
+        server='i-1',
+        born=1,
+        sequence=2,
+        readiness='ready',
+        cold_for=0,
+        outcome='taken',
+    ),
+    _line(
+        2,
+        'front-1',
+        'balancer',
+        'flow_sent',
+        flow=FLOW,
+        pool='feed',
+        agent='10.1.0.9:8172',
+        revision=15,
+        copy=0,
+        tried=0,
+    ),
+    _line(
+        2.001,
+        'side-1',
+        'agent',
+        'flow_opened',
+        flow=FLOW,
+        origin='10.1.0.1:7721',
+        hops=0,
+        waiting=1,
+        flows=4,
+        is_cold=False,
+    ),
+    _line(8, 'side-1', 'agent', 'flow_lost', flow=FLOW, age=5.999),
+]
+REFUSED = [
+    _line(1, 'side-1', 'agent', 'dependency_lost', dependency='control'),
+    _line(
+        2,
+        'side-1',
+        'agent',
+        'flow_passed_on',
+        flow=FLOW,
+        reason='draining',
+        target='10.2.0.9:8172',
+        hops=0,
+        waiting=0,
+    ),
+    _line(
+        2.001,
+        'side-2',
+        'agent',
+        'flow_refused',
+        flow=FLOW,
+        reason='cold',
+        revision=15,
+        visited=2,
+    ),
+]
+
+
+def _story(lines: list[str], flow: str = FLOW):
+    shuffled = list(lines)
+    random.Random(1).shuffle(shuffled)
+    return story_of(read_lines(shuffled), flow)
+
+
+class TestFailedRequests:
+    """Three kinds of failed request."""
+
+    def test_never_opened(self) -> None:
+        story = _story(NEVER_OPENED)
+        assert story.verdict == 'dropped without an answer'
+        assert story.steps[0].known == ('no tables yet',)
+        assert story.left_out == 4
+
+    def test_opened_and_went_silent(self) -> None:
+        story = _story(OPENED_THEN_SILENT)
+        assert story.verdict == 'opened, then lost by its server'
+        events = [step.line.event for step in story.steps]
+        assert events == ['flow_sent', 'flow_opened', 'flow_lost']
+        assert 'server i-1 ready, said 0.5 s before' in story.steps[1].known
+
+    def test_refused(self) -> None:
+        story = _story(REFUSED)
+        assert story.verdict == 'refused at once'
+        assert 'cold' in story.steps[-1].text
+        assert 'no control instance answered' in story.steps[0].known[0]
+
+
+class TestReading:
+    """What logs contain besides."""
+
+    def test_what_stands_in_front_is_passed_over(self) -> None:
+        lines = [f'  37.7 front-1 {line}' for line in OPENED_THEN_SILENT]
+        assert len(_story(lines).steps) == 3
+
+    @pytest.mark.parametrize(
+        'text', ['', 'Traceback', '{"time":1', '{"time":"x"}', '{"time":[]}']
+    )
+    def test_other_lines_are_passed_over(self, text) -> None:
+        assert not list(read_lines([text]))
+
+    def test_other_flows_are_left_alone(self) -> None:
+        story = _story(OPENED_THEN_SILENT, OTHER)
+        assert not story.steps
+        assert 'no line tells of this flow' in story_lines(story)[0]
+
+
+class TestCommand:
+    """`redwingstream explain logs`."""
+
+    def test_prints_the_story(self, tmp_path) -> None:
+        path = tmp_path / 'log'
+        path.write_text('\n'.join(OPENED_THEN_SILENT))
+        tester = ApplicationTester(make_application())
+        code = tester.execute(f'explain logs {FLOW} {path}')
+        assert code == ResultCode.OK
+        shown = tester.io.fetch_output()
+        assert 'opened, then lost by its server' in shown
+        assert '+6.000 s  agent side-1' in shown
+
+    def test_says_when_nothing_is_known(self, tmp_path) -> None:
+        path = tmp_path / 'log'
+        path.write_text('')
+        tester = ApplicationTester(make_application())
+        code = tester.execute(f'explain logs {FLOW} {path}')
+        assert code == ResultCode.UNKNOWN_ROW
--- a/redwingstream/operators/tool.py
+++ b/redwingstream/operators/tool.py
@@ -7,6 +7,7 @@
 
 from redwingstream.errors import ResultCode
 from redwingstream.operators.commands.explain import Explain
+from redwingstream.operators.commands.logs import ExplainLogs
 from redwingstream.operators.commands.members import (
     Drain,
     Dump,
@@ -42,6 +43,7 @@
     Status,
     Dump,
     Explain,
+    ExplainLogs,
 )
 
 
--- a/redwingstream/running.py
+++ b/redwingstream/running.py
@@ -12,6 +12,7 @@
 
 import asyncio
 import contextlib
+import logging as plain_logging
 import os
 import signal
 import sys
@@ -151,6 +152,9 @@
     """
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
+    # Modules that the platform's programs load as well use the standard
+    # library's loggers, whose lines go through the same handler.
+    plain_logging.getLogger('redwingstream').setLevel(plain_logging.INFO)
     try:
         settings = read_settings(role.settings_class, {}, os.environ)
         key = read_key_file(settings.key_file)
--- a/redwingstream/storage/store.py
+++ b/redwingstream/storage/store.py
@@ -1,11 +1,11 @@
 """Identity, term, vote, entries and snapshot of a replica."""
 
 import enum
+import logging
 from collections.abc import Callable, Iterable
 
 import attrs
 import msgspec
-from absl import logging
 
 from redwingstream.consensus.events import HardState
 from redwingstream.consensus.messages import Entry, Snapshot
@@ -20,6 +20,8 @@
     scan_file,
 )
 
+_logger = logging.getLogger(__name__)
+
 IDENTITY_FILE = 'identity'
 SNAPSHOT_FILE = 'snapshot'
 JOURNAL_FILE = 'journal'
@@ -145,7 +147,7 @@
             self._folder, IDENTITY_FILE, pack_file([identity_record])
         )
         replace_durably(self._folder, JOURNAL_FILE, pack_file([]))
-        logging.info('storage: new replica with identity %d.', identity)
+        _logger.info('storage: new replica with identity %d.', identity)
         return Loaded(identity)
 
     def _load_journal(self, loaded: Loaded) -> None:
@@ -169,7 +171,7 @@
     def _cut_tail(self, scan: Scan, size: int) -> None:
         if scan.good_size == size:
             return
-        logging.warning(
+        _logger.warning(
             'storage: cut %d damaged bytes from the end of %s.',
             size - scan.good_size,
             JOURNAL_FILE,
--- a/redwingstream/tables/machine/replacements.py
+++ b/redwingstream/tables/machine/replacements.py
@@ -6,11 +6,11 @@
 """
 
 import hashlib
+import logging
 import zlib
 
 import attrs
 import msgspec
-from absl import logging
 
 from redwingstream.tables.machine.messages import (
     MarkZone,
@@ -25,6 +25,8 @@
 from redwingstream.tables.messages import Table
 from redwingstream.tables.rows import Pool, Route, Row, ZoneMark
 
+_logger = logging.getLogger(__name__)
+
 # Bytes of a part: an entry of this size leaves room for others in one message
 # of 16 KiB between replicas.
 PART_SIZE = 12288
@@ -67,7 +69,7 @@
     if _digest(packed) == command.digest:
         _put_into_force(state, _unpack(packed))
         return
-    logging.error('tables: parts of a replacement do not fit, all dropped.')
+    _logger.error('tables: parts of a replacement do not fit, all dropped.')
 
 
 def mark_zone(state: MachineState, command: MarkZone) -> None:
