--- a/redwingstream/consensus/events.py
+++ b/redwingstream/consensus/events.py
@@ -200,3 +200,10 @@
     outgoing: list[Outgoing] = attrs.field(factory=list)
     committed: list[Entry] = attrs.field(factory=list)
     reads: list[ReadReady] = attrs.field(factory=list)
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing has to be done; most looks at timers find nothing."""
+        has_state = self.snapshot is not None or self.hard_state is not None
+        has_entries = bool(self.entries or self.committed)
+        return not (has_state or has_entries or self.outgoing or self.reads)
--- a/redwingstream/control/replica.py
+++ b/redwingstream/control/replica.py
@@ -168,6 +168,8 @@
             )
 
     def _absorb(self, effects: Effects) -> None:
+        if effects.is_empty:
+            return
         pending = self._pending
         pending.snapshot = effects.snapshot or pending.snapshot
         pending.install = effects.install or pending.install
--- a/redwingstream/directory/book.py
+++ b/redwingstream/directory/book.py
@@ -10,8 +10,11 @@
 from redwingstream.directory.messages import AgentRecord, HeardRecord, Readiness
 
 SILENT_AFTER = 1.6
-"""Seconds after which an agent counts as silent: three to four of the times
-that it lets pass before it speaks to the same control instance again."""
+"""Least time in seconds after which an agent counts as silent."""
+
+MISSED = 4
+"""Times that an agent may leave out: it speaks to each control instance again
+after a pause that it is told, 0.4 s and more."""
 
 FORGOTTEN_AFTER = 90
 """Seconds after which a silent agent is forgotten: no flow that it carried is
@@ -54,6 +57,7 @@
     def __init__(self) -> None:
         self._line_by_address: OrderedDict[int, _Line] = OrderedDict()
         self._changes = 0
+        self.silent_after: float = SILENT_AFTER
 
     def __len__(self) -> int:
         """Return the number of agents that are remembered."""
@@ -82,7 +86,7 @@
         silent = [
             line
             for line in self._line_by_address.values()
-            if not line.is_silent and now - line.heard_at > SILENT_AFTER
+            if not line.is_silent and now - line.heard_at > self.silent_after
         ]
         for lost in silent:
             lost.is_silent = True
--- a/redwingstream/directory/controls.py
+++ b/redwingstream/directory/controls.py
@@ -9,12 +9,12 @@
 from redwingstream.directory.messages import ControlHello, ReplicaName
 from redwingstream.packets.flow import Address
 
-HELLO_EVERY = 0.25
+HELLO_EVERY = 0.4
 """Seconds between two hellos to the same control instance."""
 
 RUNS_FOR = 1.6
-"""Seconds after a hello for which its sender counts as running; six of them may
-be lost."""
+"""Seconds after a hello for which its sender counts as running; three of them
+may be lost."""
 
 ASKED_FOR = 20
 """Seconds for which a control instance that is not heard any more is still sent
--- a/redwingstream/directory/inquiry.py
+++ b/redwingstream/directory/inquiry.py
@@ -133,6 +133,13 @@
                 asks.append(self._ask(address, control, record))
         return asks
 
+    def next_due(self) -> float:
+        """Return when the next inquiry is due; infinite without anybody."""
+        return min(
+            (control.due_at for control in self._control_by_address.values()),
+            default=float('inf'),
+        )
+
     def all(self, record: AgentRecord | None) -> list[Ask]:
         """Return inquiries to all control instances, due or not."""
         return [
--- a/redwingstream/fleet/agent.py
+++ b/redwingstream/fleet/agent.py
@@ -12,8 +12,8 @@
     DEFAULT_IDLE_TIMEOUT,
     Beside,
 )
-from redwingstream.fleet.following import TICK, Following
-from redwingstream.fleet.process import Process
+from redwingstream.fleet.following import Following
+from redwingstream.fleet.process import Duty, Process
 from redwingstream.fleet.reporting import Reporting
 from redwingstream.fleet.routes import (
     note_agents,
@@ -119,11 +119,9 @@
         ):
             self.outlet.attach(callers=packets, peers=packets)
             self.following.attach(inside)
-            async with self.process.running(
-                self.process.every(TICK, self.following.tick, 'following'),
-                self.process.every(
-                    HOUSEKEEPING, self._keep_house, 'housekeeping'
-                ),
+            with self.process.running(
+                Duty('following', self.following.tick),
+                Duty('housekeeping', self._keep_house),
             ):
                 yield self
 
@@ -205,5 +203,6 @@
     def _take_internal(self, datagram: bytes, source: tuple[str, int]) -> None:
         self.following.receive(datagram, source)
 
-    def _keep_house(self, now: float) -> None:
+    def _keep_house(self, now: float) -> float:
         self.carrying.tick(now)
+        return HOUSEKEEPING
--- a/redwingstream/fleet/balancer.py
+++ b/redwingstream/fleet/balancer.py
@@ -11,8 +11,8 @@
     DEFAULT_IDLE_TIMEOUT,
     Deployment,
 )
-from redwingstream.fleet.following import TICK, Following
-from redwingstream.fleet.process import Process, ProcessReady
+from redwingstream.fleet.following import Following
+from redwingstream.fleet.process import Duty, Process, ProcessReady
 from redwingstream.fleet.routes import (
     note_agents,
     note_tables,
@@ -24,7 +24,7 @@
 from redwingstream.packets.steering import Steering
 from redwingstream.wire.datagrams import open_datagrams
 
-HOUSEKEEPING = 0.1
+HOUSEKEEPING = 0.2
 """Seconds between two looks at old flows and silent agents."""
 
 UNCONFIRMED_AFTER = 2.0
@@ -93,11 +93,9 @@
         ):
             self.outlet.attach(callers=outside, peers=inside)
             self.following.attach(inside)
-            async with self.process.running(
-                self.process.every(TICK, self.following.tick, 'following'),
-                self.process.every(
-                    HOUSEKEEPING, self._keep_house, 'housekeeping'
-                ),
+            with self.process.running(
+                Duty('following', self.following.tick),
+                Duty('housekeeping', self._keep_house),
             ):
                 yield self
 
@@ -157,10 +155,11 @@
             return
         self.outlet.send_all(sending)
 
-    def _keep_house(self, now: float) -> None:
+    def _keep_house(self, now: float) -> float:
         self.outlet.send_all(self.steering.tick(now))
         view = self.following.inquirer.view
         self.steering.trust.forget(view.agent_by_address)
+        return HOUSEKEEPING
 
 
 def _port(deployment: Deployment) -> int:
--- a/redwingstream/fleet/control.py
+++ b/redwingstream/fleet/control.py
@@ -14,7 +14,7 @@
 from redwingstream.fleet.deployment import CONTROL_OFFSET
 from redwingstream.fleet.following import Following
 from redwingstream.fleet.outcomes import Waiter
-from redwingstream.fleet.process import Process
+from redwingstream.fleet.process import Duty, Process
 from redwingstream.fleet.registry import Registry, TableSource
 from redwingstream.fleet.replication import Replication
 from redwingstream.packets.events import AgentSilent
@@ -116,9 +116,7 @@
         ):
             self._socket = datagrams
             self._following.attach(datagrams)
-            async with self.process.running(
-                self.process.every(TICK, self._tick, 'control'),
-            ):
+            with self.process.running(Duty('control', self._tick)):
                 yield self
 
     async def leave(self) -> None:
@@ -136,7 +134,7 @@
         age = replica.consensus.confirmed_age(now)
         return TableSource(machine.state.revision, age, machine.update_since)
 
-    def _tick(self, now: float) -> None:
+    def _tick(self, now: float) -> float:
         self.replication.tick(self._controls.peers(now), now)
         if self.replication.replica is None:
             # Without a disk the tables come from those that have one.
@@ -149,6 +147,7 @@
         for record in self.book.notice_silence(now):
             silent = AgentSilent(text_of(record.address), record.pool)
             self.process.log.write(silent)
+        return TICK
 
     def _say_hello(self, now: float) -> None:
         hello = ControlHello(
--- a/redwingstream/fleet/following.py
+++ b/redwingstream/fleet/following.py
@@ -11,9 +11,9 @@
 from redwingstream.wire.datagrams import DatagramSocket
 from redwingstream.wire.frames import FrameCodec
 
-TICK = 0.05
-"""Seconds between two looks at what is due; a quarter of the shortest pause
-between two inquiries."""
+MIN_PAUSE = 0.02
+"""Shortest time in seconds between two looks at what is due, so that inquiries
+that are due at nearly the same time go out together."""
 
 REFRESH_EVERY = 1.0
 """Seconds between two looks at all agents, since a control instance that does
@@ -95,14 +95,22 @@
         self._learned(self.inquirer.take(opened.payload, now))
         return True
 
-    def tick(self, now: float) -> None:
-        """Ask whom it is time to ask; look at the agents again."""
+    def tick(self, now: float) -> float:
+        """Ask whom it is time to ask; look at the agents again.
+
+        Returns
+        -------
+        float
+            In how many seconds to look again.
+        """
         self._send(self.inquirer.due(now, self._own_record()))
         self._note_dependency(now)
         if now >= self._refresh_at:
             self._refresh_at = now + REFRESH_EVERY
             changed = self.inquirer.view.refresh(now)
             self._learned(Learned(tuple(changed), has_new_tables=False))
+        due_at = min(self.inquirer.next_due(), self._refresh_at)
+        return max(MIN_PAUSE, due_at - now)
 
     def tell_all(self) -> None:
         """Tell every control instance at once what this process is."""
--- a/redwingstream/fleet/process.py
+++ b/redwingstream/fleet/process.py
@@ -5,9 +5,11 @@
 import hashlib
 import logging
 import signal
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable, Iterator
 from pathlib import Path
 
+import attrs
+
 from redwingstream.eventlog.lines import EventLog, event, standard_output
 from redwingstream.fleet.deployment import Deployment
 from redwingstream.wire.frames import FrameCodec
@@ -92,6 +94,53 @@
 Reader = Callable[[], Deployment]
 
 
+@attrs.frozen
+class Duty:
+    """Something that a process does again and again.
+
+    Parameters
+    ----------
+    name : str
+        For the log, when it raises an error.
+    act : callable
+        Takes the time, returns in how many seconds it wants to be called
+        again.
+    """
+
+    name: str
+    act: Callable[[float], float]
+
+
+FAILED_PAUSE = 0.1
+"""Seconds after which a duty that has raised an error is carried out again."""
+
+
+class Timer:
+    """Carries out one duty when it is due.
+
+    A timer of the loop calls the duty itself: a task that sleeps in between
+    takes two turns of the loop for each call.
+    """
+
+    def __init__(self, process: 'Process', duty: Duty) -> None:
+        self._process = process
+        self._duty = duty
+        self._loop = asyncio.get_running_loop()
+        self._handle = self._loop.call_soon(self._run)
+
+    def cancel(self) -> None:
+        """Carry it out no more."""
+        self._handle.cancel()
+
+    def _run(self) -> None:
+        pause = FAILED_PAUSE
+        try:
+            pause = self._duty.act(self._loop.time())
+        except Exception as error:  # an error of one duty stops no other one
+            self._process.failed(self._duty.name, error)
+        self._handle = self._loop.call_later(pause, self._run)
+
+
 class Process:
     """What every role of a process has.
 
@@ -156,34 +205,23 @@
         text = f'{type(error).__name__}: {error}'
         self.log.write(UnexpectedError(where, text))
 
-    async def every(
-        self, pause: float, act: Callable[[float], None], where: str
-    ) -> None:
-        """Call something again and again; an error is written, not raised."""
-        while True:
-            try:
-                act(self.clock())
-            except Exception as error:  # noqa: BLE001 - written and gone on
-                self.failed(where, error)
-            await asyncio.sleep(pause)
-
-    @contextlib.asynccontextmanager
-    async def running(
-        self, *loops: 'asyncio.Future[None]'
-    ) -> AsyncIterator[None]:
-        """Run loops until the end of the block."""
-        tasks = [asyncio.ensure_future(loop) for loop in loops]
-        reloads = self.every(RELOAD_EVERY, lambda _: self.reload(), 'reload')
-        tasks.append(asyncio.ensure_future(reloads))
+    @contextlib.contextmanager
+    def running(self, *duties: Duty) -> Iterator[None]:
+        """Carry out duties again and again until the end of the block."""
+        reloading = Duty('reload', self._reload_later)
+        timers = [Timer(self, duty) for duty in (*duties, reloading)]
         try:
             yield
         finally:
-            await self._end(tasks)
+            self._end(timers)
+
+    def _reload_later(self, now: float) -> float:
+        self.reload()
+        return RELOAD_EVERY
 
-    async def _end(self, tasks: list['asyncio.Future[None]']) -> None:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+    def _end(self, timers: list[Timer]) -> None:
+        for timer in timers:
+            timer.cancel()
         ran_for = round(self.clock() - self.started_at, 3)
         self.log.write(ProcessStopped(ran_for))
 
--- a/redwingstream/fleet/registry.py
+++ b/redwingstream/fleet/registry.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from redwingstream.directory.book import AgentBook
+from redwingstream.directory.book import MISSED, SILENT_AFTER, AgentBook
 from redwingstream.directory.controls import Controls
 from redwingstream.directory.inquiry import pack_update
 from redwingstream.directory.messages import Inquiry, Report
@@ -12,9 +12,13 @@
 from redwingstream.tables.messages import TablesUpdate
 
 PAUSE = 0.4
-"""Seconds after which a process is to ask again.  Four control instances are
-then asked ten times a second together, and a change is in force everywhere well
-within a second."""
+"""Seconds after which a process is to ask again where four control instances
+run.  They are then asked ten times a second together, and a change is in force
+everywhere well within a second."""
+
+CONTROLS_AT_PAUSE = 4
+"""With more control instances each is asked less often, so that what a process
+spends for control does not grow with their number."""
 
 UNCONFIRMED_PAUSE = 0.1
 """Seconds after which a process is to ask again while this instance does not
@@ -114,8 +118,8 @@
         )
 
     def _pause_for(self, tables: TableSource) -> float:
-        if tables.confirmed_age > UNCONFIRMED_AGE and self._pause <= PAUSE:
-            return UNCONFIRMED_PAUSE
+        if tables.confirmed_age > UNCONFIRMED_AGE:
+            return self._pause * UNCONFIRMED_PAUSE / PAUSE
         return self._pause
 
     def _revision_age(self, revision: int, now: float) -> float:
@@ -129,7 +133,9 @@
         passed = now - self._asked_since
         if passed >= 1:
             share = self._asked / passed / MAX_INQUIRIES
-            self._pause = max(PAUSE, self._pause * share)
+            controls = len(self._controls.running(now)) / CONTROLS_AT_PAUSE
+            self._pause = max(PAUSE, PAUSE * controls, self._pause * share)
+            self._book.silent_after = max(SILENT_AFTER, MISSED * self._pause)
             self._asked = 0
             self._asked_since = now
 
--- a/redwingstream/fleet/replication.py
+++ b/redwingstream/fleet/replication.py
@@ -119,6 +119,7 @@
         self._reopen_at = process.started_at
         self._folders = contextlib.ExitStack()
         self._role = ''
+        self._peers: tuple[events.Peer, ...] = ()
 
     @property
     def name(self) -> ReplicaName | None:
@@ -138,7 +139,8 @@
         """Open the replica when it is time; let it look at its timers."""
         if self.replica is None:
             self._open(now)
-        if self.replica is not None:
+        if self.replica is not None and peers != self._peers:
+            self._peers = peers
             self.replica.step(events.PeersHeard(peers))
         if self.replica is not None:
             self.replica.step(events.Ticked())
@@ -250,6 +252,7 @@
         made = make_replica(folder, str(self._endpoint), sizing, around)
         self._identity = made.identity
         self.replica = made.replica
+        self._peers = ()
         after = round(self._process.clock() - self._process.started_at, 3)
         self._process.log.write(ProcessReady(after))
 
