--- a/redwingstream/consensus/core.py
+++ b/redwingstream/consensus/core.py
@@ -166,15 +166,20 @@
         Notes
         -----
         A leader counts from when a majority last answered, a follower from
-        when it last heard its leader.  A leader that is cut off stops leading
-        after ``Timing.election_max``, so a follower that is cut off with it
-        may name an age that is too small by so much.
+        when it last held all that its leader called accepted.  A leader that is
+        cut off stops leading after ``Timing.election_max``, so a follower that
+        is cut off with it may name an age that is too small by so much.
+
+        Neither names one before the leader knows what was accepted before its
+        term.  Right after a loss of power all replicas hold what their disks
+        held, know none of it as accepted, and would otherwise call empty tables
+        the newest: balancers refuse every route then.
         """
         match self._state.role:
-            case Leader() as leader:
+            case Leader() as leader if self.is_ready:
                 return now - hearing.confirmed_at(self._state, leader, now)
-            case Follower(leader=name, heard_at=heard_at) if name:
-                return now - heard_at
+            case Follower(current_at=current_at):
+                return now - current_at
             case _:
                 return float('inf')
 
--- a/redwingstream/consensus/following.py
+++ b/redwingstream/consensus/following.py
@@ -32,6 +32,7 @@
         _answer(state, sent, accepted=False, match=_hint(state, sent))
         return
     _take_entries(state, sent)
+    _note_current(state, sent, now)
 
 
 def on_part(state: ReplicaState, part: SnapshotPart, now: float) -> None:
@@ -79,6 +80,14 @@
     _answer(state, sent, accepted=True, match=match)
 
 
+def _note_current(state: ReplicaState, sent: AppendEntries, now: float) -> None:
+    # A leader elected just now may know less as accepted than was accepted
+    # before; it knows all once an entry of its own term is.
+    is_whole = state.commit >= sent.commit
+    if is_whole and state.log.term_at(state.commit) == state.term:
+        state.role.current_at = now
+
+
 def _without_known(
     state: ReplicaState, entries: tuple[Entry, ...]
 ) -> tuple[Entry, ...]:
--- a/redwingstream/consensus/state.py
+++ b/redwingstream/consensus/state.py
@@ -86,11 +86,15 @@
         Name of the leader; empty when unknown.
     heard_at : float
         When the leader was last heard.
+    current_at : float
+        When it last held all that its leader knew as accepted, and the leader
+        knew all that was accepted before its term.
     """
 
     deadline: float
     leader: str = ''
     heard_at: float = float('-inf')
+    current_at: float = float('-inf')
 
 
 @attrs.define
--- a/redwingstream/control/tests/test_replica.py
+++ b/redwingstream/control/tests/test_replica.py
@@ -478,3 +478,29 @@
         fleet.pass_ticks(SECOND)
         assert isinstance(answers[0], ChangeAnswer)
         assert answers[0].code == ResultCode.OK
+
+    @pytest.mark.parametrize('seed', range(5))
+    def test_nobody_takes_old_tables_for_the_newest(self, seed: int) -> None:
+        """Callers are refused routes that operators have set.
+
+        All replicas lose power after a change was accepted.  They come back
+        with what their disks hold and know none of it as accepted; a leader is
+        elected and heard before it knows.  Balancers that were told then that
+        the tables are the newest refused each route for a tenth of a second.
+        """
+        fleet = Fleet(seed).begin()
+        propose(fleet.leader())
+        fleet.pass_ticks(SECOND)
+        for node in fleet.nodes:
+            node.crash()
+        for node in fleet.nodes:
+            node.start()
+        for _ in range(3 * SECOND):
+            fleet.pass_ticks(1)
+            sure = [node for node in fleet.nodes if _is_sure(node, fleet.now)]
+            assert all(zone_is_out(node) for node in sure)
+        assert sure == fleet.nodes
+
+
+def _is_sure(node: Node, now: float) -> bool:
+    return node.replica.consensus.confirmed_age(now) < 1
--- a/redwingstream/directory/inquiry.py
+++ b/redwingstream/directory/inquiry.py
@@ -156,7 +156,6 @@
         control.boot = report.boot
         control.cursor = report.cursor
         control.due_at = now + report.pause
-        self.confirmed_at = max(self.confirmed_at, now - report.confirmed_age)
         agents = self.view.take(sender, report.boot, report.records, now)
         self.is_warm = self.is_warm or report.uptime >= WARM_AFTER
         has_new_tables = bool(report.update) and self.history.take(
@@ -164,6 +163,9 @@
         )
         if has_new_tables and self.history.tables.revision == report.revision:
             self.in_force_seconds.note(report.revision_age)
+        if self.history.tables.revision >= report.revision:
+            confirmed_at = now - report.confirmed_age
+            self.confirmed_at = max(self.confirmed_at, confirmed_at)
         return Learned(tuple(agents), has_new_tables)
 
     def _ask(
--- a/redwingstream/operators/story.py
+++ b/redwingstream/operators/story.py
@@ -152,6 +152,9 @@
         process = (line.node, line.role)
         if line.event in _BELIEF_EVENTS:
             known = known_by_process.setdefault(process, {})
+            if line.event == 'process_started':
+                # It knows nothing of what an earlier run of it knew.
+                known.clear()
             known[line.event] = line
         elif str(line.fields.get('flow', '')).startswith(flow):
             left_out += int(line.fields.get('left_out_before', 0))
@@ -239,7 +242,7 @@
     cold = f', cold for {fields["cold_for"]} s' if fields['cold_for'] else ''
     return (
         f'server {fields["server"]} {fields["readiness"]}{cold}, '
-        f'said {now - reported.time:.1f} s before'
+        f'so since {now - reported.time:.1f} s'
     )
 
 
