Do not offer new flows to agents of a zone that is out

The tables that every agent has name the zones; a test of twelve such agents and one idle server failed before.

--- a/redwingstream/openings/gate.py
+++ b/redwingstream/openings/gate.py
@@ -70,20 +70,25 @@
         New flows a second that a server of its pool bears while it is cold.
     max_flows : int
         Flows that it holds at once; 0 for no limit.
+    zones_out : frozenset of str
+        All availability zones that are out.
     """
 
     is_zone_out: bool = False
     cold_rate: float = 0
     max_flows: int = 0
+    zones_out: frozenset[str] = frozenset()
 
     @classmethod
     def of(cls, tables: Tables, pool_name: str, zone: str) -> 'Surroundings':
         """Return what tables say of a pool and a zone."""
-        is_out = tables.is_zone_out(zone)
+        zones_out = frozenset(filter(tables.is_zone_out, tables.zone_by_name))
+        around = cls(zone in zones_out, zones_out=zones_out)
         pool = tables.pool_by_name.get(pool_name)
-        if pool is None or pool.limits is None:
-            return cls(is_out)
-        return cls(is_out, pool.limits.cold_rate, pool.limits.max_flows)
+        if pool is not None and pool.limits is not None:
+            around.cold_rate = pool.limits.cold_rate
+            around.max_flows = pool.limits.max_flows
+        return around
 
 
 @attrs.frozen
--- a/redwingstream/packets/admitting.py
+++ b/redwingstream/packets/admitting.py
@@ -216,12 +216,15 @@
     def _next(self, flow: FlowId, passed: Envelope) -> Address | None:
         if passed.hops >= MAX_TRIES:
             return None
+        # An agent whose zone is out would only use up one of the few tries.
+        zones_out = self._site.gate.around.zones_out
         usable = [
             agent
             for agent in self._site.peers()
             if agent.address not in passed.visited
             and agent.readiness is Readiness.READY
             and not agent.is_silent
+            and agent.zone not in zones_out
         ]
         order = ranked(flow, usable, self._site.place.zone)
         return order[0].address if order else None
--- a/redwingstream/packets/tests/test_opening.py
+++ b/redwingstream/packets/tests/test_opening.py
@@ -190,6 +190,24 @@
         assert all(caller.accepted is not None for caller in callers)
         assert _flows_at([out, rest]) == [0, 2]
 
+    def test_uses_up_no_tries(self) -> None:
+        """New flows are refused although a server has room.
+
+        The servers of the caller's zone are busy, one zone is out, and one
+        server of a third zone is idle.  Four agents look at a new flow; did
+        those of the zone that is out count, the idle one would seldom be asked.
+        """
+        network = Network()
+        network.add_agent('10.1.0.1', 'north')
+        for number in range(12):
+            network.add_agent(f'10.2.0.{number + 1}', 'south')
+        idle = network.add_agent('10.3.0.1', 'east')
+        balancer = network.add_balancer('10.1.0.100', 'north')
+        network.mark_zone('south', out=True)
+        callers = _open_all(network, balancer, 4)
+        assert all(caller.accepted is not None for caller in callers)
+        assert _flows_at([idle]) == [2]
+
     def test_a_returned_zone_counts_as_cold(self) -> None:
         """Servers of a zone that comes back are not flooded.
 
