Remember where flows are carried for as long as they live; search whole pools

The flow was carried in another zone and went by hints, so its home saw none of its packets and forgot it after the idle time-out; then instances were added, a new balancer had no hint, a new agent was the first by rank, gave its server three packets that it could not hold, and the search ended after 16 of 48 agents. Ruled out: the agent of the flow was alive, its server ready, no link cut. Now: where a flow is carried elsewhere is remembered for the life of a flow (60 s by the settings); a search asks up to 64 agents; a server that was heard from its first report on is spared packets that its agent would know.

--- a/redwingstream/fleet/agent.py
+++ b/redwingstream/fleet/agent.py
@@ -83,7 +83,7 @@
             codec,
             self.gate,
             inquirer.view,
-            FlowBook(DEFAULT_IDLE_TIMEOUT),
+            FlowBook(DEFAULT_IDLE_TIMEOUT, deployment.flow_life),
             process.log.write,
         )
         # A flow that its server holds shows itself within the idle time-out.
--- a/redwingstream/fleet/deployment.py
+++ b/redwingstream/fleet/deployment.py
@@ -88,6 +88,8 @@
         Seconds between two reports of a server.
     grace : float
         Seconds from the request to stop until the process is killed.
+    flow_life : float
+        Seconds after which any flow may be given up.
     """
 
     node: str
@@ -104,6 +106,7 @@
     cold_limit: ColdLimit
     report_interval: float
     grace: float
+    flow_life: float
 
     @property
     def group_size(self) -> int:
--- a/redwingstream/openings/reports.py
+++ b/redwingstream/openings/reports.py
@@ -5,6 +5,10 @@
 from redwingstream.directory.messages import Readiness
 
 
+FIRST_SEQUENCE = 1
+"""Number of the first report of a run."""
+
+
 @attrs.frozen
 class ServerReport:
     """What a server said.
@@ -48,11 +52,15 @@
         When it came.
     has_left : bool
         True when the server has said that it ends.
+    is_seen_whole : bool
+        True when this run of the server began while it was listened to, so that
+        it holds no flow that it was not given since.
     """
 
     report: ServerReport | None = None
     heard_at: float = float('-inf')
     has_left: bool = False
+    is_seen_whole: bool = False
 
     def take(self, report: ServerReport, now: float) -> bool:
         """Take a report unless it is a late one; return whether it was taken.
@@ -68,6 +76,10 @@
         known = self.report
         if known is not None and _order(report) <= _order(known):
             return False
+        if known is None:
+            self.is_seen_whole = report.sequence <= FIRST_SEQUENCE
+        elif known.born != report.born:
+            self.is_seen_whole = True
         self.report = report
         self.heard_at = now
         self.has_left = False
--- a/redwingstream/packets/choosing.py
+++ b/redwingstream/packets/choosing.py
@@ -9,8 +9,7 @@
 from redwingstream.tables.snapshot import Tables
 
 MAX_NAMED = 8
-"""Doubted agents that an opening packet names; half of the agents that it has
-room for."""
+"""Doubted agents that an opening packet names; twice as many as look at it."""
 
 _WANTED = 0
 _PASSES_ON = 1
--- a/redwingstream/packets/envelopes.py
+++ b/redwingstream/packets/envelopes.py
@@ -20,9 +20,10 @@
 from redwingstream.packets.flow import NO_ADDRESS, Address
 
 MAGIC = 0x52
-MAX_VISITED = 16
-"""Agents that one packet may visit; a pool's flows are found in fewer hops
-unless as many agents joined it within one flow's life."""
+MAX_VISITED = 64
+"""Agents that one packet may visit.  The second one usually knows; only after
+the loss of its memory as well the others are asked in turn, a millisecond each,
+and a pool of 48 servers was left unsearched by 16."""
 
 OFFER_UNIT = 0.005
 """Seconds in which an envelope names an expected wait."""
--- a/redwingstream/packets/flowbook.py
+++ b/redwingstream/packets/flowbook.py
@@ -15,6 +15,10 @@
 """Flows of which this agent knows where else they are carried; losing one
 costs a search."""
 
+DEFAULT_FLOW_LIFE = 60.0
+"""Seconds after which a flow may be given up, where nobody says otherwise: the
+users' figure."""
+
 WAITING_SECONDS = 1.5
 """After so long a request that the server has not begun to answer does not
 count as load any more: it was lost, or the server has given it up.  Under
@@ -84,15 +88,22 @@
     ----------
     idle_timeout : float
         Seconds after which a flow without packets is forgotten.
+    flow_life : float
+        Seconds after which any flow may be given up.  For so long it is
+        remembered where else a flow is carried: its packets pass by hints of
+        the balancers, so nothing is seen of it here, and when the balancers
+        change, this is what finds it.
     """
 
-    def __init__(self, idle_timeout: float) -> None:
+    def __init__(
+        self, idle_timeout: float, flow_life: float = DEFAULT_FLOW_LIFE
+    ) -> None:
         self.waiting = 0
         self._carried: BoundedTable[FlowId, Carried] = BoundedTable(
             MAX_FLOWS, idle_timeout
         )
         self._elsewhere: BoundedTable[FlowId, Address] = BoundedTable(
-            MAX_ELSEWHERE, idle_timeout
+            MAX_ELSEWHERE, flow_life
         )
 
     @property
@@ -103,7 +114,6 @@
     def keep_for(self, idle_timeout: float) -> None:
         """Go by another time-out from now on."""
         self._carried.age = idle_timeout
-        self._elsewhere.age = idle_timeout
 
     def carried(self, flow: FlowId, now: float) -> Carried | None:
         """Return a flow of this server; None when it is not known as such."""
--- a/redwingstream/packets/searching.py
+++ b/redwingstream/packets/searching.py
@@ -60,7 +60,9 @@
         known = site.flows.elsewhere(head.inbound, now)
         if known is not None and known not in envelope.visited:
             return [peer_datagram(self._visited(envelope), known)]
-        if now >= self._knows_all_from:
+        if site.gate.state.is_seen_whole or now >= self._knows_all_from:
+            # The server cannot hold it, so its packets are spared.  To have
+            # them handed back one by one would look like a flow sent astray.
             return self._search_on(envelope, head)
         return [ToServer(self._with_ticket(envelope, now))]
 
