Give a server one packet at most of a flow that it does not hold

What one packet has shown holds for the flow's life. A test of five packets failed before (five were handed back).

--- a/redwingstream/packets/searching.py
+++ b/redwingstream/packets/searching.py
@@ -16,7 +16,7 @@
     Envelope,
     Kind,
 )
-from redwingstream.packets.flow import Head, flow_text, text_of
+from redwingstream.packets.flow import FlowId, Head, flow_text, text_of
 from redwingstream.packets.flowbook import Carried, Standing
 from redwingstream.packets.ranking import ranked
 from redwingstream.packets.site import Site, peer_datagram
@@ -27,6 +27,13 @@
 TICKET_SECONDS = 1
 """The server hands a packet back within a millisecond."""
 
+MAX_NOT_HELD = 8192
+"""Flows of which it is remembered that the server does not hold them."""
+
+NOT_HELD_SECONDS = 60
+"""No flow lives longer; one that the server is given later is known as its
+own."""
+
 _TICKET_MASK = 0xFFFFFFFF
 
 
@@ -48,6 +55,9 @@
         self._searched: BoundedTable[int, Envelope] = BoundedTable(
             MAX_TICKETS, TICKET_SECONDS
         )
+        self._not_held: BoundedTable[FlowId, bool] = BoundedTable(
+            MAX_NOT_HELD, NOT_HELD_SECONDS
+        )
         self._ticket = 0
 
     def take(self, envelope: Envelope, now: float) -> list[Sending]:
@@ -60,9 +70,9 @@
         known = site.flows.elsewhere(head.inbound, now)
         if known is not None and known not in envelope.visited:
             return [peer_datagram(self._visited(envelope), known)]
-        if site.gate.state.is_seen_whole or now >= self._knows_all_from:
-            # The server cannot hold it, so its packets are spared.  To have
-            # them handed back one by one would look like a flow sent astray.
+        if self._cannot_be_here(head, now):
+            # The server is spared the packets of a flow that it cannot hold: to
+            # have them handed back one by one is a flow sent astray.
             return self._search_on(envelope, head)
         return [ToServer(self._with_ticket(envelope, now))]
 
@@ -77,6 +87,7 @@
         if carried is not None:
             # The caller has acknowledged another server's answer.
             site.flows.forget(carried)
+        self._not_held.put(head.inbound, row=True, now=now)
         if searched is None:
             return site.refusing.drop(head, 'handed back without a search')
         return self._search_on(searched, head)
@@ -84,6 +95,12 @@
     def forget_old(self, now: float) -> None:
         """Forget packets that the server has not handed back."""
         self._searched.forget_old(now)
+        self._not_held.forget_old(now)
+
+    def _cannot_be_here(self, head: Head, now: float) -> bool:
+        if self._site.gate.state.is_seen_whole or now >= self._knows_all_from:
+            return True
+        return self._not_held.get(head.inbound, now) is not None
 
     def _deliver(
         self, envelope: Envelope, carried: Carried, head: Head, now: float
--- a/redwingstream/packets/tests/test_searching.py
+++ b/redwingstream/packets/tests/test_searching.py
@@ -83,6 +83,28 @@
         assert carrier.server.open_flows
         assert not any(counters.handed_back for counters in handed)
 
+    def test_one_packet_shows_that_a_server_does_not_hold_it(self) -> None:
+        """A server is given packet after packet of a flow that is gone.
+
+        The home's agent was restarted and does not know what its server holds.
+        The first packet is handed back, and the caller sends more of them.
+        """
+        network = Network()
+        carrier = network.add_agent('10.1.0.1')
+        balancer = network.add_balancer('10.1.0.100')
+        caller = Caller(network, '100.64.0.1', 1000).open(balancer)
+        network.run(1)
+        carrier.server.restart()
+        carrier.start()
+        carrier.report()
+        balancer.start()
+        network.make_known()
+        for _ in range(5):
+            network.run(1.1)
+            caller.ask(balancer)
+        network.run(1)
+        assert carrier.site.counters.handed_back == 1
+
 
 class TestForgottenFlow:
     """Neither a balancer nor the home knows where a flow is."""
