--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 
 DELAY_SECONDS = 0.6
 CHUNK = 65536
@@ -26,6 +26,7 @@
         self._host = host
         self._target = target
         self._port = port
+        self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     @contextlib.asynccontextmanager
@@ -36,36 +37,44 @@
         )
         async with server:
             yield
-            for task in self._tasks:
-                task.cancel()
+            for writer in self._writers:
+                writer.transport.abort()
+            await asyncio.gather(*self._tasks)
 
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        task = asyncio.current_task()
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
         if self.how == 'reset':
             writer.transport.abort()
             return
-        if self.how == 'delay':
-            await asyncio.sleep(DELAY_SECONDS)
-        with contextlib.closing(writer):
-            with contextlib.suppress(OSError):
-                await self._pass_on(reader, writer)
+        task = asyncio.create_task(self._pass_on(reader, writer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     async def _pass_on(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        there, back = await asyncio.open_connection(self._target, self._port)
-        with contextlib.closing(back):
-            sending = asyncio.create_task(
-                self._pump(reader, back, {'silent'}),
+        if self.how == 'delay':
+            await asyncio.sleep(DELAY_SECONDS)
+        # Either end may reset at any moment, which is what this is for.
+        with contextlib.suppress(OSError), self._kept(writer):
+            there, back = await asyncio.open_connection(
+                self._target, self._port
             )
-            self._tasks.add(sending)
-            sending.add_done_callback(self._tasks.discard)
-            await self._pump(there, writer, {'silent', 'answers_lost'})
-            sending.cancel()
+            with self._kept(back):
+                await asyncio.gather(
+                    self._pump(reader, back, {'silent'}),
+                    self._pump(there, writer, {'silent', 'answers_lost'}),
+                )
+
+    @contextlib.contextmanager
+    def _kept(self, writer: asyncio.StreamWriter) -> Iterator[None]:
+        self._writers.add(writer)
+        try:
+            yield
+        finally:
+            self._writers.discard(writer)
+            writer.close()
 
     async def _pump(
         self,
@@ -77,3 +86,4 @@
             if self.how not in swallowed_when:
                 writer.write(chunk)
                 await writer.drain()
+        writer.close()
