--- a/soak/inject.py
+++ b/soak/inject.py
@@ -16,6 +16,9 @@
 STOP_SECONDS = 8.0
 """A process that was asked to stop has ended by then; its grace is 6 s."""
 
+START_SECONDS = 3.0
+"""A process that has just been started may end before it takes signals."""
+
 ZONE_OUT_SECONDS = 5.0
 """A zone stays out for so much longer, so that the promise can be looked at."""
 
@@ -63,6 +66,7 @@
         self._site = site
         self._proxies = tuple(proxies)
         self._busy: set[str] = set()
+        self._up_by: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     @contextlib.asynccontextmanager
@@ -89,10 +93,8 @@
             case plan.KillAll(lasts=lasts):
                 with self._lasting('all killed', self.spans.disturbed):
                     await self._kill_all(lasts)
-            case plan.RestartServer(server=number):
-                self._site.servers[number].restart()
-            case plan.DrainServer(server=number, lasts=lasts):
-                await self._drain(self._site.servers[number], lasts)
+            case plan.RestartServer() | plan.DrainServer():
+                await self._strike_server(fault)
             case plan.TakeZoneOut(zone=name, lasts=lasts):
                 await self._take_out(name, lasts)
             case plan.DisturbCalls(how=how, lasts=lasts):
@@ -108,6 +110,16 @@
         yield
         span.ended_at = time.monotonic()
 
+    async def _strike_server(
+        self, fault: plan.RestartServer | plan.DrainServer
+    ) -> None:
+        server = self._site.servers[fault.server]
+        match fault:
+            case plan.RestartServer():
+                await _begin_anew(server)
+            case plan.DrainServer(lasts=lasts):
+                await self._drain(server, lasts)
+
     async def _strike_process(
         self, fault: plan.Kill | plan.Pause | plan.Stop | plan.LoseDisk
     ) -> None:
@@ -123,9 +135,7 @@
                 await asyncio.sleep(lasts)
                 self._site.thaw(name)
             case plan.Stop():
-                code = await self._site.terminate(name, STOP_SECONDS)
-                self.exit_codes.append((name, code))
-                await self._site.restart(name)
+                await self._stop(name)
             case plan.LoseDisk(lasts=lasts):
                 await self._lose_disk(name, lasts)
         self._busy.discard(name)
@@ -134,7 +144,18 @@
         await self._site.kill(*names)
         await asyncio.sleep(lasts)
         for name in names:
-            await self._site.restart(name)
+            await self._restart(name)
+
+    async def _stop(self, name: str) -> None:
+        is_up = time.monotonic() > self._up_by.get(name, 0)
+        code = await self._site.terminate(name, STOP_SECONDS)
+        if is_up:
+            self.exit_codes.append((name, code))
+        await self._restart(name)
+
+    async def _restart(self, name: str) -> None:
+        self._up_by[name] = time.monotonic() + START_SECONDS
+        await self._site.restart(name)
 
     async def _kill_all(self, lasts: float) -> None:
         names = set(self._site.fleet.process_by_name) - self._busy
@@ -151,7 +172,7 @@
         await self._site.kill(name)
         shutil.rmtree(self._site.disk(machine), ignore_errors=True)
         await asyncio.sleep(lasts)
-        await self._site.restart(name)
+        await self._restart(name)
 
     async def _drain(self, server: PacketServer, lasts: float) -> None:
         name = server.name
@@ -162,7 +183,7 @@
         if server.name == name:
             # It leaves; another run of it comes at its address.
             await server.leave()
-            server.restart()
+            await _begin_anew(server)
 
     async def _take_out(self, name: str, lasts: float) -> None:
         if name in self._busy:
@@ -181,3 +202,8 @@
         await asyncio.sleep(lasts)
         for undisturbed in self._proxies:
             undisturbed.how = ''
+
+
+async def _begin_anew(server: PacketServer) -> None:
+    server.restart()
+    await server.report()
--- a/soak/load.py
+++ b/soak/load.py
@@ -29,6 +29,9 @@
 RETRY_PAUSE = 0.2
 """Seconds until a caller whose flow did not open tries again."""
 
+CLIENT_ERROR = 4
+"""Hundreds of the status with which a call is refused for good."""
+
 CALL_LIMIT = 5.0
 """Seconds for which the operator tries to have a change acknowledged."""
 
@@ -95,7 +98,7 @@
         )
         if answer.status == 200:
             seen.acknowledged = version
-        elif answer.status:
+        elif answer.status // 100 == CLIENT_ERROR:
             seen.older_reads.append(f'{version} refused: {answer.status}')
         await read_back(site, seen, CALL_LIMIT)
         await asyncio.sleep(CHANGE_PAUSE)
