Reserve the network of each group of test processes

Traced by starting groups of three in two loops at once: of 80 groups one got no leader, and all its processes had ended with 'UDP endpoint 127.191.1.1:7000 cannot be bound: Address already in use'. A network is kept now by a socket that only one process can bind.

--- a/processes/cluster.py
+++ b/processes/cluster.py
@@ -4,10 +4,15 @@
 import contextlib
 import json
 import pathlib
-import random
 import signal
 import sys
-from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from collections.abc import (
+    AsyncIterator,
+    Awaitable,
+    Callable,
+    Iterator,
+    Mapping,
+)
 from typing import Any
 
 import aiocoap
@@ -44,6 +49,7 @@
 from redwingstream.tables.snapshot import Tables
 from redwingstream.wire.calls import MAX_CALL_SIZE, CallClient
 from redwingstream.wire.frames import FrameCodec
+from standins.networks import reserved_network
 
 # The demonstration uses 127.20 to 127.59.
 NETWORKS = range(60, 250)
@@ -279,17 +285,17 @@
     return CallClient(FrameCodec(read_key_file(layout.key_file), MAX_CALL_SIZE))
 
 
-def make_layout(folder: pathlib.Path, servers: tuple[Server, ...]) -> Layout:
-    """Return a layout in a free network drawn at random.
+@contextlib.contextmanager
+def make_layout(
+    folder: pathlib.Path, servers: tuple[Server, ...]
+) -> Iterator[Layout]:
+    """Give a layout in a free network that is kept until the end."""
 
-    Runs beside each other would find the same first free network while none of
-    them has bound its ports yet.
-    """
-    for network in random.SystemRandom().sample(NETWORKS, len(NETWORKS)):
-        layout = Layout(network, folder, servers)
-        if is_free(layout):
-            return layout
-    raise OSError('no network is free')
+    def is_usable(network: int) -> bool:
+        return is_free(Layout(network, folder, servers))
+
+    with reserved_network(NETWORKS, is_usable) as network:
+        yield Layout(network, folder, servers)
 
 
 @contextlib.asynccontextmanager
@@ -304,19 +310,24 @@
     At the end every process is killed by its id: what a graceful stop does has
     tests of its own.
     """
-    layout = make_layout(folder, servers)
+    with make_layout(folder, servers) as layout:
+        with _opened(layout, flags or {}) as cluster:
+            try:
+                await _bring_up(cluster, BALANCERS[:balancers])
+                yield cluster
+            finally:
+                await cluster.kill(*_running(cluster.fleet))
+
+
+@contextlib.contextmanager
+def _opened(layout: Layout, flags: Flags) -> Iterator[Cluster]:
+    """Open the sockets of callers and operators."""
     write_key(layout.key_file)
     controls = [layout.control_at(number) for number in (1, 2, 3)]
-    fleet = Fleet(folder)
     callers = Callers(layout, LIMIT)
     with make_calls(layout).opened() as calls, callers.open():
         client = ControlClient(calls, controls, CALL_TIMEOUT)
-        cluster = Cluster(layout, fleet, callers, client, flags or {})
-        try:
-            await _bring_up(cluster, BALANCERS[:balancers])
-            yield cluster
-        finally:
-            await cluster.kill(*_running(fleet))
+        yield Cluster(layout, Fleet(layout.folder), callers, client, flags)
 
 
 def _running(fleet: Fleet) -> list[str]:
--- a/processes/test_starts.py
+++ b/processes/test_starts.py
@@ -14,9 +14,9 @@
 @pytest.fixture
 def layout(tmp_path):
     """Free addresses and a key file."""
-    made = make_layout(tmp_path, ())
-    write_key(made.key_file)
-    return made
+    with make_layout(tmp_path, ()) as made:
+        write_key(made.key_file)
+        yield made
 
 
 async def _run(command: list[str]) -> tuple[int, str]:
--- a/standins/packets/site.py
+++ b/standins/packets/site.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import random
 import signal
 import socket
 import sys
@@ -12,6 +11,7 @@
 import attrs
 
 from demo.processes import Fleet
+from standins.networks import reserved_network
 from standins.packets.callers import CallerSite, Router
 from standins.packets.operators import PacketOperator
 from standins.packets.servers import PacketServer, Run
@@ -24,7 +24,6 @@
 FRONT_MACHINES = 10
 SERVER_MACHINES = 40
 CALLERS = 100
-RESERVING = 254
 
 
 @attrs.frozen
@@ -181,7 +180,7 @@
     Every process is killed by its id at the end.
     """
     async with contextlib.AsyncExitStack() as stack:
-        network = stack.enter_context(_reserved_network())
+        network = stack.enter_context(reserved_network(NETWORKS, _is_free))
         site = PacketSite(folder, network, plan or Plan())
         stack.push_async_callback(_kill_all, site)
         await site.start_all()
@@ -206,25 +205,10 @@
     await site.kill(*names)
 
 
-@contextlib.contextmanager
-def _reserved_network() -> Iterator[int]:
-    """Keep a network for one site.
-
-    Two sites that start beside each other and only looked for a free network
-    would both take the same one, and their processes find their ports taken.
-    """
-    networks = random.SystemRandom().sample(NETWORKS, len(NETWORKS))
-    for network in networks:
-        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
-            if _can_bind(sock, f'127.{network}.255.{RESERVING}'):
-                yield network
-                return
-    raise OSError(f'all networks 127.{NETWORKS[0]} to 127.{NETWORKS[-1]} taken')
-
-
-def _can_bind(sock: socket.socket, host: str) -> bool:
-    try:
-        sock.bind((host, PACKET_PORT))
-    except OSError:
-        return False
+def _is_free(network: int) -> bool:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        try:
+            sock.bind((f'127.{network}.1.{FRONT_MACHINES}', PACKET_PORT))
+        except OSError:
+            return False
     return True
