--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -23,10 +23,13 @@
         print(  # noqa: WPS421 - the command's output
             f'seed {seed}: {outcome.faults} faults, {outcome.served} served, '
             f'not served {outcome.failures_by_reason}, '
-            f'broken {list(outcome.broken)}',
+            f'broken {list(outcome.broken)}, late by '
+            f'{outcome.longest_lag} s at most',
             flush=True,
         )
-        failed += bool(outcome.broken)
+        if outcome.broken:
+            failed += 1
+            print(f'kept: {outcome.folder}', flush=True)  # noqa: WPS421
     return int(failed > 0)
 
 
--- a/soak/load.py
+++ b/soak/load.py
@@ -61,6 +61,9 @@
         Newest version that was acknowledged.
     older_reads : list of str
         Reads that showed less than had been acknowledged before.
+    longest_lag : float
+        Seconds by which this process itself was late at most.  Where it is
+        large, the machine was starved, and what was missed says little.
     """
 
     served_at: list[float] = attrs.field(factory=list)
@@ -68,6 +71,7 @@
     broken: list[BrokenFlow] = attrs.field(factory=list)
     acknowledged: int = 0
     older_reads: list[str] = attrs.field(factory=list)
+    longest_lag: float = 0
 
     def fail(self, reason: str) -> None:
         """Count a failed request."""
@@ -83,6 +87,7 @@
         for number, caller in enumerate(site.callers)
         for keep in (_keep_feed, _keep_reporting)
     ]
+    tasks.append(asyncio.create_task(_keep_time(seen)))
     try:
         yield
     finally:
@@ -116,6 +121,13 @@
     return True
 
 
+async def _keep_time(seen: Seen) -> None:
+    while True:
+        due_at = time.monotonic() + ASK_PAUSE
+        await asyncio.sleep(ASK_PAUSE)
+        seen.longest_lag = max(seen.longest_lag, time.monotonic() - due_at)
+
+
 async def _keep_feed(caller: CallerSite, name: str, seen: Seen) -> None:
     """Keep one flow open for many requests."""
     numbers = itertools.count()
--- a/soak/run.py
+++ b/soak/run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import shutil
 import tempfile
 import time
 from collections.abc import AsyncIterator
@@ -46,12 +47,18 @@
         Requests that were not.
     broken : tuple of Broken
         Promises that did not hold.
+    longest_lag : float
+        Seconds by which the soak itself was late at most.
+    folder : Path
+        Settings, disks and logs.
     """
 
     faults: int
     served: int
     failures_by_reason: dict[str, int]
     broken: tuple[Broken, ...]
+    longest_lag: float
+    folder: Path
 
 
 async def soak(seed: int, seconds: float, folder: Path) -> Outcome:
@@ -79,8 +86,14 @@
             *await _not_recovered(site, seen),
             *_ended_badly(injector),
         )
-        served = len(seen.served_at)
-        return Outcome(len(plan), served, seen.failures_by_reason, broken)
+        return Outcome(
+            len(plan),
+            len(seen.served_at),
+            seen.failures_by_reason,
+            broken,
+            round(seen.longest_lag, 3),
+            folder,
+        )
 
 
 async def _begun(site: PacketSite) -> Seen:
@@ -149,9 +162,10 @@
     ]
 
 
-def run(seed: int, seconds: float, folder: Path | None = None) -> Outcome:
-    """Run the soak in a folder, or in a new one that is kept on a fault."""
-    if folder is not None:
-        return asyncio.run(soak(seed, seconds, folder))
-    made = Path(tempfile.mkdtemp(prefix='redwingstream-soak-'))
-    return asyncio.run(soak(seed, seconds, made))
+def run(seed: int, seconds: float) -> Outcome:
+    """Run the soak in a folder of its own, which is kept when it failed."""
+    folder = Path(tempfile.mkdtemp(prefix='redwingstream-soak-'))
+    outcome = asyncio.run(soak(seed, seconds, folder))
+    if not outcome.broken:
+        shutil.rmtree(folder, ignore_errors=True)
+    return outcome
