--- a/soak/promises.py
+++ b/soak/promises.py
@@ -11,6 +11,8 @@
 from standins.packets.site import PacketSite
 
 COLD_WITHIN = 1.0
+"""Seconds over which new flows of a cold server are counted."""
+
 COLD_FLOWS = 5
 """New flows that a cold server bears within any second: the slack that the
 site's settings name."""
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -5,7 +5,10 @@
 from collections.abc import AsyncIterator, Iterator
 
 DELAY_SECONDS = 0.6
+"""More than half of the second for which a call waits."""
+
 CHUNK = 65536
+"""Bytes that are passed on at a time."""
 
 
 class Proxy:
--- a/standins/networks.py
+++ b/standins/networks.py
@@ -7,6 +7,7 @@
 
 RESERVING_HOST = '255.254'
 RESERVING_PORT = 8999
+"""Where no process of any site listens."""
 
 
 @contextlib.contextmanager
