--- a/soak/run.py
+++ b/soak/run.py
@@ -26,8 +26,8 @@
 from standins.packets.site import PacketSite, Plan, running_site
 
 START_SECONDS = 40
-"""Seconds within which the first configuration is acknowledged; a group forms in
-two, and a machine under load starts 12 processes in ten."""
+"""Seconds within which the first configuration is acknowledged; a group forms
+in two, and a machine under load starts 12 processes in ten."""
 
 PROXIES = 200
 """Last number of the first proxy's address."""
