--- a/redwingstream/eventlog/lines.py
+++ b/redwingstream/eventlog/lines.py
@@ -7,7 +7,6 @@
 """
 
 import functools
-import os
 import re
 import sys
 import time
@@ -17,6 +16,8 @@
 import attrs
 import msgspec
 
+from redwingstream.eventlog.outputs import Sink
+
 LINES_A_SECOND = 20
 """Lines of one kind that are written within a second; the rest is counted.
 With 25 kinds of events a process then writes 500 lines a second at most, which
@@ -27,11 +28,8 @@
 the methods for that a class takes 0.5 ms to make instead of 1.1 ms, and a
 process makes about 25 of them while callers wait for it to start."""
 
-_STDOUT = 1
 _WORD_START = re.compile('(?<=[a-z0-9])(?=[A-Z])')
 
-Sink = Callable[[bytes], bool]
-
 
 @attrs.define
 class _Budget:
@@ -132,20 +130,6 @@
         return name
 
 
-def standard_output() -> Sink:
-    """Return a sink that writes to standard output and never waits."""
-    os.set_blocking(_STDOUT, False)
-
-    def put(line: bytes) -> bool:
-        try:
-            return os.write(_STDOUT, line) == len(line)
-        except OSError:
-            # Nobody reads, or the reader is gone; the log counts it.
-            return False
-
-    return put
-
-
 def write_failure(text: str) -> None:
     """Write the reason why a process cannot start, before it has a log."""
     line = msgspec.json.encode({'event': 'not_started', 'reason': text})
--- a/redwingstream/fleet/observed/common.py
+++ b/redwingstream/fleet/observed/common.py
@@ -4,11 +4,12 @@
 from collections.abc import Iterable, Iterator
 
 from redwingstream.directory.inquiry import Inquirer
-from redwingstream.eventlog.lines import EventLog
+from redwingstream.fleet.process import Process
 from redwingstream.httpd.server import HttpServer
 from redwingstream.telemetry.families import (
     AGENTS,
     CALLS,
+    DELAYS,
     IN_FORCE_SECONDS,
     LOG_LINES,
     TABLES,
@@ -18,10 +19,11 @@
 
 
 def process_samples(
-    log: EventLog, servers: Iterable[HttpServer]
+    process: Process, servers: Iterable[HttpServer]
 ) -> Iterator[Sample]:
     """Return what every process shows."""
-    yield counted(LOG_LINES, log.counters)
+    yield counted(LOG_LINES, process.log.counters)
+    yield Sample(DELAYS, {'process': process.delay_watch.delays})
     calls: Counter[str] = Counter()
     for server in servers:
         calls.update(counted(CALLS, server.counters).level_by_label)
--- a/redwingstream/fleet/process.py
+++ b/redwingstream/fleet/process.py
@@ -10,7 +10,9 @@
 
 import attrs
 
-from redwingstream.eventlog.lines import EventLog, event, standard_output
+from redwingstream.eventlog.lines import EventLog, event
+from redwingstream.eventlog.outputs import standard_output
+from redwingstream.fleet.delays import DelayWatch
 from redwingstream.fleet.deployment import Deployment
 from redwingstream.wire.frames import FrameCodec
 
@@ -165,6 +167,7 @@
         logging.basicConfig(
             level=logging.INFO, handlers=(_ToEventLog(self.log),)
         )
+        self.delay_watch = DelayWatch(self.log.write)
         self.codec = FrameCodec(_key(deployment))
         self.stopping = asyncio.Event()
         self._reread = reread
@@ -208,8 +211,11 @@
     @contextlib.contextmanager
     def running(self, *duties: Duty) -> Iterator[None]:
         """Carry out duties again and again until the end of the block."""
-        reloading = Duty('reload', self._reload_later)
-        timers = [Timer(self, duty) for duty in (*duties, reloading)]
+        own = (
+            Duty('reload', self._reload_later),
+            Duty('delay', self.delay_watch.look),
+        )
+        timers = [Timer(self, duty) for duty in (*duties, *own)]
         try:
             yield
         finally:
--- a/redwingstream/telemetry/families.py
+++ b/redwingstream/telemetry/families.py
@@ -103,6 +103,11 @@
     'last accepted index, replicas that count, seconds since its log was last '
     'known to be the newest.',
 )
+DELAYS = Family(
+    'delays',
+    Kind.COUNTER,
+    'Pauses of more than half a second in which this process did not run.',
+)
 CALLS = Family(
     'calls',
     Kind.COUNTER,
@@ -135,6 +140,7 @@
     PACKETS,
     REFUSALS,
     LOG_LINES,
+    DELAYS,
     CALLS,
     FLOWS,
     TABLES,
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -24,7 +24,8 @@
             f'seed {seed}: {outcome.faults} faults, {outcome.served} served, '
             f'not served {outcome.failures_by_reason}, '
             f'broken {list(outcome.broken)}, late by '
-            f'{outcome.longest_lag} s at most',
+            f'{outcome.longest_lag} s at most, the programs in the calm by '
+            f'{outcome.longest_delay} s',
             flush=True,
         )
         if outcome.broken:
--- a/soak/load.py
+++ b/soak/load.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from soak.running import RunningTime
 from standins.packets.callers import CallerFlow, CallerSite, FlowEndedError
 from standins.packets.header import End
 from standins.packets.operators import RouteText, document
@@ -51,8 +52,10 @@
 
     Parameters
     ----------
+    running : RunningTime
+        Time for which the callers ran.
     served_at : list of float
-        When requests were answered.
+        When requests were answered, by that time.
     failures_by_reason : dict
         How many requests failed, and how.
     broken : list of BrokenFlow
@@ -61,17 +64,14 @@
         Newest version that was acknowledged.
     older_reads : list of str
         Reads that showed less than had been acknowledged before.
-    longest_lag : float
-        Seconds by which this process itself was late at most.  Where it is
-        large, the machine was starved, and what was missed says little.
     """
 
+    running: RunningTime = attrs.field(factory=RunningTime)
     served_at: list[float] = attrs.field(factory=list)
     failures_by_reason: dict[str, int] = attrs.field(factory=dict)
     broken: list[BrokenFlow] = attrs.field(factory=list)
     acknowledged: int = 0
     older_reads: list[str] = attrs.field(factory=list)
-    longest_lag: float = 0
 
     def fail(self, reason: str) -> None:
         """Count a failed request."""
@@ -87,7 +87,6 @@
         for number, caller in enumerate(site.callers)
         for keep in (_keep_feed, _keep_reporting)
     ]
-    tasks.append(asyncio.create_task(_keep_time(seen)))
     try:
         yield
     finally:
@@ -121,13 +120,6 @@
     return True
 
 
-async def _keep_time(seen: Seen) -> None:
-    while True:
-        due_at = time.monotonic() + ASK_PAUSE
-        await asyncio.sleep(ASK_PAUSE)
-        seen.longest_lag = max(seen.longest_lag, time.monotonic() - due_at)
-
-
 async def _keep_feed(caller: CallerSite, name: str, seen: Seen) -> None:
     """Keep one flow open for many requests."""
     numbers = itertools.count()
@@ -172,5 +164,5 @@
     except FlowEndedError as error:
         seen.fail(str(error))
         return ''
-    seen.served_at.append(time.monotonic())
+    seen.served_at.append(seen.running.seconds)
     return answer.rpartition(' ')[2]
--- a/soak/run.py
+++ b/soak/run.py
@@ -21,6 +21,7 @@
 from soak.plan import SETTLE_SECONDS, Targets, draw_plan
 from soak.promises import Broken, broken_promises
 from soak.proxy import Proxy
+from soak.starved import longest_delay
 from standins.packets.operators import document
 from standins.packets.settings import CONTROL_PORT
 from standins.packets.site import PacketSite, Plan, running_site
@@ -53,6 +54,9 @@
         Promises that did not hold.
     longest_lag : float
         Seconds by which the soak itself was late at most.
+    longest_delay : float
+        Seconds for which one of the programs did not run at most, in the calm
+        at the end.
     folder : Path
         Settings, disks and logs.
     """
@@ -62,6 +66,7 @@
     failures_by_reason: dict[str, int]
     broken: tuple[Broken, ...]
     longest_lag: float
+    longest_delay: float
     folder: Path
 
 
@@ -81,10 +86,11 @@
         seen = await _begun(site)
         plan = draw_plan(seed, seconds, _targets(site))
         injector = Injector(site, proxies)
-        with callers(site, seen), _changing(site, seen):
+        async with seen.running.counting(), _loaded(site, seen):
             async with injector.striking(plan):
                 await asyncio.sleep(seconds - SETTLE_SECONDS)
-            await asyncio.sleep(SETTLE_SECONDS)
+            calm_since = time.monotonic()
+            await seen.running.wait(SETTLE_SECONDS)
         broken = (
             *broken_promises(site, seen, injector.spans, _ended(site)),
             *await _not_recovered(site, seen),
@@ -95,7 +101,8 @@
             len(seen.served_at),
             seen.failures_by_reason,
             broken,
-            round(seen.longest_lag, 3),
+            round(seen.running.longest_lag, 3),
+            longest_delay(site, calm_since),
             folder,
         )
 
@@ -108,11 +115,12 @@
     return Seen(acknowledged=1)
 
 
-@contextlib.contextmanager
-def _changing(site: PacketSite, seen: Seen):
+@contextlib.asynccontextmanager
+async def _loaded(site: PacketSite, seen: Seen) -> AsyncIterator[None]:
     task = asyncio.create_task(keep_changing(site, seen))
     try:
-        yield
+        with callers(site, seen):
+            yield
     finally:
         task.cancel()
 
@@ -150,7 +158,7 @@
 
 async def _not_recovered(site: PacketSite, seen: Seen) -> list[Broken]:
     broken = []
-    now = time.monotonic()
+    now = seen.running.seconds
     if not any(at > now - SETTLE_SECONDS / 4 for at in seen.served_at):
         broken.append(Broken('recovery', 'nothing is served after the faults'))
     if not await read_back(site, seen, LAST_READ_SECONDS):
