--- a/redwingstream/fleet/observed/control.py
+++ b/redwingstream/fleet/observed/control.py
@@ -25,14 +25,13 @@
     yield Sample(AGENTS, {'heard': len(control.book)})
     if replication.replica is not None:
         consensus = replication.replica.consensus
-        counting = [one for one in consensus.log.group if one.identity]
         yield Sample(
             REPLICA,
             {
                 'term': consensus.term,
                 'is_leader': int(consensus.is_leader),
                 'accepted_index': consensus.commit,
-                'counting': len(counting),
+                'counting': len(consensus.log.group),
                 'confirmed_age': consensus.confirmed_age(now),
             },
         )
--- a/redwingstream/openings/gate.py
+++ b/redwingstream/openings/gate.py
@@ -64,8 +64,8 @@
 
     Parameters
     ----------
-    is_zone_out : bool
-        True while operators have taken its availability zone out.
+    zone : str
+        The server's availability zone.
     cold_rate : float
         New flows a second that a server of its pool bears while it is cold.
     max_flows : int
@@ -74,16 +74,21 @@
         All availability zones that are out.
     """
 
-    is_zone_out: bool = False
+    zone: str = ''
     cold_rate: float = 0
     max_flows: int = 0
     zones_out: frozenset[str] = frozenset()
 
+    @property
+    def is_zone_out(self) -> bool:
+        """Whether operators have taken the server's zone out."""
+        return self.zone in self.zones_out
+
     @classmethod
     def of(cls, tables: Tables, pool_name: str, zone: str) -> 'Surroundings':
         """Return what tables say of a pool and a zone."""
         zones_out = frozenset(filter(tables.is_zone_out, tables.zone_by_name))
-        around = cls(zone in zones_out, zones_out=zones_out)
+        around = cls(zone, zones_out=zones_out)
         pool = tables.pool_by_name.get(pool_name)
         if pool is not None and pool.limits is not None:
             around.cold_rate = pool.limits.cold_rate
--- a/redwingstream/openings/tests/test_gate.py
+++ b/redwingstream/openings/tests/test_gate.py
@@ -66,7 +66,7 @@
         assert gate.judge(IDLE, 11) is Verdict.GONE
 
     def test_zone_out(self, gate) -> None:
-        gate.around = Surroundings(is_zone_out=True)
+        gate.around = Surroundings('north', zones_out=frozenset(('north',)))
         assert gate.judge(IDLE, 11) is Verdict.ZONE_OUT
 
     def test_busy(self, gate) -> None:
--- a/redwingstream/packets/flowbook.py
+++ b/redwingstream/packets/flowbook.py
@@ -99,6 +99,7 @@
         self, idle_timeout: float, flow_life: float = DEFAULT_FLOW_LIFE
     ) -> None:
         self.waiting = 0
+        self.flow_life = flow_life
         self._carried: BoundedTable[FlowId, Carried] = BoundedTable(
             MAX_FLOWS, idle_timeout
         )
--- a/redwingstream/packets/searching.py
+++ b/redwingstream/packets/searching.py
@@ -28,11 +28,8 @@
 """The server hands a packet back within a millisecond."""
 
 MAX_NOT_HELD = 8192
-"""Flows of which it is remembered that the server does not hold them."""
-
-NOT_HELD_SECONDS = 60
-"""No flow lives longer; one that the server is given later is known as its
-own."""
+"""Flows of which it is remembered, for a flow's life, that the server does not
+hold them; one that it is given later is known as its own."""
 
 _TICKET_MASK = 0xFFFFFFFF
 
@@ -55,7 +52,7 @@
             MAX_TICKETS, TICKET_SECONDS
         )
         self._not_held: BoundedTable[FlowId, bool] = BoundedTable(
-            MAX_NOT_HELD, NOT_HELD_SECONDS
+            MAX_NOT_HELD, site.flows.flow_life
         )
         self._ticket = 0
 
