Prefer other servers to one that fails its requests; cheaper packets

Servers that break requests off while their reports are good kept their share of new flows. The agent beside such a server sees the resets; in doubt it takes a few new flows a second and offers the rest to others, unless nobody else would take them sooner. Ruled out: counting requests without an answer as well (an overload after a loss of power would put whole pools in doubt).

Packets: headers and envelopes are no frozen classes and are read without named tuples.

--- a/redwingstream/fleet/observed/agent.py
+++ b/redwingstream/fleet/observed/agent.py
@@ -37,6 +37,7 @@
         {
             'readiness': int(state.readiness),
             'is_cold': int(agent.gate.is_cold(now)),
+            'is_in_doubt': int(agent.gate.failures.is_in_doubt),
             'report_age': now - state.heard_at,
         },
     )
--- a/redwingstream/openings/gate.py
+++ b/redwingstream/openings/gate.py
@@ -10,6 +10,7 @@
     wait_for_pace,
     wait_for_slot,
 )
+from redwingstream.openings.failing import DOUBT_WAIT, FailureWatch
 from redwingstream.openings.pacing import WINDOW, ColdLimit, Pacer
 from redwingstream.openings.reports import ServerReport, ServerState
 from redwingstream.tables.snapshot import Tables
@@ -46,6 +47,7 @@
     FULL = 'full'
     MAX_FLOWS = 'max_flows'
     NOT_ANSWERING = 'not_answering'
+    FAILING = 'failing'
 
     @property
     def may_pass(self) -> bool:
@@ -54,7 +56,14 @@
 
 
 _PASSING = frozenset(
-    (Verdict.TAKE, Verdict.BUSY, Verdict.COLD, Verdict.FULL, Verdict.UNHEARD)
+    (
+        Verdict.TAKE,
+        Verdict.BUSY,
+        Verdict.COLD,
+        Verdict.FULL,
+        Verdict.UNHEARD,
+        Verdict.FAILING,
+    )
 )
 
 
@@ -139,6 +148,7 @@
     ) -> None:
         self.state = ServerState()
         self.around = Surroundings()
+        self.failures = FailureWatch()
         self._cold_limit = cold_limit
         self._silent_after = report_interval * SILENT_REPORTS
         self._heard_by = started_at + report_interval
@@ -183,7 +193,10 @@
             allowed = self._cold_limit.allowed(self.around.cold_rate)
             if self._pacer.count(now) >= allowed:
                 return Verdict.COLD
-        return Verdict.BUSY if load.waiting >= self.slots else Verdict.TAKE
+        if load.waiting >= self.slots:
+            return Verdict.BUSY
+        is_taken = self.failures.may_take(now)
+        return Verdict.TAKE if is_taken else Verdict.FAILING
 
     def may_queue(self, load: Load) -> bool:
         """Whether a busy server may be given one more request to wait for."""
@@ -208,12 +221,15 @@
                 pace = self._full_until - now
             case _:
                 return float('inf')
+        if not self.failures.may_take(now):
+            pace += DOUBT_WAIT
         waiting = load.waiting + load.queued
         return pace + wait_for_slot(waiting, self.slots, RUN_SECONDS)
 
     def note_opened(self, now: float) -> None:
         """Count a packet that opens a flow, on its way to the server."""
         self._pacer.note(now)
+        self.failures.note_opened(now)
         if self._unanswered_since is None:
             self._unanswered_since = now
 
--- a/redwingstream/packets/admitting.py
+++ b/redwingstream/packets/admitting.py
@@ -149,7 +149,8 @@
         """Take a flow that no other agent would take sooner."""
         site = self._site
         load = site.load()
-        if verdict is Verdict.BUSY and site.gate.may_queue(load):
+        is_best = verdict is Verdict.FAILING
+        if is_best or (verdict is Verdict.BUSY and site.gate.may_queue(load)):
             return self._open(envelope, head.inbound, now)
         if not verdict.may_pass or site.waiting.is_full:
             return site.refusing.refuse(head, verdict.value, envelope.hops + 1)
@@ -173,7 +174,7 @@
     ) -> list[Sending] | None:
         """Return what becomes of a flow that waits; None while it waits."""
         site = self._site
-        is_taken = verdict is Verdict.TAKE or (
+        is_taken = verdict in {Verdict.TAKE, Verdict.FAILING} or (
             verdict is Verdict.BUSY and site.gate.may_queue(site.load())
         )
         if is_taken:
--- a/redwingstream/packets/carrying.py
+++ b/redwingstream/packets/carrying.py
@@ -1,12 +1,13 @@
 """An agent's decisions about packets: what comes, and from whom."""
 
+from redwingstream.packets import events
 from redwingstream.packets.admitting import Admitting
 from redwingstream.packets.effects import Sending, ToCaller
 from redwingstream.packets.envelopes import (
     Envelope,
     Kind,
 )
-from redwingstream.packets.flow import Address, FlowId, Head
+from redwingstream.packets.flow import Address, FlowId, Head, flow_text
 from redwingstream.packets.flowbook import Carried, Standing
 from redwingstream.packets.searching import Searching
 from redwingstream.packets.site import Site, peer_datagram
@@ -73,6 +74,7 @@
         self._searching.forget_old(now)
 
     def _note_progress(self, carried: Carried, head: Head, now: float) -> None:
+        self._note_outcome(carried, head, now)
         if head.is_end or head.is_reset:
             carried.is_ending = True
         if head.size and not carried.has_answered:
@@ -81,6 +83,16 @@
         if head.size or carried.is_ending:
             self.site.flows.settle(carried)
 
+    def _note_outcome(self, carried: Carried, head: Head, now: float) -> None:
+        site = self.site
+        is_waited_for = carried.has_asked and carried.waits_since is not None
+        if not is_waited_for or carried.is_ending:
+            return
+        if head.size and site.gate.failures.note_served(now):
+            site.log(events.ServerTrusted(flow_text(carried.flow)))
+        if head.is_reset and site.gate.failures.note_failed(now):
+            site.log(events.ServerDoubted(flow_text(carried.flow)))
+
     def _take_returned(self, head: Head, now: float) -> list[Sending]:
         self.site.counters.handed_back += 1
         carried = self.site.flows.carried(head.inbound, now)
--- a/redwingstream/packets/effects.py
+++ b/redwingstream/packets/effects.py
@@ -5,7 +5,7 @@
 from redwingstream.packets.flow import Address
 
 
-@attrs.frozen
+@attrs.define
 class ToPeer:
     """A datagram for a process of the system."""
 
@@ -13,7 +13,7 @@
     target: Address
 
 
-@attrs.frozen
+@attrs.define
 class ToCaller:
     """A packet for a caller."""
 
@@ -21,7 +21,7 @@
     caller: Address
 
 
-@attrs.frozen
+@attrs.define
 class ToServer:
     """A packet for the server beside this agent."""
 
--- a/redwingstream/packets/envelopes.py
+++ b/redwingstream/packets/envelopes.py
@@ -12,7 +12,6 @@
 import enum
 import struct
 from types import MappingProxyType
-from typing import NamedTuple
 
 import attrs
 
@@ -55,21 +54,20 @@
 _HEAD = struct.Struct('>BBBBIQ6s6s6sB')
 _ADDRESS_SIZE = 6
 
+# Places of the fields in the head, after the magic number.
+_KIND = 1
+_HOPS = 2
+_OFFER = 3
+_POOL = 4
+_REVISION = 5
+_ORIGIN = 6
+_HOME = 7
+_BEST = 8
+_COUNT = 9
 
-class _RawHead(NamedTuple):
-    magic: int
-    kind: int
-    hops: int
-    offer: int
-    pool: int
-    revision: int
-    origin: bytes
-    home: bytes
-    best: bytes
-    count: int
 
-
-@attrs.frozen
+# Not frozen, since one is made for each packet: 0.7 us in place of 1.5 us.
+@attrs.define
 class Envelope:
     """A packet on its way between processes of the system, or a word on one.
 
@@ -143,25 +141,25 @@
     """
     if len(datagram) < _HEAD.size or datagram[0] != MAGIC:
         raise WireError(f'datagram of {len(datagram)} bytes is no envelope')
-    head = _RawHead(*_HEAD.unpack_from(datagram))
-    start = _HEAD.size + head.count * _ADDRESS_SIZE
-    kind = _KIND_BY_NUMBER.get(head.kind)
-    if kind is None or head.count > MAX_VISITED or len(datagram) < start:
+    raw = _HEAD.unpack_from(datagram)
+    kind, count = _KIND_BY_NUMBER.get(raw[_KIND]), raw[_COUNT]
+    start = _HEAD.size + count * _ADDRESS_SIZE
+    if kind is None or count > MAX_VISITED or len(datagram) < start:
         raise WireError(
-            f'envelope of kind {head.kind} with {head.count} visited agents '
+            f'envelope of kind {raw[_KIND]} with {count} visited agents '
             f'and {len(datagram)} bytes cannot be read',
         )
     return Envelope(
         kind,
         datagram[start:],
-        _address(head.origin),
-        _address(head.home),
-        head.pool,
-        head.revision,
-        head.hops,
-        head.offer,
-        _address(head.best),
-        _visited(datagram, head.count) if head.count else (),
+        _address(raw[_ORIGIN]),
+        _address(raw[_HOME]),
+        raw[_POOL],
+        raw[_REVISION],
+        raw[_HOPS],
+        raw[_OFFER],
+        _address(raw[_BEST]),
+        _visited(datagram, count) if count else (),
     )
 
 
--- a/redwingstream/packets/events.py
+++ b/redwingstream/packets/events.py
@@ -113,6 +113,26 @@
     confirmed_age: float
 
 
+@event
+class ServerDoubted:
+    """The server beside this agent fails requests; others are preferred.
+
+    Parameters
+    ----------
+    flow : str
+        Flow of the request that it failed last.
+    """
+
+    flow: str
+
+
+@event
+class ServerTrusted:
+    """The server beside this agent serves its requests again."""
+
+    flow: str
+
+
 @event
 class AgentDoubted:
     """An agent did not answer for a new flow; others are preferred."""
--- a/redwingstream/packets/flow.py
+++ b/redwingstream/packets/flow.py
@@ -70,7 +70,8 @@
     return f'{text_of(caller_of(flow))}>{text_of(service_of(flow))}'
 
 
-@attrs.frozen
+# Not frozen, since one is made for each packet; see Envelope.
+@attrs.define
 class Head:
     """The header of a packet, as far as forwarding depends on it.
 
--- a/redwingstream/packets/tests/network.py
+++ b/redwingstream/packets/tests/network.py
@@ -66,6 +66,7 @@
     run: float = 0.04
     alive: bool = True
     refuses: bool = False
+    fails: Callable[[], bool] = bool
     sequence: int = 100
     sequence_by_flow: dict[tuple[Address, Address], int] = attrs.field(
         factory=dict
@@ -126,7 +127,10 @@
 
     def _end(self, request: Packet) -> None:
         self.running = max(0, self.running - 1)
-        self._send(Packet(request.target, request.source, 1, size=4))
+        answer = Packet(request.target, request.source, 1, size=4)
+        if self.fails():
+            answer = attrs.evolve(answer, size=0, flags=RESET)
+        self._send(answer)
         self._work()
 
     def _send(self, packet: Packet) -> None:
--- a/redwingstream/telemetry/families.py
+++ b/redwingstream/telemetry/families.py
@@ -94,7 +94,8 @@
     'server',
     Kind.GAUGE,
     'The server beside an agent: its readiness (0 unknown, 1 ready, '
-    '2 draining, 3 gone), whether it is cold, seconds since its last report.',
+    '2 draining, 3 gone), whether it is cold, or in doubt since it fails '
+    'requests, and seconds since its last report.',
 )
 REPLICA = Family(
     'replica',
--- a/soak/__init__.py
+++ b/soak/__init__.py
@@ -4,6 +4,8 @@
 
 Modules
 -------
+faults
+    What may be done to a site.
 plan
     Draws which fault comes when; the same seed, the same plan.
 proxy
@@ -14,4 +16,8 @@
     Callers and an operator, and what they saw.
 promises
     What must hold, checked from what callers, servers and operators saw.
+running
+    Time for which the soak itself runs.
+starved
+    Which programs did not run for a while.
 """
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -16,10 +16,13 @@
     parser.add_argument('--seed', type=int, required=True)
     parser.add_argument('--seeds', type=int, default=1, help='how many')
     parser.add_argument('--seconds', type=float, default=DEFAULT_SECONDS)
+    parser.add_argument(
+        '--disks', action='store_true', help='let disks fill up as well'
+    )
     asked = parser.parse_args()
     failed = 0
     for seed in range(asked.seed, asked.seed + asked.seeds):
-        outcome = run(seed, asked.seconds)
+        outcome = run(seed, asked.seconds, fills_disks=asked.disks)
         print(  # noqa: WPS421 - the command's output
             f'seed {seed}: {outcome.faults} faults, {outcome.served} served, '
             f'not served {outcome.failures_by_reason}, '
--- a/soak/inject.py
+++ b/soak/inject.py
@@ -2,13 +2,15 @@
 
 import asyncio
 import contextlib
+import resource
 import shutil
 import time
 from collections.abc import AsyncIterator, Iterable, Iterator
 
 import attrs
 
-from soak import plan
+from soak import faults
+from soak.plan import Planned
 from soak.proxy import Proxy
 from standins.packets.servers import PacketServer
 from standins.packets.site import PacketSite
@@ -49,6 +51,11 @@
     disturbed: list[Span] = attrs.field(factory=list)
 
 
+_ProcessFault = (
+    faults.Kill | faults.Pause | faults.Stop | faults.LoseDisk | faults.FillDisk
+)
+
+
 class Injector:
     """Strikes a site with planned faults.
 
@@ -70,16 +77,14 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     @contextlib.asynccontextmanager
-    async def striking(
-        self, planned: Iterable[plan.Planned]
-    ) -> AsyncIterator[None]:
+    async def striking(self, planned: Iterable[Planned]) -> AsyncIterator[None]:
         """Strike as planned; at the end of the block all is mended."""
         task = asyncio.create_task(self._strike_all(planned))
         yield
         await task
         await asyncio.gather(*self._tasks)
 
-    async def _strike_all(self, planned: Iterable[plan.Planned]) -> None:
+    async def _strike_all(self, planned: Iterable[Planned]) -> None:
         begun = time.monotonic()
         for one in planned:
             await asyncio.sleep(max(0, begun + one.at - time.monotonic()))
@@ -88,16 +93,16 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
-    async def _strike(self, fault: plan.Fault) -> None:
+    async def _strike(self, fault: faults.Fault) -> None:
         match fault:
-            case plan.KillAll(lasts=lasts):
+            case faults.KillAll(lasts=lasts):
                 with self._lasting('all killed', self.spans.disturbed):
                     await self._kill_all(lasts)
-            case plan.RestartServer() | plan.DrainServer():
+            case faults.RestartServer() | faults.DrainServer():
                 await self._strike_server(fault)
-            case plan.TakeZoneOut(zone=name, lasts=lasts):
+            case faults.TakeZoneOut(zone=name, lasts=lasts):
                 await self._take_out(name, lasts)
-            case plan.DisturbCalls(how=how, lasts=lasts):
+            case faults.DisturbCalls(how=how, lasts=lasts):
                 await self._disturb(how, lasts)
             case _:
                 with self._lasting(fault.process, self.spans.disturbed):
@@ -111,33 +116,33 @@
         span.ended_at = time.monotonic()
 
     async def _strike_server(
-        self, fault: plan.RestartServer | plan.DrainServer
+        self, fault: faults.RestartServer | faults.DrainServer
     ) -> None:
         server = self._site.servers[fault.server]
         match fault:
-            case plan.RestartServer():
+            case faults.RestartServer():
                 await _begin_anew(server)
-            case plan.DrainServer(lasts=lasts):
+            case faults.DrainServer(lasts=lasts):
                 await self._drain(server, lasts)
 
-    async def _strike_process(
-        self, fault: plan.Kill | plan.Pause | plan.Stop | plan.LoseDisk
-    ) -> None:
+    async def _strike_process(self, fault: _ProcessFault) -> None:
         name = fault.process
         if name in self._busy:
             return
         self._busy.add(name)
         match fault:
-            case plan.Kill(lasts=lasts):
+            case faults.Kill(lasts=lasts):
                 await self._kill((name,), lasts)
-            case plan.Pause(lasts=lasts):
+            case faults.Pause(lasts=lasts):
                 self._site.freeze(name)
                 await asyncio.sleep(lasts)
                 self._site.thaw(name)
-            case plan.Stop():
+            case faults.Stop():
                 await self._stop(name)
-            case plan.LoseDisk(lasts=lasts):
+            case faults.LoseDisk(lasts=lasts):
                 await self._lose_disk(name, lasts)
+            case faults.FillDisk(lasts=lasts):
+                await self._fill_disk(name, lasts)
         self._busy.discard(name)
 
     async def _kill(self, names: tuple[str, ...], lasts: float) -> None:
@@ -174,6 +179,14 @@
         await asyncio.sleep(lasts)
         await self._restart(name)
 
+    async def _fill_disk(self, name: str, lasts: float) -> None:
+        # A limit on the size of files, which a process may be given from
+        # outside, fails its writes as a full disk does.
+        process = self._site.fleet.process_by_name[name]
+        _limit_files(process.pid, 0)
+        await asyncio.sleep(lasts)
+        _limit_files(process.pid, resource.RLIM_INFINITY)
+
     async def _drain(self, server: PacketServer, lasts: float) -> None:
         name = server.name
         server.state = 'draining'
@@ -204,6 +217,11 @@
             undisturbed.how = ''
 
 
+def _limit_files(pid: int, size: int) -> None:
+    _, hard = resource.prlimit(pid, resource.RLIMIT_FSIZE)
+    resource.prlimit(pid, resource.RLIMIT_FSIZE, (size, hard))
+
+
 async def _begin_anew(server: PacketServer) -> None:
     server.restart()
     await server.report()
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -5,10 +5,27 @@
 
 import attrs
 
+from soak.faults import (
+    DisturbCalls,
+    DrainServer,
+    Fault,
+    FillDisk,
+    Kill,
+    KillAll,
+    LoseDisk,
+    Pause,
+    RestartServer,
+    Stop,
+    TakeZoneOut,
+)
+
 SETTLE_SECONDS = 12.0
 """Seconds without faults at the end of a run, within which all must be served
 again: the users' figure for recovery."""
 
+MEAN_FILL_PAUSE = 4.0
+"""Mean seconds between two full disks, where a run has any."""
+
 MEAN_PAUSE = 1.5
 """Mean seconds between two faults; most last longer, so that they overlap."""
 
@@ -16,87 +33,6 @@
 """Shortest and longest fault in seconds."""
 
 
-@attrs.frozen
-class Kill:
-    """A process is killed and started again after a while."""
-
-    process: str
-    lasts: float
-
-
-@attrs.frozen
-class Pause:
-    """A process stands still for a while."""
-
-    process: str
-    lasts: float
-
-
-@attrs.frozen
-class Stop:
-    """A process is asked to stop, and started again once it has."""
-
-    process: str
-
-
-@attrs.frozen
-class LoseDisk:
-    """A control instance is killed and comes back with an empty disk."""
-
-    process: str
-    lasts: float
-
-
-@attrs.frozen
-class KillAll:
-    """Every process is killed at the same moment and started again."""
-
-    lasts: float
-
-
-@attrs.frozen
-class RestartServer:
-    """A server ends without a word and begins anew."""
-
-    server: int
-
-
-@attrs.frozen
-class DrainServer:
-    """A server drains for a while."""
-
-    server: int
-    lasts: float
-
-
-@attrs.frozen
-class TakeZoneOut:
-    """Operators take a zone out for a while."""
-
-    zone: str
-    lasts: float
-
-
-@attrs.frozen
-class DisturbCalls:
-    """Connections of operators are disturbed for a while."""
-
-    how: str
-    lasts: float
-
-
-Fault = (
-    Kill
-    | Pause
-    | Stop
-    | LoseDisk
-    | KillAll
-    | RestartServer
-    | DrainServer
-    | TakeZoneOut
-    | DisturbCalls
-)
-
 DISTURBANCES = ('delay', 'reset', 'silent', 'answers_lost')
 
 
@@ -131,7 +67,7 @@
 
 
 def draw_plan(
-    seed: int, seconds: float, targets: Targets
+    seed: int, seconds: float, targets: Targets, *, fills_disks: bool = False
 ) -> tuple[Planned, ...]:
     """Return the faults of a run in the order of time.
 
@@ -143,8 +79,14 @@
         Length of the run; its last ``SETTLE_SECONDS`` stay calm.
     targets : Targets
         What faults may strike.
+    fills_disks : bool
+        Whether disks fill up as well.  They are drawn apart, so that a seed
+        gives the same other faults with and without them.
     """
-    return tuple(_draw(random.Random(seed), seconds, targets))
+    planned = list(_draw(random.Random(seed), seconds, targets))
+    if fills_disks:
+        planned.extend(_draw_fills(random.Random(-seed), seconds, targets))
+    return tuple(sorted(planned, key=lambda one: one.at))
 
 
 def _draw(
@@ -164,6 +106,17 @@
         at += chance.expovariate(1 / MEAN_PAUSE)
 
 
+def _draw_fills(
+    chance: random.Random, seconds: float, targets: Targets
+) -> Iterator[Planned]:
+    at = chance.expovariate(1 / MEAN_FILL_PAUSE)
+    while at < seconds - SETTLE_SECONDS:
+        lasts = round(chance.uniform(*LASTING), 2)
+        control = chance.choice(targets.controls)
+        yield Planned(round(at, 3), FillDisk(control, lasts))
+        at += chance.expovariate(1 / MEAN_FILL_PAUSE)
+
+
 def _draw_fault(chance: random.Random, targets: Targets) -> Fault:
     lasts = round(chance.uniform(*LASTING), 2)
     process = chance.choice(targets.processes)
--- a/soak/run.py
+++ b/soak/run.py
@@ -70,7 +70,9 @@
     folder: Path
 
 
-async def soak(seed: int, seconds: float, folder: Path) -> Outcome:
+async def soak(
+    seed: int, seconds: float, folder: Path, *, fills_disks: bool = False
+) -> Outcome:
     """Run a site under the faults of a seed.
 
     Parameters
@@ -81,10 +83,12 @@
         Length of the run.
     folder : Path
         For settings, disks and logs.
+    fills_disks : bool
+        Whether disks fill up as well.
     """
     async with running_site(folder, SITE) as site, _proxied(site) as proxies:
         seen = await _begun(site)
-        plan = draw_plan(seed, seconds, _targets(site))
+        plan = draw_plan(seed, seconds, _targets(site), fills_disks=fills_disks)
         injector = Injector(site, proxies)
         async with seen.running.counting(), _loaded(site, seen):
             async with injector.striking(plan):
@@ -174,10 +178,10 @@
     ]
 
 
-def run(seed: int, seconds: float) -> Outcome:
+def run(seed: int, seconds: float, *, fills_disks: bool) -> Outcome:
     """Run the soak in a folder of its own, which is kept when it failed."""
     folder = Path(tempfile.mkdtemp(prefix='redwingstream-soak-'))
-    outcome = asyncio.run(soak(seed, seconds, folder))
+    outcome = asyncio.run(soak(seed, seconds, folder, fills_disks=fills_disks))
     if not outcome.broken:
         shutil.rmtree(folder, ignore_errors=True)
     return outcome
--- a/soak/tests/test_plan.py
+++ b/soak/tests/test_plan.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from soak.plan import SETTLE_SECONDS, LoseDisk, Targets, draw_plan
+from soak.faults import FillDisk, LoseDisk
+from soak.plan import SETTLE_SECONDS, Targets, draw_plan
 
 TARGETS = Targets(('a-agent', 'a-control'), ('a-control',), 2, ('north',))
 
@@ -31,3 +32,11 @@
         ]
         pauses = [after - before for before, after in zip(lost, lost[1:])]
         assert all(pause >= SETTLE_SECONDS for pause in pauses)
+
+    @pytest.mark.parametrize('seed', range(5))
+    def test_full_disks_change_no_other_fault(self, seed) -> None:
+        plain = draw_plan(seed, 60, TARGETS)
+        full = draw_plan(seed, 60, TARGETS, fills_disks=True)
+        others = [one for one in full if not isinstance(one.fault, FillDisk)]
+        assert len(others) < len(full)
+        assert tuple(others) == plain
