--- a/redwingstream/packets/dead_flows.py
+++ b/redwingstream/packets/dead_flows.py
@@ -158,12 +158,16 @@
         self._addresses_by_pool: dict[str, frozenset[Address]] = {}
 
     def of_pool(self, pool: str) -> frozenset[Address]:
-        """Return the agents of a pool whose servers have not ended."""
+        """Return the agents of a pool that may hold a flow.
+
+        A server that has said that it ends may take a moment for it; its agent
+        falls silent once both are gone.
+        """
         if pool not in self._addresses_by_pool:
             self._addresses_by_pool[pool] = frozenset(
                 agent.address
                 for agent in self._view.of_pool(pool)
-                if agent.readiness is not Readiness.GONE
+                if not (agent.is_silent and agent.readiness is Readiness.GONE)
             )
         return self._addresses_by_pool[pool]
 
--- a/redwingstream/packets/tests/test_dead_flows.py
+++ b/redwingstream/packets/tests/test_dead_flows.py
@@ -145,6 +145,25 @@
         opened.repeat()
         assert not opened.caller.resets
 
+    @pytest.mark.parametrize('is_silent', [False, True])
+    def test_is_left_alone_while_its_server_is_about_to_end(
+        self, is_silent: bool
+    ) -> None:
+        """A download is reset a moment before its last bytes.
+
+        Its server has said that it ends, so nobody asks its agent any more,
+        and it still sends what it owes.  Once the agent is silent, both are
+        gone.
+        """
+        opened = _opened()
+        opened.carrier.gate.state.leave('i-1')
+        opened.network.make_known()
+        if is_silent:
+            _call_silent(opened)
+        opened.balancer.start()
+        opened.repeat()
+        assert opened.caller.resets == is_silent
+
     def test_is_left_alone_while_its_agent_is_not_known_here(self) -> None:
         """A feed is reset right after instances were added.
 
--- a/soak/starved.py
+++ b/soak/starved.py
@@ -15,7 +15,7 @@
     site : PacketSite
         Whose processes.
     since : float
-        Time of the machine's clock in seconds; pauses that ended before it do
+        Time of the machine's clock in seconds; pauses that began before it do
         not count.
 
     Notes
@@ -29,7 +29,9 @@
 def _delays(site: PacketSite, since: float) -> Iterator[float]:
     for name in site.fleet.process_by_name:
         for line in _lines(site.log(name)):
-            if line.get('event') == 'process_delayed' and line['clock'] > since:
+            if line.get('event') != 'process_delayed':
+                continue
+            if line['clock'] - line['late_by'] >= since:
                 yield line['late_by']
 
 
