Bounds on asking sooner; a restarted server is not in doubt

A balancer with dead flows and no control instance would have asked without end: what waits for a proof is forgotten after 5 s now, and inquiries are 0.1 s apart at the least, also where the usual pause is short for want of a leader. Doubts about a server end with its run. Each with a test that failed first.

--- a/redwingstream/directory/inquiry.py
+++ b/redwingstream/directory/inquiry.py
@@ -26,6 +26,11 @@
 something is waited for.  With 0.1 s in place of 0.4 s its answer comes before
 the caller of a dead flow sends its packet again, after 0.2 s."""
 
+HURRIED_LEAST = 0.1
+"""Seconds between two inquiries at the least, however short the usual pause is:
+without a leader it is 0.1 s by itself, and a fleet that has lost many flows
+must not keep control instances from finding one."""
+
 WARM_AFTER = 1.5
 """Seconds after its start from which a control instance has heard every agent
 that it can hear: agents speak to it each 0.4 s, and each 0.2 s until they have
@@ -148,7 +153,8 @@
     def hurry(self, now: float) -> None:
         """Ask soon, since something is waited for."""
         for control in self._control_by_address.values():
-            soon = control.asked_at + control.pause * HURRIED_SHARE
+            pause = max(control.pause * HURRIED_SHARE, HURRIED_LEAST)
+            soon = control.asked_at + pause
             control.due_at = min(control.due_at, max(now, soon))
 
     def next_due(self) -> float:
--- a/redwingstream/directory/tests/test_inquiry.py
+++ b/redwingstream/directory/tests/test_inquiry.py
@@ -66,6 +66,11 @@
         assert inquirer.next_due() == 10 + PAUSE * HURRIED_SHARE
         assert inquirer.due(10.1, None)
 
+    def test_asks_no_more_often_while_there_is_no_leader(self) -> None:
+        inquirer = _asked(pause=0.1)
+        inquirer.hurry(10.05)
+        assert not inquirer.due(10.05, None)
+
     def test_asks_no_more_often_than_a_busy_one_bears(self) -> None:
         """An instance that wants to be asked less often is asked less often."""
         inquirer = _asked(pause=4)
--- a/redwingstream/openings/gate.py
+++ b/redwingstream/openings/gate.py
@@ -160,8 +160,12 @@
 
     def take_report(self, report: ServerReport, now: float) -> bool:
         """Take a report; return False when it is a late one."""
+        before = self.state.report
         if not self.state.take(report, now):
             return False
+        if before is not None and before.born != report.born:
+            # What another run of the server failed says nothing of this one.
+            self.failures = FailureWatch()
         self._cold_until = now + report.cold_for
         self._unanswered_since = None
         return True
--- a/redwingstream/openings/tests/test_gate.py
+++ b/redwingstream/openings/tests/test_gate.py
@@ -8,6 +8,7 @@
 import pytest
 
 from redwingstream.directory.messages import Readiness
+from redwingstream.openings.failing import DOUBT_WAIT, FAILED_LIMIT
 from redwingstream.openings.gate import (
     FULL_FOR,
     SILENT_REPORTS,
@@ -159,3 +160,26 @@
         )
         gate.take_report(draining, 11)
         assert gate.expected_wait(IDLE, 11) == float('inf')
+
+
+class TestFailing:
+    """A server in doubt."""
+
+    def test_is_passed_by_while_others_are_asked(self, gate) -> None:
+        _fail(gate, 10)
+        assert gate.judge(IDLE, 10) is Verdict.FAILING
+        assert gate.expected_wait(IDLE, 10) == DOUBT_WAIT
+
+    def test_begins_anew_with_another_run(self, gate) -> None:
+        """A server that was restarted is kept from its share for seconds.
+
+        The run before it had failed its requests.
+        """
+        _fail(gate, 10)
+        gate.take_report(attrs.evolve(REPORT, born=2000), 10)
+        assert gate.judge(IDLE, 10) is Verdict.TAKE
+
+
+def _fail(gate: Gate, now: float) -> None:
+    for _ in range(FAILED_LIMIT):
+        gate.failures.note_failed(now)
--- a/redwingstream/packets/dead_flows.py
+++ b/redwingstream/packets/dead_flows.py
@@ -130,6 +130,9 @@
     def forget_old(self, now: float) -> None:
         """Forget searches that do not count any more."""
         self._missed.forget_old(now)
+        unproved = self._unproved
+        while unproved and now - unproved[0][0] > PROOF_SECONDS:
+            unproved.popleft()
 
     def _confirmed(self, now: float) -> Iterator[_Missed]:
         """Return flows since whose search the control instances answered."""
--- a/redwingstream/packets/tests/test_dead_flows.py
+++ b/redwingstream/packets/tests/test_dead_flows.py
@@ -4,6 +4,7 @@
 import pytest
 
 from redwingstream.directory.view import Agent
+from redwingstream.packets.dead_flows import PROOF_SECONDS
 from redwingstream.packets.events import FlowDeclaredDead
 from redwingstream.packets.steering import CONFIRMED_WITHIN
 from redwingstream.packets.tests.network import (
@@ -193,6 +194,16 @@
         lost.repeat()
         assert not lost.caller.resets
 
+    def test_is_not_asked_about_for_ever(self) -> None:
+        """Balancers ask control instances that are gone ten times a second."""
+        lost = _lost()
+        lost.balancer.hears_control = False
+        lost.repeat()
+        dead_flows = lost.balancer.steering.dead_flows
+        assert dead_flows.has_unproved
+        lost.network.run(PROOF_SECONDS + 1)
+        assert not dead_flows.has_unproved
+
     def test_is_left_alone_while_control_has_no_leader(self) -> None:
         lost = _lost()
         lost.balancer.control_has_leader = False
