A late opening packet must not make an agent forget an open flow

Cause, from the logs of a replay: a balancer stood still from 2 to 10 s and then handed on first packets of flows that copies had opened meanwhile. The agent took each for a new flow from the same port and forgot the open one; it then said, from memory, that its server does not hold it. Before flows could be declared dead such flows went silent for good, so callers lost them already; with resets of dead flows the search became a false proof.

Now an opening packet with the sequence of the one that opened the flow is a copy, however late; an agent that knows who carries a flow asks that agent about first packets too; a returned opening packet does not end an established flow; a shorter idle time-out does not shorten the memory of flows that are open. Tests failed first (TestLateOpening, TestShorterTimeout).

--- a/redwingstream/packets/admitting.py
+++ b/redwingstream/packets/admitting.py
@@ -50,12 +50,11 @@
             site.counters.foreign += 1
             return site.refusing.refuse(head, 'another pool', envelope.hops + 1)
         carried = site.flows.carried(flow, now)
-        if carried is not None and _is_copy(head, carried):
-            return [ToServer(envelope.packet)]
+        if carried is not None and self._is_copy(head, carried):
+            return self._take_copy(envelope, carried)
         known = site.flows.elsewhere(flow, now)
-        is_known = known is not None and known not in envelope.visited
-        if is_known and head.acknowledged:
-            return [peer_datagram(envelope, known)]
+        if known is not None and self._may_ask(known, head, envelope):
+            return [peer_datagram(self._visited(envelope), known)]
         if carried is not None:
             site.flows.forget(carried)
         return self._take_new(envelope, head, now)
@@ -81,6 +80,8 @@
         site = self._site
         if carried is None:
             return site.refusing.drop(head, 'handed back twice')
+        if carried.standing is Standing.ESTABLISHED:
+            return site.refusing.drop(head, 'a late copy')
         site.flows.forget(carried)
         site.gate.note_full(now)
         return self.pass_on(carried.envelope, head, Verdict.FULL, now)
@@ -132,6 +133,43 @@
         )
         return [peer_datagram(word, envelope.origin)]
 
+    def _take_copy(self, envelope: Envelope, carried: Carried) -> list[Sending]:
+        """Take a copy of the packet that opened a flow of this server.
+
+        A balancer that has stood still hands on seconds later what it was sent
+        before.  Taken for a new flow, such a packet makes this agent forget one
+        that is open, and all packets of it go astray.
+        """
+        is_late = carried.standing is Standing.ESTABLISHED
+        if is_late and carried.envelope.packet:
+            return list(self._site.announce(envelope))
+        return [ToServer(envelope.packet)]
+
+    def _is_copy(self, head: Head, carried: Carried) -> bool:
+        opening = carried.envelope.packet
+        if not opening:
+            # Opened before this agent was started: the server can tell.
+            return True
+        # A caller that uses its port again begins at another position.
+        return self._site.codec.read(opening).sequence == head.sequence
+
+    def _may_ask(self, known: Address, head: Head, envelope: Envelope) -> bool:
+        """Whether the agent that carries a flow may look at a copy.
+
+        A first packet may be a late one as well.  One that opens another flow
+        from the same port costs the way to that agent, so it has to be heard.
+        """
+        if known in envelope.visited:
+            return False
+        if head.acknowledged:
+            return True
+        agent = self._site.view.agent_by_address.get(known)
+        return agent is not None and not agent.is_silent
+
+    def _visited(self, envelope: Envelope) -> Envelope:
+        own = self._site.place.address
+        return attrs.evolve(envelope, visited=(*envelope.visited, own))
+
     def _take_new(
         self, envelope: Envelope, head: Head, now: float
     ) -> list[Sending]:
@@ -229,10 +267,3 @@
         ]
         order = ranked(flow, usable, self._site.place.zone)
         return order[0].address if order else None
-
-
-def _is_copy(head: Head, carried: Carried) -> bool:
-    # A caller that uses its port again begins with a first copy.
-    return bool(head.acknowledged) or (
-        carried.standing is not Standing.ESTABLISHED
-    )
--- a/redwingstream/packets/flowbook.py
+++ b/redwingstream/packets/flowbook.py
@@ -118,8 +118,13 @@
         return self._carried.age
 
     def keep_for(self, idle_timeout: float) -> None:
-        """Go by another time-out from now on."""
-        self._carried.age = idle_timeout
+        """Go by another time-out from now on, when it is a longer one.
+
+        Flows that were opened under a longer one may rest for as long as that.
+        To remember a flow too long costs a row; one that is forgotten while its
+        server holds it goes astray, or is taken for dead.
+        """
+        self._carried.age = max(self._carried.age, idle_timeout)
 
     def carried(self, flow: FlowId, now: float) -> Carried | None:
         """Return a flow of this server; None when it is not known as such."""
--- a/redwingstream/packets/tests/test_dead_flows.py
+++ b/redwingstream/packets/tests/test_dead_flows.py
@@ -5,13 +5,16 @@
 
 from redwingstream.directory.view import Agent
 from redwingstream.packets.dead_flows import PROOF_SECONDS
-from redwingstream.packets.events import FlowDeclaredDead
+from redwingstream.packets.events import FlowDeclaredDead, FlowOpened
 from redwingstream.packets.steering import CONFIRMED_WITHIN
+from redwingstream.packets.tests.codec import OPENING, Packet
 from redwingstream.packets.tests.network import (
+    CODEC,
     CONTROL_INTERVAL,
     IDLE_TIMEOUT,
     POOL,
     ROUTE,
+    SERVICE,
     AgentNode,
     BalancerNode,
     Caller,
@@ -287,6 +290,80 @@
         assert opened.caller.answers > 1
 
 
+class TestLateOpening:
+    """A balancer that stood still hands on an old opening packet."""
+
+    @pytest.mark.parametrize('is_busy', [False, True])
+    def test_leaves_the_open_flow_alone(self, is_busy: bool) -> None:
+        """A feed is reset, or stalls, although its server holds it.
+
+        The first packet that opened it went to a balancer that stood still; a
+        copy by another one opened the feed.  Six seconds later the first
+        balancer goes on and hands its agents the old packet.  The agent takes
+        it for a new flow from the same port and forgets the feed.
+        """
+        opened = _opened()
+        late = opened.network.add_balancer('10.1.0.101')
+        opened.network.run(6)
+        if is_busy:
+            load = opened.carrier.site.flows
+            load.waiting = 100
+        late.take_packet(
+            Packet(opened.caller.address, SERVICE, 1, flags=OPENING)
+        )
+        opened.network.run(1)
+        opened.carrier.site.flows.waiting = 0
+        before = opened.caller.answers
+        opened.balancer.start()
+        opened.repeat()
+        assert not opened.caller.resets
+        assert opened.caller.answers > before
+        servers = [agent.server for agent in opened.network.agents]
+        assert sum(len(server.opened_at) for server in servers) == 1
+
+    def test_of_another_flow_from_the_same_port_opens_it(self) -> None:
+        opened = _opened()
+        late = opened.network.add_balancer('10.1.0.101')
+        late.take_packet(
+            Packet(opened.caller.address, SERVICE, 77, flags=OPENING)
+        )
+        opened.network.run(1)
+        servers = [agent.server for agent in opened.network.agents]
+        assert any(server.sequence_by_flow for server in servers)
+        events = [type(one) for one in opened.network.events]
+        assert events.count(FlowOpened) == 2
+
+    def test_is_not_sent_to_and_fro(self) -> None:
+        """Two agents each believe that the other one carries a flow."""
+        network = Network()
+        first, second = (
+            network.add_agent(f'10.1.0.{number + 1}') for number in range(2)
+        )
+        balancer = network.add_balancer('10.1.0.100')
+        caller = Caller(network, '100.64.0.1', 1000)
+        packet = Packet(caller.address, SERVICE, 1, flags=OPENING)
+        flow = CODEC.read(packet.pack()).inbound
+        first.site.flows.note_elsewhere(flow, second.address, network.now)
+        second.site.flows.note_elsewhere(flow, first.address, network.now)
+        caller.open(balancer)
+        network.run(1)
+        assert caller.answers == 1
+
+
+class TestShorterTimeout:
+    """Operators shorten the time for which flows may rest."""
+
+    def test_does_not_end_flows_that_were_open_before(self) -> None:
+        opened = _opened()
+        for agent in opened.network.agents:
+            agent.site.flows.keep_for(2)
+        opened.network.run(IDLE_TIMEOUT - 5)
+        opened.balancer.start()
+        opened.repeat()
+        assert not opened.caller.resets
+        assert opened.caller.answers > 1
+
+
 def _call_silent(opened: _Lost) -> None:
     """Let the control instances call the carrier silent."""
     for node in (opened.balancer, *opened.network.agents):
