--- a/redwingstream/admission/choice.py
+++ b/redwingstream/admission/choice.py
@@ -43,18 +43,13 @@
         while self.sent_at and self.sent_at[0] < before:
             self.sent_at.popleft()
 
-    def may_take(self, now: float) -> bool:
-        """Whether it is neither stale nor draining nor cold, and has room.
-
-        A cold server gets the little that it can bear from its own home
-        buckets.  A draining one reports a limit of 0.
-        """
-        return self.is_warm(now) and self.room > 0
+    def is_fresh(self, now: float) -> bool:
+        """Whether its report still says something."""
+        return now - self.reported_at <= REPORT_EXPIRY
 
     def is_warm(self, now: float) -> bool:
         """Whether its report is fresh and gives more than the cold limit."""
-        is_fresh = now - self.reported_at <= REPORT_EXPIRY
-        return is_fresh and self.report.limit > COLD_LIMIT
+        return self.is_fresh(now) and self.report.limit > COLD_LIMIT
 
 
 class PeerLoads:
@@ -105,6 +100,12 @@
         What is sent is counted until the next report: with the report alone
         everybody would send to the same host until it is heard again.
 
+        A cold server gets the little that it can bear from its own home
+        buckets, as long as any other one is warm.  Where all are cold they are
+        asked as well: a server that nobody gives anything to stays cold, and a
+        home whose own server is dead would refuse everything beside idle ones.
+        The agent there keeps its server from getting more than it bears.
+
         Parameters
         ----------
         exclude : frozenset of str
@@ -126,7 +127,7 @@
         candidates = sorted(
             host
             for host, peer in self._by_host.items()
-            if host not in exclude and peer.may_take(now)
+            if host not in exclude and self._may_take(peer, now)
         )
         if not candidates:
             return None
@@ -175,6 +176,14 @@
             return None
         return self._note_sent(min(candidates, key=self._feeds_of), now)
 
+    def _may_take(self, peer: _Peer, now: float) -> bool:
+        """Whether a host has room; a draining one reports a limit of 0."""
+        is_asked = peer.is_warm(now) or not self._is_any_warm(now)
+        return is_asked and peer.is_fresh(now) and peer.room > 0
+
+    def _is_any_warm(self, now: float) -> bool:
+        return any(peer.is_warm(now) for peer in self._by_host.values())
+
     def _note_sent(self, chosen: str, now: float) -> str:
         self._by_host[chosen].sent_at.append(now)
         return chosen
--- a/redwingstream/admission/tests/test_choice.py
+++ b/redwingstream/admission/tests/test_choice.py
@@ -34,6 +34,15 @@
         assert loads.choose(NOBODY, now=0) == 'warm1'
         assert loads.choose(NOBODY, now=REPORT_EXPIRY + 1) is None
 
+    def test_cold_host_with_room_is_the_choice_while_all_are_cold(self):
+        loads = PeerLoads(random.Random(1))
+        loads.reported(LoadReport('cold1', 1, 0, 1, 0), now=0)
+        loads.reported(LoadReport('busy1', 1, 1, 1, 0), now=0)
+        loads.reported(LoadReport('draining1', 1, 0, 0, 0), now=0)
+        assert loads.choose(NOBODY, now=0) == 'cold1'
+        assert loads.choose(NOBODY, now=0) is None
+        assert loads.choose(NOBODY, now=REPORT_EXPIRY + 1) is None
+
     def test_host_is_not_chosen_beyond_the_room_that_it_reported(self):
         """Every balancer's new work goes to one host, which falls over.
 
--- a/redwingstream/agent/tests/test_requests.py
+++ b/redwingstream/agent/tests/test_requests.py
@@ -271,6 +271,36 @@
         assert asked.outcome == 'answered'
 
 
+class TestServerLost:
+    """The server of the home gives no answer; its agent lives."""
+
+    def test_others_run_what_is_home_there_though_they_are_cold(self) -> None:
+        """All bookings are refused while two of three servers stand idle.
+
+        Few callers, and one agent is home of them all.  Its server dies.  The
+        other servers have had nothing to run since their start, so they count
+        as cold, and cold ones are given nothing by other homes: they never
+        warm up, and the bookings are refused until the server is back.
+        """
+        pool = settled_pool()
+        home = pool.hosts[0]
+        callers = [caller_of(pool, home)]
+        caller = callers[0]
+        warm = caller.post(b'bay 1')
+        pool.run(1)
+        assert warm.outcome == 'answered'
+        pool.server_by_host[home].is_silent = True
+        asked = []
+        for number in range(40):
+            asked.append(caller.post(f'bay {number + 2}'.encode()))
+            pool.run(0.5)
+        pool.run(20)
+        answered = [one for one in asked if one.outcome == 'answered']
+        assert len(answered) >= len(asked) / 2
+        falls = [server.falls for server in pool.server_by_host.values()]
+        assert not any(falls)
+
+
 class TestLostCarriers:
     """Agents that die with what they were assigned."""
 
