--- a/redwingstream/eventlog/__init__.py
+++ b/redwingstream/eventlog/__init__.py
@@ -3,5 +3,7 @@
 Modules
 -------
 lines
-    The writer: budget, encoding, standard output.
+    The writer: budget and encoding.
+outputs
+    Where lines go without waiting: a pipe, or a file by a thread.
 """
--- a/redwingstream/fleet/__init__.py
+++ b/redwingstream/fleet/__init__.py
@@ -4,12 +4,19 @@
 -------
 deployment
     What a process is told at its start.
-following
-    Asking the control instances, for balancers and agents.
+process, delays
+    What every role has: log, signals, duties; whether it has stood still.
 balancer, agent, control
     The roles.
+following, routes, sending
+    What balancers and agents do alike: ask control instances, go by tables,
+    send.
+reporting
+    What an agent does with its server's reports.
+registry, replication, outcomes
+    What a control instance answers, and what becomes of changes.
+events
+    What changes what a process believes.
 observed
-    Counters and histograms as text.
-running
-    Signals, and the loop of a process.
+    Counters, gauges and histograms of each role.
 """
--- a/redwingstream/packets/__init__.py
+++ b/redwingstream/packets/__init__.py
@@ -10,8 +10,13 @@
     In which order agents are asked about a flow.
 bounded
     Tables with a size and an age limit.
-steering
-    A balancer's decisions.
-carrying
-    An agent's decisions.
+steering, choosing, trust, dead_flows
+    A balancer's decisions: where a packet goes, whom it doubts, and which flows
+    no server holds any more.
+carrying, admitting, searching, waiting, flowbook, site
+    An agent's decisions: on new flows and on open ones, and what they share.
+refusing
+    How a packet ends that cannot be forwarded.
+events, effects
+    What is logged, and what is sent.
 """
