--- a/redwingstream/directory/inquiry.py
+++ b/redwingstream/directory/inquiry.py
@@ -6,7 +6,12 @@
 import attrs
 import msgspec
 
-from redwingstream.directory.messages import AgentRecord, Inquiry, Report
+from redwingstream.directory.messages import (
+    UNASKED,
+    AgentRecord,
+    Inquiry,
+    Report,
+)
 from redwingstream.directory.view import Agent, AgentView
 from redwingstream.packets.flow import Address
 from redwingstream.tables.history import TablesHistory
@@ -116,7 +121,6 @@
         self.view = AgentView()
         self.history = TablesHistory()
         self.confirmed_at = float('-inf')
-        self.is_warm = False
         self.in_force_seconds = Histogram()
         self._pool = pool
         self._number = 0
@@ -177,12 +181,16 @@
         for address in (sender, *map(Address, report.controls)):
             self._name(address, now)
         control = self._control_by_address[sender]
+        if report.number == UNASKED:
+            control.due_at = now
+            return Learned((), has_new_tables=False)
         control.boot = report.boot
         control.cursor = report.cursor
         control.due_at = now + report.pause
         control.pause = report.pause
         agents = self.view.take(sender, report.boot, report.records, now)
-        self.is_warm = self.is_warm or report.uptime >= WARM_AFTER
+        if report.uptime >= WARM_AFTER:
+            self.view.is_complete = True
         has_new_tables = bool(report.update) and self.history.take(
             unpack_update(report.update)
         )
--- a/redwingstream/directory/messages.py
+++ b/redwingstream/directory/messages.py
@@ -6,6 +6,9 @@
 
 from redwingstream.wire.messages import message
 
+UNASKED = 0
+"""Number of an answer that nobody asked for; inquiries count from 1."""
+
 
 class Readiness(enum.IntEnum):
     """Whether an agent's server may be given new flows."""
@@ -100,7 +103,8 @@
     Parameters
     ----------
     number : int
-        Of the inquiry.
+        Of the inquiry; ``UNASKED`` when a control instance that has started
+        speaks first.
     sender : int
         Address of the control instance.
     boot, cursor : int
@@ -178,3 +182,25 @@
     is_fresh: bool
     founding: tuple[ReplicaName, ...] = ()
     controls: tuple[int, ...] = ()
+
+
+@message(kind=83)
+class FleetRecord:
+    """Whom a control instance served, and the newest tables accepted.
+
+    Parameters
+    ----------
+    controls : tuple of int
+        Addresses of the control instances that ran.
+    processes : tuple of int
+        Addresses from which balancers and agents asked.
+    revision : int
+        Revision of the tables.
+    tables : bytes
+        A full copy of them, packed.
+    """
+
+    controls: tuple[int, ...] = ()
+    processes: tuple[int, ...] = ()
+    revision: int = 0
+    tables: bytes = b''
--- a/redwingstream/directory/view.py
+++ b/redwingstream/directory/view.py
@@ -67,10 +67,12 @@
     -----
     A control instance that is cut off from an agent calls it silent while the
     others hear it.  So an agent is silent only when all control instances that
-    answer say so.
+    answer say so.  The view is complete once a control instance has answered
+    that has been up for long enough to have heard all agents.
     """
 
     def __init__(self) -> None:
+        self.is_complete = False
         self._source_by_control: dict[Address, _Source] = {}
         self._agent_by_address: dict[Address, Agent] = {}
         self._agents_by_pool: dict[str, tuple[Agent, ...]] = {}
--- a/redwingstream/fleet/balancer.py
+++ b/redwingstream/fleet/balancer.py
@@ -109,7 +109,7 @@
         inquirer = self.following.inquirer
         if inquirer.history.tables.generation is None:
             return False
-        if inquirer.is_warm and inquirer.confirmed_at > float('-inf'):
+        if inquirer.view.is_complete and inquirer.confirmed_at > float('-inf'):
             return True
         age = self.process.clock() - self.process.started_at
         return age >= UNCONFIRMED_AFTER
@@ -122,8 +122,7 @@
 
     def _learn(self, learned: Learned) -> None:
         inquirer = self.following.inquirer
-        self.steering.confirmed_at = inquirer.confirmed_at
-        self.steering.dead_flows.knows_all_agents = inquirer.is_warm
+        self.steering.routes.confirmed_at = inquirer.confirmed_at
         note_agents(self.process, learned.agents)
         if learned.has_new_tables:
             self._go_by_newest()
@@ -131,6 +130,8 @@
         # its route since is taken for dead.
         now = self.process.clock()
         self.outlet.send_all(self.steering.end_dead_flows(now))
+        if learned.agents or learned.has_new_tables:
+            self.outlet.send_all(self.steering.retry_early(now))
 
     def _go_by_newest(self) -> None:
         inquirer = self.following.inquirer
--- a/redwingstream/fleet/control.py
+++ b/redwingstream/fleet/control.py
@@ -18,7 +18,12 @@
 from redwingstream.fleet.process import Duty, Process
 from redwingstream.fleet.registry import Registry, TableSource
 from redwingstream.fleet.replication import Replication
-from redwingstream.packets.flow import address_of, pair_of, text_of
+from redwingstream.packets.flow import (
+    Address,
+    address_of,
+    pair_of,
+    text_of,
+)
 from redwingstream.tables.machine.messages import MarkZone, Replacement
 from redwingstream.tables.machine.replacements import split_replacement
 from redwingstream.wire.datagrams import DatagramSocket, open_datagrams
@@ -112,11 +117,10 @@
         endpoint = self.process.deployment.internal(CONTROL_OFFSET)
         with (
             contextlib.closing(self.replication),
-            open_datagrams(endpoint, self._receive) as datagrams,
+            open_datagrams(endpoint, self.receive) as datagrams,
         ):
-            self._socket = datagrams
-            self._following.attach(datagrams)
-            with self.process.running(Duty('control', self._tick)):
+            self.attach(datagrams)
+            with self.process.running(Duty('control', self.tick)):
                 yield self
 
     async def leave(self) -> None:
@@ -131,11 +135,24 @@
             age = now - self._inquirer.confirmed_at
             return TableSource(history.tables.revision, age, history.since)
         machine = replica.machine
+        recalled = self.replication.memory.history
+        if machine.state.revision < recalled.tables.revision:
+            return TableSource(
+                recalled.tables.revision, float('inf'), recalled.since
+            )
         age = replica.consensus.confirmed_age(now)
         return TableSource(machine.state.revision, age, machine.update_since)
 
-    def _tick(self, now: float) -> float:
+    def attach(self, socket: DatagramSocket) -> None:
+        """Send through this socket from now on."""
+        self._socket = socket
+        self._following.attach(socket)
+
+    def tick(self, now: float) -> float:
+        """Do what is due; return in how many seconds to look again."""
         self.replication.tick(self._controls.peers(now), now)
+        self._greet_recalled(now)
+        self.replication.remember(self._controls.running(now), now)
         if self.replication.replica is None:
             # Without a disk the tables come from those that have one.
             others = self._controls.running(now)[1:]
@@ -149,24 +166,8 @@
             self.process.log.write(silent)
         return TICK
 
-    def _say_hello(self, now: float) -> None:
-        hello = ControlHello(
-            self._own,
-            self.process.codec.boot,
-            self.process.deployment.zone,
-            self.replication.name,
-            self.replication.is_fresh,
-            controls=self._controls.running(now),
-        )
-        if self.process.deployment.is_first_start:
-            size = self.process.deployment.group_size
-            founding = self._controls.choose_founders(hello, size, now)
-            hello = attrs.evolve(hello, founding=founding)
-            self.replication.found(founding)
-        for target in self._controls.targets(now):
-            self._send(hello, pair_of(target))
-
-    def _receive(self, datagram: bytes, source: tuple[str, int]) -> None:
+    def receive(self, datagram: bytes, source: tuple[str, int]) -> None:
+        """Take a datagram of another process."""
         try:
             opened = self.process.codec.open(datagram)
         except WireError:
@@ -175,6 +176,7 @@
         now = self.process.clock()
         match opened.payload:
             case Inquiry() as inquiry:
+                self.replication.memory.audience.hear(address_of(*source), now)
                 tables = self.table_source(now)
                 report = self._registry.answer(inquiry, tables, now)
                 self._send(report, source)
@@ -186,6 +188,32 @@
             case message if isinstance(message, ReplicaMessage):
                 self.replication.receive(message)
 
+    def _greet_recalled(self, now: float) -> None:
+        recalled = self.replication.memory.pop_recalled()
+        if recalled is None:
+            return
+        self._controls.name(map(Address, recalled.controls), now)
+        greeting = self._registry.greeting(now)
+        for address in map(Address, recalled.processes):
+            self._send(greeting, pair_of(address))
+
+    def _say_hello(self, now: float) -> None:
+        hello = ControlHello(
+            self._own,
+            self.process.codec.boot,
+            self.process.deployment.zone,
+            self.replication.name,
+            self.replication.is_fresh,
+            controls=self._controls.running(now),
+        )
+        if self.process.deployment.is_first_start:
+            size = self.process.deployment.group_size
+            founding = self._controls.choose_founders(hello, size, now)
+            hello = attrs.evolve(hello, founding=founding)
+            self.replication.found(founding)
+        for target in self._controls.targets(now):
+            self._send(hello, pair_of(target))
+
     def _send(self, message: object, target: tuple[str, int]) -> None:
         if self._socket is not None:
             self._socket.send(self.process.codec.seal(message), target)
--- a/redwingstream/fleet/following.py
+++ b/redwingstream/fleet/following.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterable
 
 from redwingstream.directory.inquiry import Inquirer, Learned
-from redwingstream.directory.messages import AgentRecord, Report
+from redwingstream.directory.messages import UNASKED, AgentRecord, Report
 from redwingstream.errors import WireError
 from redwingstream.eventlog.lines import event
 from redwingstream.packets.flow import Address, pair_of
@@ -93,6 +93,8 @@
         now = asyncio.get_running_loop().time()
         self._heard_at = now
         self._learned(self.inquirer.take(opened.payload, now))
+        if opened.payload.number == UNASKED:
+            self._send(self.inquirer.due(now, self._own_record()))
         return True
 
     def tick(self, now: float) -> float:
--- a/redwingstream/fleet/registry.py
+++ b/redwingstream/fleet/registry.py
@@ -7,7 +7,11 @@
 from redwingstream.directory.book import MISSED, SILENT_AFTER, AgentBook
 from redwingstream.directory.controls import Controls
 from redwingstream.directory.inquiry import pack_update
-from redwingstream.directory.messages import Inquiry, Report
+from redwingstream.directory.messages import (
+    UNASKED,
+    Inquiry,
+    Report,
+)
 from redwingstream.packets.flow import Address
 from redwingstream.tables.messages import TablesUpdate
 
@@ -117,6 +121,26 @@
             self._pause_for(tables),
         )
 
+    def greeting(self, now: float) -> Report:
+        """Return what those who asked before a restart are told unasked.
+
+        They learn that this instance runs, and ask it at once.
+        """
+        return Report(
+            UNASKED,
+            self._own,
+            self._boot,
+            cursor=0,
+            records=(),
+            update=b'',
+            revision=0,
+            revision_age=0,
+            confirmed_age=float('inf'),
+            uptime=now - self._started_at,
+            controls=self._controls.running(now),
+            pause=self._pause,
+        )
+
     def _pause_for(self, tables: TableSource) -> float:
         if tables.confirmed_age > UNCONFIRMED_AGE:
             return self._pause * UNCONFIRMED_PAUSE / PAUSE
--- a/redwingstream/fleet/replication.py
+++ b/redwingstream/fleet/replication.py
@@ -21,6 +21,8 @@
 from redwingstream.fleet.deployment import CONTROL_OFFSET
 from redwingstream.fleet.outcomes import Waiter
 from redwingstream.fleet.process import Process, ProcessReady
+from redwingstream.fleet.recalling import FleetMemory, Served
+from redwingstream.packets.flow import Address
 from redwingstream.storage.disk import DiskFolder, open_folder
 from redwingstream.tables.machine.machine import Outcome
 from redwingstream.telemetry.histogram import Histogram
@@ -110,6 +112,7 @@
         send: Callable[[object, tuple[str, int]], None],
     ) -> None:
         self.replica: Replica | None = None
+        self.memory = FleetMemory(process.log.write)
         self.sync_seconds = Histogram()
         self.change_seconds = Histogram()
         self._process = process
@@ -119,6 +122,7 @@
         self._reopen_at = process.started_at
         self._folders = contextlib.ExitStack()
         self._role = ''
+        self._folder: DiskFolder | None = None
         self._peers: tuple[events.Peer, ...] = ()
 
     @property
@@ -146,6 +150,14 @@
             self.replica.step(events.Ticked())
             self._note_role(self.replica)
 
+    def remember(self, controls: tuple[Address, ...], now: float) -> None:
+        """Keep on the disk who is served, and by which tables."""
+        if self.replica is None or self._folder is None:
+            return
+        machine = self.replica.machine
+        served = Served(controls, machine.state.revision, machine.update_since)
+        self.memory.keep(self._folder, served, now)
+
     def receive(self, message: ReplicaMessage) -> None:
         """Take a message of another replica."""
         if self.replica is not None:
@@ -252,6 +264,8 @@
         made = make_replica(folder, str(self._endpoint), sizing, around)
         self._identity = made.identity
         self.replica = made.replica
+        self._folder = folder
+        self.memory.recall(folder, self._process.clock())
         self._peers = ()
         after = round(self._process.clock() - self._process.started_at, 3)
         self._process.log.write(ProcessReady(after))
@@ -265,6 +279,7 @@
         # afresh, so the replica begins again from its disk, as after a crash.
         self._process.log.write(DiskLost(str(error)))
         self.replica = None
+        self._folder = None
         self._folders.close()
         self._reopen_at = self._process.clock() + REOPEN_AFTER
 
--- a/redwingstream/fleet/tests/test_balancer.py
+++ b/redwingstream/fleet/tests/test_balancer.py
@@ -1,10 +1,7 @@
 """What a balancer does with an answer of a control instance."""
 
 import asyncio
-from collections.abc import Callable
-from types import SimpleNamespace
 
-import attrs
 import pytest
 
 from redwingstream.directory.inquiry import pack_update
@@ -16,6 +13,7 @@
 )
 from redwingstream.fleet.balancer import Balancer
 from redwingstream.fleet.deployment import Deployment, Listening
+from redwingstream.fleet.tests.fakes import KEY, FakeProcess, FakeSocket
 from redwingstream.openings.pacing import ColdLimit
 from redwingstream.packets.envelopes import Envelope, Kind
 from redwingstream.packets.flow import address_of
@@ -25,7 +23,6 @@
 from redwingstream.tables.rows import FlowRules, Generation, Pool, Route
 from redwingstream.wire.frames import FrameCodec
 
-KEY = b'k' * 32
 POOL = 'feed'
 OTHER_POOL = 'feed-2'
 SERVICE = '198.18.0.1:443'
@@ -52,36 +49,6 @@
 )
 
 
-@attrs.define
-class _Socket:
-    """Keeps what is sent."""
-
-    sent: list[bytes] = attrs.field(factory=list)
-
-    def send(self, payload: bytes, target: tuple[str, int]) -> None:
-        self.sent.append(payload)
-
-
-class _Process(SimpleNamespace):
-    """A process without signals and without a log."""
-
-    def __init__(self, clock: Callable[[], float]) -> None:
-        super().__init__(
-            deployment=DEPLOYMENT,
-            clock=clock,
-            started_at=clock(),
-            log=SimpleNamespace(write=_ignore),
-            codec=FrameCodec(KEY),
-        )
-
-    def when_reloaded(self, act: Callable[[Deployment], None]) -> None:
-        """Settings do not change here."""
-
-
-def _ignore(event: object) -> None:
-    """Take no notice of an event."""
-
-
 def _report(update: TablesUpdate, agents: dict[str, int]) -> bytes:
     records = tuple(
         HeardRecord(
@@ -124,15 +91,15 @@
     """Tables, agents and the proof that a flow is dead come together."""
 
     @pytest.fixture
-    async def callers(self) -> _Socket:
-        return _Socket()
+    async def callers(self) -> FakeSocket:
+        return FakeSocket()
 
     @pytest.fixture
-    async def balancer(self, callers: _Socket) -> Balancer:
+    async def balancer(self, callers: FakeSocket) -> Balancer:
         """A balancer that searched the only pool for a flow, in vain."""
         loop = asyncio.get_running_loop()
-        made = Balancer(_Process(loop.time), PlainCodec())
-        made.outlet.attach(callers=callers, peers=_Socket())
+        made = Balancer(FakeProcess(DEPLOYMENT, loop.time), PlainCodec())
+        made.outlet.attach(callers=callers, peers=FakeSocket())
         first = _tables(1, Route(SERVICE, POOL), POOL)
         made.following.receive(_report(first, {POOL: AGENT}), ('10.9.0.1', 1))
         packet = Packet(CALLER, address_of('198.18.0.1', 443), 1, 9).pack()
--- /dev/null
+++ b/redwingstream/fleet/tests/test_control.py
@@ -0,0 +1,99 @@
+"""What a control instance does at its start with what it recalls."""
+
+import asyncio
+from pathlib import Path
+
+import attrs
+import pytest
+
+from redwingstream.directory.messages import UNASKED, Inquiry, Report
+from redwingstream.fleet.control import Control
+from redwingstream.fleet.deployment import Deployment, Listening
+from redwingstream.fleet.recalling import FleetMemory, Served
+from redwingstream.fleet.tests.fakes import KEY, FakeProcess, FakeSocket
+from redwingstream.openings.pacing import ColdLimit
+from redwingstream.packets.flow import address_of
+from redwingstream.storage.disk import open_folder
+from redwingstream.tables.machine.machine import Machine
+from redwingstream.wire.frames import FrameCodec
+
+OTHER_CONTROL = address_of('10.2.0.100', 7720)
+BALANCER = address_of('10.1.0.101', 7721)
+REVISION = 7
+DEPLOYMENT = Deployment(
+    node='front-1',
+    zone='north',
+    host='10.1.0.100',
+    listening=Listening(),
+    first_port=7720,
+    last_port=7730,
+    seeds=('10.9.0.1',),
+    data_folder=None,
+    is_first_start=False,
+    tolerated=1,
+    beside=None,
+    cold_limit=ColdLimit(1, 5),
+    report_interval=1,
+    grace=5,
+    flow_life=60,
+)
+
+
+@pytest.fixture
+def disk(tmp_path) -> Path:
+    """A data folder on which an earlier run has left its record."""
+    machine = Machine()
+    machine.state.revision = REVISION
+    memory = FleetMemory(lambda event: None)
+    memory.audience.hear(BALANCER, 0)
+    served = Served((OTHER_CONTROL,), REVISION, machine.update_since)
+    with open_folder(tmp_path) as folder:
+        memory.keep(folder, served, 0)
+    return tmp_path
+
+
+@pytest.fixture
+async def socket() -> FakeSocket:
+    return FakeSocket()
+
+
+@pytest.fixture
+async def control(disk, socket) -> Control:
+    loop = asyncio.get_running_loop()
+    deployment = attrs.evolve(DEPLOYMENT, data_folder=disk)
+    made = Control(FakeProcess(deployment, loop.time))
+    made.attach(socket)
+    made.tick(loop.time())
+    return made
+
+
+def _reports(socket: FakeSocket) -> list[Report]:
+    codec = FrameCodec(KEY)
+    opened = [codec.open(frame).payload for frame in socket.sent]
+    return [one for one in opened if isinstance(one, Report)]
+
+
+class TestStart:
+    """Nobody leads yet, and nobody knows anybody."""
+
+    async def test_speaks_first(self, control, socket) -> None:
+        """Guards against a wait until the processes ask at the seeds."""
+        assert ('10.1.0.101', 7721) in socket.targets
+        assert ('10.2.0.100', 7720) in socket.targets
+        assert [report.number for report in _reports(socket)] == [UNASKED]
+
+    async def test_hands_out_recalled_tables(self, control, socket) -> None:
+        """Guards against a wait for the election before flows are opened."""
+        socket.sent.clear()
+        inquiry = FrameCodec(KEY).seal(Inquiry(1, 0, 0, 0))
+        control.receive(inquiry, ('10.1.0.101', 7721))
+        report = _reports(socket)[0]
+        assert report.revision == REVISION
+        assert report.update
+
+    async def test_does_not_call_them_the_newest(self, control, socket) -> None:
+        """Guards against refusals and reads by tables that may be old."""
+        socket.sent.clear()
+        inquiry = FrameCodec(KEY).seal(Inquiry(1, 0, 0, 0))
+        control.receive(inquiry, ('10.1.0.101', 7721))
+        assert _reports(socket)[0].confirmed_age == float('inf')
--- a/redwingstream/packets/admitting.py
+++ b/redwingstream/packets/admitting.py
@@ -5,7 +5,7 @@
 from redwingstream.directory.messages import Readiness
 from redwingstream.openings.gate import Verdict
 from redwingstream.packets import events
-from redwingstream.packets.effects import Sending, ToServer
+from redwingstream.packets.effects import Sending, ToServer, peer_datagram
 from redwingstream.packets.envelopes import NO_OFFER, Envelope, Kind
 from redwingstream.packets.flow import (
     NO_ADDRESS,
@@ -17,7 +17,7 @@
 )
 from redwingstream.packets.flowbook import Carried, Standing
 from redwingstream.packets.ranking import pool_hash, ranked
-from redwingstream.packets.site import Site, peer_datagram
+from redwingstream.packets.site import Site
 from redwingstream.packets.waiting import Held
 
 MAX_TRIES = 4
--- a/redwingstream/packets/carrying.py
+++ b/redwingstream/packets/carrying.py
@@ -2,7 +2,7 @@
 
 from redwingstream.packets import events
 from redwingstream.packets.admitting import Admitting
-from redwingstream.packets.effects import Sending, ToCaller
+from redwingstream.packets.effects import Sending, ToCaller, peer_datagram
 from redwingstream.packets.envelopes import (
     Envelope,
     Kind,
@@ -10,7 +10,7 @@
 from redwingstream.packets.flow import Address, FlowId, Head, flow_text
 from redwingstream.packets.flowbook import Carried, Standing
 from redwingstream.packets.searching import Searching
-from redwingstream.packets.site import Site, peer_datagram
+from redwingstream.packets.site import Site
 
 
 class Carrying:
--- a/redwingstream/packets/dead_flows.py
+++ b/redwingstream/packets/dead_flows.py
@@ -7,7 +7,7 @@
 """
 
 from collections import deque
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Iterator
 
 import attrs
 
@@ -16,6 +16,7 @@
 from redwingstream.packets.bounded import BoundedTable
 from redwingstream.packets.flow import Address, FlowId, Head
 from redwingstream.packets.ranking import pool_hash
+from redwingstream.packets.routebook import RouteBook
 from redwingstream.tables.rows import MAX_EARLIER, Route
 
 MAX_MISSED = 5000
@@ -73,7 +74,6 @@
     """
 
     def __init__(self, view: AgentView) -> None:
-        self.knows_all_agents = False
         self._view = view
         self._missed: BoundedTable[FlowId, _Missed] = BoundedTable(
             MAX_MISSED, PROOF_SECONDS
@@ -106,24 +106,22 @@
         missed = self._recent(flow, now)
         return () if missed is None else tuple(missed.visited_by_pool)
 
-    def proved(
-        self, route_by_service: Mapping[Address, Route], now: float
-    ) -> list[Head]:
+    def proved(self, routes: RouteBook, now: float) -> list[Head]:
         """Return headers of flows that are known to be dead since last time.
 
         Parameters
         ----------
-        route_by_service : mapping
+        routes : RouteBook
             The routes in force.
         now : float
             The time in seconds.
         """
-        if not self.knows_all_agents:
+        if not self._view.is_complete:
             return []
         present = _PresentAgents(self._view)
         heads = []
         for missed in self._confirmed(now):
-            route = route_by_service.get(missed.head.target)
+            route = routes.find(missed.head.target)
             if route is not None and _is_proof(missed, route, present):
                 heads.append(missed.head)
         return heads
--- a/redwingstream/packets/effects.py
+++ b/redwingstream/packets/effects.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from redwingstream.packets.envelopes import Envelope, pack_envelope
 from redwingstream.packets.flow import Address
 
 
@@ -29,3 +30,8 @@
 
 
 Sending = ToPeer | ToCaller | ToServer
+
+
+def peer_datagram(envelope: Envelope, target: Address) -> ToPeer:
+    """Return the datagram that carries an envelope."""
+    return ToPeer(pack_envelope(envelope), target)
--- a/redwingstream/packets/searching.py
+++ b/redwingstream/packets/searching.py
@@ -10,7 +10,12 @@
 
 from redwingstream.packets import events
 from redwingstream.packets.bounded import BoundedTable
-from redwingstream.packets.effects import Sending, ToCaller, ToServer
+from redwingstream.packets.effects import (
+    Sending,
+    ToCaller,
+    ToServer,
+    peer_datagram,
+)
 from redwingstream.packets.envelopes import (
     MAX_VISITED,
     Envelope,
@@ -19,7 +24,7 @@
 from redwingstream.packets.flow import FlowId, Head, flow_text, text_of
 from redwingstream.packets.flowbook import Carried, Standing
 from redwingstream.packets.ranking import pool_hash, ranked
-from redwingstream.packets.site import Site, peer_datagram
+from redwingstream.packets.site import Site
 
 MAX_TICKETS = 4096
 """Packets that are at the server to see whether it holds their flow."""
--- a/redwingstream/packets/site.py
+++ b/redwingstream/packets/site.py
@@ -9,13 +9,12 @@
 from redwingstream.directory.view import Agent, AgentView
 from redwingstream.openings.expectation import longest_wait
 from redwingstream.openings.gate import Gate, Load
-from redwingstream.packets.effects import ToPeer
+from redwingstream.packets.effects import ToPeer, peer_datagram
 from redwingstream.packets.envelopes import (
     NO_OFFER,
     OFFER_UNIT,
     Envelope,
     Kind,
-    pack_envelope,
 )
 from redwingstream.packets.flow import (
     NO_ADDRESS,
@@ -153,8 +152,3 @@
         )
         targets = {envelope.origin, envelope.home} - {own, NO_ADDRESS}
         return [peer_datagram(word, target) for target in sorted(targets)]
-
-
-def peer_datagram(envelope: Envelope, target: Address) -> ToPeer:
-    """Return the datagram that carries an envelope."""
-    return ToPeer(pack_envelope(envelope), target)
--- a/redwingstream/packets/steering.py
+++ b/redwingstream/packets/steering.py
@@ -16,12 +16,14 @@
 from redwingstream.packets.bounded import BoundedTable
 from redwingstream.packets.choosing import Choosing, pool_for
 from redwingstream.packets.dead_flows import DeadFlows
-from redwingstream.packets.effects import Sending, ToCaller, ToPeer
-from redwingstream.packets.envelopes import (
-    Envelope,
-    Kind,
-    pack_envelope,
+from redwingstream.packets.early import EarlyPackets
+from redwingstream.packets.effects import (
+    Sending,
+    ToCaller,
+    ToPeer,
+    peer_datagram,
 )
+from redwingstream.packets.envelopes import Envelope, Kind
 from redwingstream.packets.flow import (
     NO_ADDRESS,
     Address,
@@ -33,6 +35,7 @@
 )
 from redwingstream.packets.ranking import pool_hash
 from redwingstream.packets.refusing import Refusing
+from redwingstream.packets.routebook import RouteBook
 from redwingstream.packets.trust import Trust
 from redwingstream.tables.rows import Route
 from redwingstream.tables.snapshot import Tables
@@ -48,11 +51,6 @@
 """A caller sends its last copy 0.6 s after the first packet and gives up after
 1.4 s."""
 
-CONFIRMED_WITHIN = 1.5
-"""Seconds within which the tables must have been known to be the newest, for a
-route that is not in them to be taken for missing.  Balancers ask each control
-instance several times within this time."""
-
 
 @attrs.frozen
 class _Try:
@@ -119,7 +117,6 @@
     ) -> None:
         self.counters = SteeringCounters()
         self.tables = Tables()
-        self.confirmed_at = float('-inf')
         self._address = address
         self._codec = codec
         self._log = log
@@ -133,7 +130,8 @@
             MAX_OPENING, OPENING_SECONDS
         )
         self.dead_flows = DeadFlows(view)
-        self._route_by_service: dict[Address, Route] = {}
+        self.early = EarlyPackets()
+        self.routes = RouteBook(view)
 
     def go_by(
         self, tables: Tables, route_by_service: dict[Address, Route]
@@ -142,15 +140,23 @@
         self.tables = tables
         self._choosing.tables = tables
         self.refusing.revision = tables.revision
-        self._route_by_service = route_by_service
+        self.routes.route_by_service = route_by_service
 
     def take_packet(self, packet: bytes, now: float) -> list[Sending]:
         """Take a caller's packet from the fabric."""
         self.counters.packets += 1
-        head = self._codec.read(packet)
-        if head.is_opening:
-            return self._open(head, packet, now)
-        return self._go_on(head, packet, now)
+        return self._steer(self._codec.read(packet), packet, now)
+
+    def retry_early(self, now: float) -> list[Sending]:
+        """Send on packets that came before the tables or the agents did."""
+        sending: list[Sending] = []
+        for one in self.early.pop_all(now):
+            head = self._codec.read(one.packet)
+            if self.routes.may_come(head.target, now):
+                self.early.keep(one.packet, one.since)
+            else:
+                sending.extend(self._steer(head, one.packet, now))
+        return sending
 
     def take(
         self, envelope: Envelope, source: Address, now: float
@@ -165,7 +171,7 @@
             case Kind.NOT_CARRIED:
                 self._note_not_carried(envelope, now)
             case Kind.PING:
-                return [self._to_peer(Envelope(Kind.PONG, b''), source)]
+                return [peer_datagram(Envelope(Kind.PONG, b''), source)]
         return []
 
     def tick(self, now: float) -> list[Sending]:
@@ -174,7 +180,7 @@
         self._opening.forget_old(now)
         self.dead_flows.forget_old(now)
         ping = Envelope(Kind.PING, b'', self._address)
-        return [self._to_peer(ping, address) for address in self.trust.due(now)]
+        return [peer_datagram(ping, address) for address in self.trust.due(now)]
 
     def end_dead_flows(self, now: float) -> list[Sending]:
         """Tell callers of flows that no server holds; after control answered.
@@ -184,27 +190,35 @@
         fail on dead flows.  Of all requests of four days that end with one,
         4.3 % failed before and 3.6 % with it (means of measured runs).
         """
-        if now - self.confirmed_at > CONFIRMED_WITHIN:
+        if not self.routes.is_confirmed(now):
             return []
         sending: list[Sending] = []
-        for head in self.dead_flows.proved(self._route_by_service, now):
+        for head in self.dead_flows.proved(self.routes, now):
             self.counters.declared_dead += 1
             self._log(
                 events.FlowDeclaredDead(
                     flow_text(head.inbound),
                     self.tables.revision,
-                    round(now - self.confirmed_at, 3),
+                    round(now - self.routes.confirmed_at, 3),
                 ),
             )
             sending.append(ToCaller(self._codec.reset_for(head), head.source))
         return sending
 
+    def _steer(self, head: Head, packet: bytes, now: float) -> list[Sending]:
+        if head.is_opening:
+            return self._open(head, packet, now)
+        return self._go_on(head, packet, now)
+
     def _open(self, head: Head, packet: bytes, now: float) -> list[Sending]:
         flow = head.inbound
         self.dead_flows.note_found(flow)
-        route = self._route_by_service.get(head.target)
+        if self.routes.may_come(head.target, now):
+            self.early.keep(packet, now)
+            return []
+        route = self.routes.find(head.target)
         if route is None:
-            return self._refuse_unknown(head, now)
+            return self.refusing.refuse(head, 'no route', 0)
         if head.acknowledged:
             self.counters.copies += 1
             hint = self.hints.get(flow, now)
@@ -253,13 +267,7 @@
             self.tables.revision,
             visited=self._choosing.doubted(pool, target, now),
         )
-        return self._to_peer(envelope, target)
-
-    def _refuse_unknown(self, head: Head, now: float) -> list[Sending]:
-        if now - self.confirmed_at > CONFIRMED_WITHIN:
-            # The route may be new; the caller sends a copy soon.
-            return self.refusing.drop(head, 'no route, tables not confirmed')
-        return self.refusing.refuse(head, 'no route', 0)
+        return peer_datagram(envelope, target)
 
     def _go_on(self, head: Head, packet: bytes, now: float) -> list[Sending]:
         flow = head.inbound
@@ -267,7 +275,10 @@
         if hint is not None:
             self.counters.by_hint += 1
             return [self._ongoing_to(hint, packet)]
-        route = self._route_by_service.get(head.target)
+        if self.routes.may_come(head.target, now):
+            self.early.keep(packet, now)
+            return []
+        route = self.routes.find(head.target)
         if route is None:
             return self.refusing.drop(head, 'no route')
         missed = self.dead_flows.pools_without(flow, now)
@@ -286,7 +297,7 @@
             target,
             revision=self.tables.revision,
         )
-        return self._to_peer(envelope, target)
+        return peer_datagram(envelope, target)
 
     def _note_carried(self, envelope: Envelope, now: float) -> None:
         if envelope.best == NO_ADDRESS:
@@ -310,6 +321,3 @@
         head = self._codec.read(envelope.packet)
         self.hints.pop(head.inbound)
         self.dead_flows.note(head, envelope.pool, envelope.visited, now)
-
-    def _to_peer(self, envelope: Envelope, target: Address) -> ToPeer:
-        return ToPeer(pack_envelope(envelope), target)
--- a/redwingstream/packets/tests/network.py
+++ b/redwingstream/packets/tests/network.py
@@ -255,7 +255,7 @@
 
     def go_by(self, tables: Tables) -> None:
         """Take tables."""
-        self.steering.confirmed_at = self.network.now
+        self.steering.routes.confirmed_at = self.network.now
         routes = {
             _address_of(route.service): route
             for route in tables.route_by_key.values()
@@ -289,8 +289,8 @@
             self._heard_at = now
             self.view.take(CONTROL, 1, (), now)
             if self.control_has_leader:
-                self.steering.confirmed_at = now
-            self.steering.dead_flows.knows_all_agents = self.control_is_warm
+                self.steering.routes.confirmed_at = now
+            self.view.is_complete = self.control_is_warm
             sending = self.steering.end_dead_flows(now)
             self.network.carry_out(self.address, sending)
 
--- a/redwingstream/packets/tests/test_dead_flows.py
+++ b/redwingstream/packets/tests/test_dead_flows.py
@@ -6,7 +6,7 @@
 from redwingstream.directory.view import Agent
 from redwingstream.packets.dead_flows import PROOF_SECONDS
 from redwingstream.packets.events import FlowDeclaredDead, FlowOpened
-from redwingstream.packets.steering import CONFIRMED_WITHIN
+from redwingstream.packets.routebook import CONFIRMED_WITHIN
 from redwingstream.packets.tests.codec import OPENING, Packet
 from redwingstream.packets.tests.network import (
     CODEC,
--- /dev/null
+++ b/redwingstream/packets/tests/test_early.py
@@ -0,0 +1,108 @@
+"""Pattern: all processes start at once, and callers do not wait for them."""
+
+import pytest
+
+from redwingstream.packets.early import (
+    KEPT_FOR,
+    MAX_KEPT,
+    EarlyPackets,
+)
+from redwingstream.packets.tests.network import (
+    HOP,
+    BalancerNode,
+    Caller,
+    Network,
+)
+from redwingstream.tables.snapshot import Tables
+
+
+@pytest.fixture
+def network() -> Network:
+    return Network()
+
+
+@pytest.fixture
+def balancer(network) -> BalancerNode:
+    """A balancer that has just started and has heard nobody."""
+    made = network.add_balancer('10.1.0.100')
+    made.steering.go_by(Tables(), {})
+    made.steering.routes.confirmed_at = float('-inf')
+    return made
+
+
+def _inform(network: Network, balancer: BalancerNode) -> None:
+    balancer.go_by(network.tables)
+    sending = balancer.steering.retry_early(network.now)
+    network.carry_out(balancer.address, sending)
+
+
+class TestBeforeTheTables:
+    """Packets come before the tables do."""
+
+    def test_opens_as_soon_as_they_are_there(self, network, balancer) -> None:
+        """Guards against a wait for the caller's copy after a restart."""
+        network.add_agent('10.1.0.1')
+        caller = Caller(network, '100.64.0.1', 1000).open(balancer)
+        network.run(0.1)
+        _inform(network, balancer)
+        network.run(3 * HOP)
+        assert caller.accepted is not None
+        assert caller.waited < 0.1 + 3 * HOP
+
+    def test_an_open_flow_goes_on(self, network, balancer) -> None:
+        """Guards against a wait for the repeat of a request."""
+        agent = network.add_agent('10.1.0.1')
+        other = network.add_balancer('10.1.0.101')
+        caller = Caller(network, '100.64.0.1', 1000).open(other)
+        network.run(0.1)
+        caller.ask(balancer)
+        network.run(0.05)
+        taken = len(agent.server.taken)
+        _inform(network, balancer)
+        network.run(3 * HOP)
+        assert len(agent.server.taken) == taken + 1
+
+    def test_is_not_sent_on_after_its_repeat(self, network, balancer) -> None:
+        """Guards against late first packets that open flows for nobody."""
+        network.add_agent('10.1.0.1')
+        caller = Caller(network, '100.64.0.1', 1000)
+        caller.open(balancer)
+        balancer.alive = False
+        network.run(KEPT_FOR + 0.1)
+        assert not balancer.steering.retry_early(network.now)
+
+
+class TestBeforeTheAgents:
+    """Tables are there, and no agent is known yet."""
+
+    def test_is_not_refused(self, network, balancer) -> None:
+        """Guards against refusals while agents are about to be known."""
+        balancer.go_by(network.tables)
+        caller = Caller(network, '100.64.0.1', 1000).open(balancer)
+        network.run(0.05)
+        assert not caller.resets
+        network.add_agent('10.1.0.1')
+        _inform(network, balancer)
+        network.run(3 * HOP)
+        assert caller.accepted is not None
+
+    def test_is_refused_once_all_agents_are_known(
+        self, network, balancer
+    ) -> None:
+        balancer.go_by(network.tables)
+        balancer.view.is_complete = True
+        caller = Caller(network, '100.64.0.1', 1000).open(balancer)
+        network.run(0.05)
+        assert caller.resets == 1
+
+
+class TestEarlyPackets:
+    """What is kept is bounded."""
+
+    def test_the_oldest_give_way(self) -> None:
+        early = EarlyPackets()
+        for number in range(MAX_KEPT + 5):
+            early.keep(number.to_bytes(2), 0)
+        assert len(early) == MAX_KEPT
+        assert early.overflowed == 5
+        assert early.pop_all(0)[0].packet == (5).to_bytes(2)
--- a/redwingstream/packets/tests/test_opening.py
+++ b/redwingstream/packets/tests/test_opening.py
@@ -242,6 +242,7 @@
 
     def test_without_any_agent(self) -> None:
         network, balancer = _fleet(agents=0)
+        balancer.view.is_complete = True
         caller = Caller(network, '100.64.0.1', 1000).open(balancer)
         network.run(0.1)
         assert caller.resets == 1
