--- a/redwingstream/directory/controls.py
+++ b/redwingstream/directory/controls.py
@@ -24,6 +24,13 @@
 """Seconds without a new control instance after which the first group is chosen.
 All start within 0.3 s of each other; a slow one needs a second to start."""
 
+NAMED_FOR = 3.0
+"""Seconds after a change among the running control instances for which each
+hello names all of them."""
+
+NAMED_EVERY = 5
+"""Otherwise each so many hellos do."""
+
 MAX_CONTROLS = 64
 """Control instances that are remembered; 8 are set aside for control."""
 
@@ -52,6 +59,9 @@
         self._known_by_address: dict[Address, _Known] = {}
         self._grew_at = float('-inf')
         self._founding: tuple[ReplicaName, ...] = ()
+        self._named: tuple[Address, ...] = ()
+        self._named_since = float('-inf')
+        self._hellos = 0
 
     def follow_seeds(self, seeds: Iterable[Address]) -> None:
         """Take the control instances that the settings name now."""
@@ -86,6 +96,17 @@
         heard = [Address(hello.sender) for hello in self._lately(now)]
         return (self._own, *sorted(heard))
 
+    def to_name(self, now: float) -> tuple[Address, ...]:
+        """Return the control instances that the next hello names, if any."""
+        self._hellos += 1
+        running = self.running(now)
+        if running != self._named:
+            self._named = running
+            self._named_since = now
+        has_changed = now - self._named_since <= NAMED_FOR
+        is_turn = self._hellos % NAMED_EVERY == 0
+        return running if has_changed or is_turn else ()
+
     def peers(self, now: float) -> tuple[Peer, ...]:
         """Return the replicas that run on other instances."""
         return tuple(
--- a/redwingstream/directory/inquiry.py
+++ b/redwingstream/directory/inquiry.py
@@ -11,6 +11,7 @@
     AgentRecord,
     Inquiry,
     Report,
+    Unchanged,
 )
 from redwingstream.directory.view import Agent, AgentView
 from redwingstream.packets.flow import Address
@@ -36,6 +37,10 @@
 without a leader it is 0.1 s by itself, and a fleet that has lost many flows
 must not keep control instances from finding one."""
 
+SPREAD_SHARE = 0.25
+"""Share of the pause by which an inquiry may come sooner or later, so that the
+inquiries to several control instances do not come at once."""
+
 WARM_AFTER = 1.5
 """Seconds after its start from which a control instance has heard every agent
 that it can hear: agents speak to it each 0.4 s, and each 0.2 s until they have
@@ -124,6 +129,7 @@
         self.in_force_seconds = Histogram()
         self._pool = pool
         self._number = 0
+        self._planned = now
         self._control_by_address = {
             seed: _Control(is_seed=True, named_at=now, due_at=now)
             for seed in seeds
@@ -186,8 +192,8 @@
             return Learned((), has_new_tables=False)
         control.boot = report.boot
         control.cursor = report.cursor
-        control.due_at = now + report.pause
         control.pause = report.pause
+        self._plan(control, now)
         agents = self.view.take(sender, report.boot, report.records, now)
         if report.uptime >= WARM_AFTER:
             self.view.is_complete = True
@@ -201,6 +207,20 @@
             self.confirmed_at = max(self.confirmed_at, confirmed_at)
         return Learned(tuple(agents), has_new_tables)
 
+    def take_unchanged(self, answer: Unchanged, now: float) -> None:
+        """Take the answer that nothing is missing here."""
+        sender = Address(answer.sender)
+        control = self._control_by_address.get(sender)
+        if control is None or answer.revision > self.history.tables.revision:
+            # It belongs to an inquiry of the last run of this process.
+            return
+        control.named_at = now
+        self._plan(control, now)
+        self.view.take(sender, control.boot, (), now)
+        self.view.is_complete = True
+        confirmed_at = now - answer.confirmed_age
+        self.confirmed_at = max(self.confirmed_at, confirmed_at)
+
     def _ask(
         self, address: Address, control: _Control, record: AgentRecord | None
     ) -> Ask:
@@ -215,6 +235,19 @@
         )
         return Ask(address, inquiry)
 
+    def _plan(self, control: _Control, now: float) -> None:
+        """Set when a control instance is asked next.
+
+        The inquiries are spread over the pause: sent all at once, they would
+        all miss a change that comes right after them.
+        """
+        spread = control.pause * SPREAD_SHARE
+        step = control.pause / len(self._control_by_address)
+        earliest = now + control.pause - spread
+        latest = now + control.pause + spread
+        self._planned = min(max(earliest, self._planned + step), latest)
+        control.due_at = self._planned
+
     def _name(self, address: Address, now: float) -> None:
         control = self._control_by_address.get(address)
         if control is None:
--- a/redwingstream/directory/messages.py
+++ b/redwingstream/directory/messages.py
@@ -151,6 +151,32 @@
     identity: int
 
 
+@message(kind=84)
+class Unchanged:
+    """Short answer to an :class:`Inquiry` that misses nothing.
+
+    A control instance gives it once it has been up for long enough to have
+    heard all agents.
+
+    Parameters
+    ----------
+    number : int
+        Of the inquiry.
+    sender : int
+        Address of the control instance.
+    revision : int
+        Revision of the tables that both have.
+    confirmed_age : float
+        Seconds since the control instance last knew that its tables were the
+        newest ones.
+    """
+
+    number: int
+    sender: int
+    revision: int
+    confirmed_age: float
+
+
 @message(kind=82)
 class ControlHello:
     """A control instance tells the others that it runs.
@@ -172,7 +198,8 @@
         The first group that it has chosen; empty unless it is the one to do
         so.
     controls : tuple of int
-        The control instances that it has heard lately.
+        The control instances that it has heard lately; empty in most hellos
+        while they are the same.
     """
 
     sender: int
--- a/redwingstream/directory/tests/test_inquiry.py
+++ b/redwingstream/directory/tests/test_inquiry.py
@@ -1,13 +1,16 @@
 """What a process makes of the answers of control instances."""
 
+import itertools
+
 import attrs
+import pytest
 
 from redwingstream.directory.inquiry import (
     HURRIED_SHARE,
     Inquirer,
     pack_update,
 )
-from redwingstream.directory.messages import Report
+from redwingstream.directory.messages import Report, Unchanged
 from redwingstream.packets.flow import Address
 from redwingstream.tables.machine.machine import Machine
 
@@ -94,3 +97,47 @@
 
 def _with_pause(pause: float) -> Report:
     return attrs.evolve(_report(REVISION), pause=pause)
+
+
+class TestSpread:
+    """Inquiries to several control instances do not come at once."""
+
+    def test_no_two_come_together(self) -> None:
+        """Guards against a change that all inquiries miss by a moment."""
+        controls = tuple(map(Address, range(101, 109)))
+        inquirer = Inquirer(controls, '', 0)
+        asked_at = []
+        for step in range(2000):
+            now = step / 100
+            for ask in inquirer.due(now, None):
+                asked_at.append(now)
+                answer = attrs.evolve(_with_pause(1.6), sender=ask.target)
+                inquirer.take(answer, now)
+        late = [now for now in asked_at if now > 5]
+        gaps = [after - before for before, after in itertools.pairwise(late)]
+        assert max(gaps) < 2 * 1.6 / len(controls)
+        assert len(late) == pytest.approx(15 * len(controls) / 1.6, rel=0.1)
+
+
+class TestUnchanged:
+    """The short answer that nothing is missing."""
+
+    def test_confirms_the_tables(self) -> None:
+        inquirer = _asked()
+        answer = Unchanged(2, CONTROL, revision=0, confirmed_age=0.5)
+        inquirer.take_unchanged(answer, 20)
+        assert inquirer.confirmed_at == 20 - 0.5
+        assert inquirer.view.is_complete
+
+    def test_of_other_tables_confirms_nothing(self) -> None:
+        """Guards against refusals by tables that a restart has lost."""
+        inquirer = Inquirer((CONTROL,), '', 0)
+        answer = Unchanged(2, CONTROL, revision=REVISION, confirmed_age=0)
+        inquirer.take_unchanged(answer, 20)
+        assert inquirer.confirmed_at == float('-inf')
+
+    def test_of_a_stranger_is_left_alone(self) -> None:
+        inquirer = _asked()
+        answer = Unchanged(2, CONTROL + 1, revision=0, confirmed_age=0)
+        inquirer.take_unchanged(answer, 20)
+        assert inquirer.confirmed_at < 20
--- a/redwingstream/fleet/control.py
+++ b/redwingstream/fleet/control.py
@@ -9,7 +9,12 @@
 from redwingstream.directory.book import AgentBook
 from redwingstream.directory.controls import HELLO_EVERY, Controls
 from redwingstream.directory.inquiry import Inquirer
-from redwingstream.directory.messages import ControlHello, Inquiry, Report
+from redwingstream.directory.messages import (
+    ControlHello,
+    Inquiry,
+    Report,
+    Unchanged,
+)
 from redwingstream.errors import WireError
 from redwingstream.fleet.deployment import CONTROL_OFFSET
 from redwingstream.fleet.events import AgentSilent
@@ -185,6 +190,8 @@
                 self.replication.found(hello.founding)
             case Report() as report:
                 self._inquirer.take(report, now)
+            case Unchanged() as answer:
+                self._inquirer.take_unchanged(answer, now)
             case message if isinstance(message, ReplicaMessage):
                 self.replication.receive(message)
 
@@ -204,7 +211,7 @@
             self.process.deployment.zone,
             self.replication.name,
             self.replication.is_fresh,
-            controls=self._controls.running(now),
+            controls=self._controls.to_name(now),
         )
         if self.process.deployment.is_first_start:
             size = self.process.deployment.group_size
--- a/redwingstream/fleet/following.py
+++ b/redwingstream/fleet/following.py
@@ -4,7 +4,12 @@
 from collections.abc import Callable, Iterable
 
 from redwingstream.directory.inquiry import Inquirer, Learned
-from redwingstream.directory.messages import UNASKED, AgentRecord, Report
+from redwingstream.directory.messages import (
+    UNASKED,
+    AgentRecord,
+    Report,
+    Unchanged,
+)
 from redwingstream.errors import WireError
 from redwingstream.eventlog.lines import event
 from redwingstream.packets.flow import Address, pair_of
@@ -87,12 +92,12 @@
         except WireError:
             self.malformed += 1
             return False
-        if not isinstance(opened.payload, Report):
+        if not isinstance(opened.payload, Report | Unchanged):
             return False
         self.reports += 1
         now = asyncio.get_running_loop().time()
         self._heard_at = now
-        self._learned(self.inquirer.take(opened.payload, now))
+        self._learned(self._take(opened.payload, now))
         if opened.payload.number == UNASKED:
             self._send(self.inquirer.due(now, self._own_record()))
         return True
@@ -129,6 +134,12 @@
         now = asyncio.get_running_loop().time()
         self.inquirer.follow_seeds(seeds, now)
 
+    def _take(self, answer: Report | Unchanged, now: float) -> Learned:
+        if isinstance(answer, Report):
+            return self.inquirer.take(answer, now)
+        self.inquirer.take_unchanged(answer, now)
+        return Learned((), has_new_tables=False)
+
     def _own_record(self) -> AgentRecord | None:
         return None if self._record is None else self._record()
 
--- a/redwingstream/fleet/registry.py
+++ b/redwingstream/fleet/registry.py
@@ -4,13 +4,19 @@
 
 import attrs
 
-from redwingstream.directory.book import MISSED, SILENT_AFTER, AgentBook
+from redwingstream.directory.book import (
+    MISSED,
+    SILENT_AFTER,
+    AgentBook,
+    Page,
+)
 from redwingstream.directory.controls import Controls
-from redwingstream.directory.inquiry import pack_update
+from redwingstream.directory.inquiry import WARM_AFTER, pack_update
 from redwingstream.directory.messages import (
     UNASKED,
     Inquiry,
     Report,
+    Unchanged,
 )
 from redwingstream.packets.flow import Address
 from redwingstream.tables.messages import TablesUpdate
@@ -33,10 +39,22 @@
 """Seconds since when the tables were last known to be the newest, from which
 that is so; a leader that is cut off notices within this time."""
 
+LISTENER_PAUSES = 2
+"""Pauses after which a process asks again that says nothing of itself: nobody
+misses it, and it hears of a change from whichever instance it asks first."""
+
 MAX_INQUIRIES = 500
 """Inquiries a second that a control instance wants at most; with more processes
 each of them asks less often."""
 
+FULL_EVERY = 13
+"""Each so many inquiries of a process one is answered in full, with the control
+instances that run and the pause; no divisor of the usual numbers of control
+instances, so that none of them always gives the short answer."""
+
+AGE_DIGITS = 3
+"""Decimal digits of an age in seconds in the short answer."""
+
 KEPT_UPDATES = 16
 """Packed updates that are kept; many processes ask for the same one."""
 
@@ -99,13 +117,20 @@
 
     def answer(
         self, inquiry: Inquiry, tables: TableSource, now: float
-    ) -> Report:
+    ) -> Report | Unchanged:
         """Return the answer to an inquiry."""
         self._count(now)
         if inquiry.record is not None:
             self._book.hear(inquiry.record, now)
         cursor = inquiry.cursor if inquiry.boot == self._boot else 0
         page = self._book.since(cursor, inquiry.pool, now)
+        if self._is_short(inquiry, page, tables, now):
+            return Unchanged(
+                inquiry.number,
+                self._own,
+                tables.revision,
+                round(tables.confirmed_age, AGE_DIGITS),
+            )
         return Report(
             inquiry.number,
             self._own,
@@ -118,7 +143,7 @@
             tables.confirmed_age,
             now - self._started_at,
             self._controls.running(now),
-            self._pause_for(tables),
+            self._pause_for(inquiry, tables),
         )
 
     def greeting(self, now: float) -> Report:
@@ -141,9 +166,23 @@
             pause=self._pause,
         )
 
-    def _pause_for(self, tables: TableSource) -> float:
+    def _is_short(
+        self, inquiry: Inquiry, page: Page, tables: TableSource, now: float
+    ) -> bool:
+        """Whether an inquiry misses nothing and may get the short answer."""
+        if inquiry.number % FULL_EVERY == 0:
+            return False
+        has = (inquiry.boot, inquiry.cursor, inquiry.revision)
+        if has != (self._boot, page.cursor, tables.revision):
+            return False
+        is_settled = now - self._started_at >= WARM_AFTER
+        return is_settled and tables.confirmed_age <= UNCONFIRMED_AGE
+
+    def _pause_for(self, inquiry: Inquiry, tables: TableSource) -> float:
         if tables.confirmed_age > UNCONFIRMED_AGE:
             return self._pause * UNCONFIRMED_PAUSE / PAUSE
+        if inquiry.record is None:
+            return self._pause * LISTENER_PAUSES
         return self._pause
 
     def _revision_age(self, revision: int, now: float) -> float:
--- /dev/null
+++ b/redwingstream/openings/tests/test_patience.py
@@ -0,0 +1,25 @@
+"""How long callers wait for a new flow."""
+
+import pytest
+
+from redwingstream.openings.patience import is_given_up
+
+
+class TestGivenUp:
+    """A copy that comes after the request's time-out is of no use."""
+
+    @pytest.mark.parametrize(
+        ('copies', 'timeout', 'expected'),
+        [
+            (0, 0.5, False),
+            (1, 0.5, False),
+            (2, 0.5, True),
+            (2, 0.6, True),
+            (2, 0.7, False),
+            (9, 0.5, True),
+            (2, 0, False),
+            (1, 0.1, True),
+        ],
+    )
+    def test_by_copy_and_timeout(self, copies, timeout, expected) -> None:
+        assert is_given_up(copies, timeout) is expected
--- a/redwingstream/packets/steering.py
+++ b/redwingstream/packets/steering.py
@@ -12,6 +12,7 @@
 import attrs
 
 from redwingstream.directory.view import AgentView
+from redwingstream.openings.patience import is_given_up
 from redwingstream.packets import events
 from redwingstream.packets.bounded import BoundedTable
 from redwingstream.packets.choosing import Choosing, pool_for
@@ -36,6 +37,7 @@
 from redwingstream.packets.ranking import pool_hash
 from redwingstream.packets.refusing import Refusing
 from redwingstream.packets.routebook import RouteBook
+from redwingstream.packets.tries import Tries
 from redwingstream.packets.trust import Trust
 from redwingstream.tables.rows import Route
 from redwingstream.tables.snapshot import Tables
@@ -44,34 +46,6 @@
 """Flows of which a balancer remembers the agent: 15 MB.  Losing one costs its
 next packet a hop."""
 
-MAX_OPENING = 20000
-"""New flows that wait for an answer; a caller gives up after 1.4 s."""
-
-OPENING_SECONDS = 2
-"""A caller sends its last copy 0.6 s after the first packet and gives up after
-1.4 s."""
-
-
-@attrs.frozen
-class _Try:
-    """An agent that was sent an opening packet, and when."""
-
-    agent: Address
-    sent_at: float
-
-
-@attrs.define
-class _Opening:
-    """A new flow that no agent has taken yet."""
-
-    tries: list[_Try] = attrs.field(factory=list)
-    is_answered: bool = False
-
-    @property
-    def tried(self) -> tuple[Address, ...]:
-        """The agents that were sent the opening packet."""
-        return tuple(one.agent for one in self.tries)
-
 
 @attrs.define
 class SteeringCounters:
@@ -126,9 +100,7 @@
         self.hints: BoundedTable[FlowId, Address] = BoundedTable(
             MAX_HINTS, idle_timeout
         )
-        self._opening: BoundedTable[FlowId, _Opening] = BoundedTable(
-            MAX_OPENING, OPENING_SECONDS
-        )
+        self._tries = Tries(self.trust)
         self.dead_flows = DeadFlows(view)
         self.early = EarlyPackets()
         self.routes = RouteBook(view)
@@ -177,7 +149,7 @@
     def tick(self, now: float) -> list[Sending]:
         """Forget what is old; ask agents that have been silent."""
         self.hints.forget_old(now)
-        self._opening.forget_old(now)
+        self._tries.forget_old(now)
         self.dead_flows.forget_old(now)
         ping = Envelope(Kind.PING, b'', self._address)
         return [peer_datagram(ping, address) for address in self.trust.due(now)]
@@ -219,22 +191,24 @@
         route = self.routes.find(head.target)
         if route is None:
             return self.refusing.refuse(head, 'no route', 0)
-        if head.acknowledged:
-            self.counters.copies += 1
-            hint = self.hints.get(flow, now)
-            if hint is not None:
-                return [
-                    self._opening_to(hint, packet, pool_for(route, flow), now)
-                ]
         pool = pool_for(route, flow)
-        opening = self._opening.get(flow, now) or _Opening()
-        self._doubt_silent(opening, now)
-        target = self._choosing.for_opening(flow, pool, opening.tried, now)
+        self.counters.copies += bool(head.acknowledged)
+        hint = self.hints.get(flow, now) if head.acknowledged else None
+        if hint is not None:
+            return [self._opening_to(hint, packet, pool, now)]
+        if is_given_up(head.acknowledged, route.rules.timeout):
+            return self.refusing.drop(head, 'its caller has given up')
+        return self._offer(head, packet, pool, now)
+
+    def _offer(
+        self, head: Head, packet: bytes, pool: str, now: float
+    ) -> list[Sending]:
+        flow = head.inbound
+        tried = self._tries.tried(flow, now)
+        target = self._choosing.for_opening(flow, pool, tried, now)
         if target is None:
             return self.refusing.refuse(head, 'no agent', 0)
-        opening.tries.append(_Try(target, now))
-        self._opening.put(flow, opening, now)
-        self.trust.note_sent(target, now)
+        self._tries.note_sent(flow, target, now)
         self.counters.opened += 1
         self._log(
             events.FlowSent(
@@ -243,18 +217,11 @@
                 text_of(target),
                 self.tables.revision,
                 head.acknowledged,
-                len(opening.tries) - 1,
+                len(tried),
             ),
         )
         return [self._opening_to(target, packet, pool, now)]
 
-    def _doubt_silent(self, opening: _Opening, now: float) -> None:
-        if opening.is_answered:
-            return
-        for one in opening.tries:
-            if not self.trust.heard_since(one.agent, one.sent_at):
-                self.trust.doubt(one.agent, now)
-
     def _opening_to(
         self, target: Address, packet: bytes, pool: str, now: float
     ) -> ToPeer:
@@ -305,16 +272,11 @@
         flow = self._codec.read(envelope.packet).inbound
         self.hints.put(flow, envelope.best, now)
         self.dead_flows.note_found(flow)
-        opening = self._opening.get(flow, now)
-        if opening is not None:
-            opening.is_answered = True
+        self._tries.note_answered(flow, now)
 
     def _note_passed(self, envelope: Envelope, now: float) -> None:
         flow = self._codec.read(envelope.packet).inbound
-        opening = self._opening.get(flow, now)
-        if opening is not None:
-            opening.tries.append(_Try(envelope.best, now))
-            self.trust.note_sent(envelope.best, now)
+        self._tries.note_passed(flow, envelope.best, now)
 
     def _note_not_carried(self, envelope: Envelope, now: float) -> None:
         self.counters.not_carried += 1
