--- a/redwingstream/openings/expectation.py
+++ b/redwingstream/openings/expectation.py
@@ -21,13 +21,16 @@
 as nothing has been measured: the mean of the users' workloads is 6 to 50 ms."""
 
 
-WAIT_SHARE = 0.4
-"""Share of a route's time-out that a new flow waits at most.  A caller that has
-tried before has less than its whole time left; one whose flow opens too late
-takes a server's place for nothing."""
+BUSY_SHARE = 0.2
+"""Share of a route's time-out that a new flow waits at most for a busy server.
+Where more comes than the servers run, all that wait do so for as long as they
+may, and answers are late by it."""
 
+COLD_SHARE = 0.4
+"""The same for a cold server, of which it is known when it takes the next."""
 
-def longest_wait(copies: int, timeout: float) -> float:
+
+def longest_wait(copies: int, timeout: float, *, is_cold: bool) -> float:
     """Return the seconds that a caller still waits for a new flow.
 
     Parameters
@@ -36,9 +39,12 @@
         How many packets it has sent before this one.
     timeout : float
         Seconds after which it gives a request up; 0 when that is not known.
+    is_cold : bool
+        Whether it waits for a server that is cold.
     """
     by_copy = WAIT_BY_COPY[min(copies, len(WAIT_BY_COPY) - 1)]
-    return min(by_copy, timeout * WAIT_SHARE) if timeout else by_copy
+    share = COLD_SHARE if is_cold else BUSY_SHARE
+    return min(by_copy, timeout * share) if timeout else by_copy
 
 
 def wait_for_slot(waiting: int, slots: int, run: float) -> float:
--- a/redwingstream/openings/gate.py
+++ b/redwingstream/openings/gate.py
@@ -19,9 +19,9 @@
 """Reports that may be missing before the server counts as silent; one report
 that is lost or late must not close it."""
 
-SERVER_QUEUE = 2
-"""Requests for each slot that may wait at the server itself.  Servers queue a
-few and refuse more; with two a slot the next one is there when one ends."""
+SERVER_QUEUE = 3
+"""Requests that may wait at the server itself, whatever its slots: servers
+queue a few and refuse more, and the next one is there when one ends."""
 
 FULL_FOR = 0.05
 """Seconds for which a server that has handed a new flow back is left alone:
@@ -204,7 +204,7 @@
 
     def may_queue(self, load: Load) -> bool:
         """Whether a busy server may be given one more request to wait for."""
-        return load.waiting < self.slots * (1 + SERVER_QUEUE)
+        return load.waiting < self.slots + SERVER_QUEUE
 
     def expected_wait(self, load: Load, now: float) -> float:
         """Return the seconds until the server is expected to take a new flow.
--- a/redwingstream/packets/admitting.py
+++ b/redwingstream/packets/admitting.py
@@ -214,7 +214,7 @@
         if is_taken:
             site.waiting.pop()
             return self._open(held.envelope, held.head.inbound, now)
-        if now - held.since > site.longest_wait(held.head):
+        if now - held.since > site.longest_wait(held.head, now):
             site.waiting.pop()
             return site.refusing.refuse(
                 held.head, verdict.value, held.envelope.hops + 1
--- a/redwingstream/packets/site.py
+++ b/redwingstream/packets/site.py
@@ -113,10 +113,11 @@
         """Return what the server has to do."""
         return Load(self.flows.waiting, self.flows.count, len(self.waiting))
 
-    def longest_wait(self, head: Head) -> float:
+    def longest_wait(self, head: Head, now: float) -> float:
         """Return the seconds that a new flow may wait."""
         timeout = self.timeout_by_service.get(head.target, 0)
-        return longest_wait(head.acknowledged, timeout)
+        is_cold = self.gate.is_cold(now)
+        return longest_wait(head.acknowledged, timeout, is_cold=is_cold)
 
     def offer(self, head: Head, now: float) -> int:
         """Return how soon the server would take a new flow.
@@ -127,7 +128,7 @@
             As an envelope names it; ``NO_OFFER`` when not soon enough.
         """
         wait = self.gate.expected_wait(self.load(), now)
-        if self.waiting.is_full or wait > self.longest_wait(head):
+        if self.waiting.is_full or wait > self.longest_wait(head, now):
             return NO_OFFER
         return round(wait / OFFER_UNIT)
 
--- /dev/null
+++ b/redwingstream/packets/tests/test_overload.py
@@ -0,0 +1,69 @@
+"""Pattern: callers ask for a tenth more than the servers of a pool can run.
+
+Most of it comes on flows that are open already, which nobody can refuse; what
+is decided is which new flows wait, and for how long.
+"""
+
+import random
+
+import pytest
+
+from redwingstream.packets.tests.network import SERVICE, Caller, Network
+
+SERVERS = 3
+RUN = 0.016
+TIMEOUT = 0.5
+TARGET = 0.12
+OFFERED = 1.1
+OPEN_FLOWS = 40
+SHARE_OF_OPEN_FLOWS = 0.75
+LASTS = 6.0
+
+
+def _pressed(seed: int) -> list[Caller]:
+    """Return the callers of new flows while a pool is pressed."""
+    network = Network()
+    for number in range(SERVERS):
+        agent = network.add_agent(f'10.1.0.{number + 1}')
+        agent.server.slots = 1
+        agent.server.run = RUN
+        agent.site.timeout_by_service = {SERVICE: TIMEOUT}
+        agent.report()
+    balancer = network.add_balancer('10.1.0.100')
+    feeds = []
+    for port in range(OPEN_FLOWS):
+        feeds.append(Caller(network, '100.64.0.2', 1000 + port).open(balancer))
+        network.run(0.1)
+    callers: list[Caller] = []
+    chance = random.Random(seed)
+    end = network.now + LASTS
+    while network.now < end:
+        if chance.random() < SHARE_OF_OPEN_FLOWS:
+            chance.choice(feeds).ask(balancer)
+        else:
+            caller = Caller(network, '100.64.0.1', 1000 + len(callers))
+            callers.append(caller.open(balancer))
+        network.run(chance.expovariate(OFFERED * SERVERS / RUN))
+    network.run(2)
+    return callers
+
+
+@pytest.mark.parametrize('seed', range(4))
+class TestPressedPool:
+    """Who is served is served soon; the others are told at once."""
+
+    def test_nobody_is_taken_after_the_target(self, seed) -> None:
+        """Guards against a line in which all wait until it is too late."""
+        accepted = [
+            caller.waited
+            for caller in _pressed(seed)
+            if caller.accepted is not None
+        ]
+        assert max(accepted) <= TARGET
+
+    def test_nobody_is_left_without_a_word(self, seed) -> None:
+        """Guards against callers that wait for nothing until they give up."""
+        assert not any(
+            caller.accepted is None and not caller.resets
+            for caller in _pressed(seed)
+        )
