--- a/redwingstream/packets/admitting.py
+++ b/redwingstream/packets/admitting.py
@@ -3,10 +3,16 @@
 import attrs
 
 from redwingstream.directory.messages import Readiness
+from redwingstream.directory.view import Agent
 from redwingstream.openings.gate import Verdict
 from redwingstream.packets import events
 from redwingstream.packets.effects import Sending, ToServer, peer_datagram
-from redwingstream.packets.envelopes import NO_OFFER, Envelope, Kind
+from redwingstream.packets.envelopes import (
+    NO_OFFER,
+    OFFER_UNIT,
+    Envelope,
+    Kind,
+)
 from redwingstream.packets.flow import (
     NO_ADDRESS,
     Address,
@@ -25,6 +31,10 @@
 is within a tenth of the best of all, and each look costs up to a millisecond
 of the caller's time."""
 
+ZONE_WAIT = 0.04
+"""Seconds that a new flow rather waits in its zone than goes to another one,
+where each of its bytes takes the way between zones."""
+
 
 class Admitting:
     """Takes new flows, passes them on to other agents, or refuses them.
@@ -96,7 +106,7 @@
         offer = site.offer(head, now)
         if offer < envelope.offer:
             passed = attrs.evolve(passed, best=own, offer=offer)
-        target = self._next(head.inbound, passed) or passed.best
+        target = self._target(head.inbound, passed)
         if target == own:
             return self._take_forced(envelope, head, verdict, now)
         if target == NO_ADDRESS or envelope.hops > MAX_TRIES:
@@ -248,7 +258,17 @@
         )
         return [ToServer(envelope.packet)]
 
-    def _next(self, flow: FlowId, passed: Envelope) -> Address | None:
+    def _target(self, flow: FlowId, passed: Envelope) -> Address:
+        """Return the agent that looks next, or takes the flow at last."""
+        following = self._next(flow, passed)
+        if following is None:
+            return passed.best
+        is_elsewhere = following.zone != self._site.place.zone
+        if is_elsewhere and passed.offer * OFFER_UNIT <= ZONE_WAIT:
+            return passed.best
+        return following.address
+
+    def _next(self, flow: FlowId, passed: Envelope) -> Agent | None:
         if passed.hops >= MAX_TRIES:
             return None
         # An agent whose zone is out would only use up one of the few tries.
@@ -262,4 +282,4 @@
             and agent.zone not in zones_out
         ]
         order = ranked(flow, usable, self._site.place.zone)
-        return order[0].address if order else None
+        return order[0] if order else None
