--- a/redwingstream/fleet/observed/balancer.py
+++ b/redwingstream/fleet/observed/balancer.py
@@ -20,5 +20,7 @@
     now = balancer.process.clock()
     yield counted(PACKETS, steering.counters)
     yield counted(REFUSALS, steering.refusing.counters)
-    yield Sample(FLOWS, {'hints': len(steering.hints)})
+    yield Sample(
+        FLOWS, {'hints': len(steering.hints), 'early': len(steering.early)}
+    )
     yield from inquirer_samples(inquirer, now)
--- a/redwingstream/packets/early.py
+++ b/redwingstream/packets/early.py
@@ -26,6 +26,10 @@
     packet: bytes
     since: float
 
+    def is_repeated(self, now: float) -> bool:
+        """Whether its sender has repeated it since, if it still waits."""
+        return now - self.since > KEPT_FOR
+
 
 class EarlyPackets:
     """Packets that wait until a balancer has tables and knows agents.
@@ -53,8 +57,8 @@
             self._kept.popleft()
             self.overflowed += 1
 
-    def pop_all(self, now: float) -> list[EarlyPacket]:
-        """Return those that are not repeated yet, oldest first; keep none."""
-        fresh = [one for one in self._kept if now - one.since <= KEPT_FOR]
+    def pop_all(self) -> list[EarlyPacket]:
+        """Return all that are kept, oldest first; keep none."""
+        kept = list(self._kept)
         self._kept.clear()
-        return fresh
+        return kept
--- a/redwingstream/packets/steering.py
+++ b/redwingstream/packets/steering.py
@@ -122,9 +122,11 @@
     def retry_early(self, now: float) -> list[Sending]:
         """Send on packets that came before the tables or the agents did."""
         sending: list[Sending] = []
-        for one in self.early.pop_all(now):
+        for one in self.early.pop_all():
             head = self._codec.read(one.packet)
-            if self.routes.may_come(head.target, now):
+            if one.is_repeated(now):
+                self.refusing.drop(head, 'route or agents not known in time')
+            elif self.routes.may_come(head.target, now):
                 self.early.keep(one.packet, one.since)
             else:
                 sending.extend(self._steer(head, one.packet, now))
@@ -152,7 +154,8 @@
         self._tries.forget_old(now)
         self.dead_flows.forget_old(now)
         ping = Envelope(Kind.PING, b'', self._address)
-        return [peer_datagram(ping, address) for address in self.trust.due(now)]
+        pings = [peer_datagram(ping, due) for due in self.trust.due(now)]
+        return [*pings, *self.retry_early(now)]
 
     def end_dead_flows(self, now: float) -> list[Sending]:
         """Tell callers of flows that no server holds; after control answered.
--- a/redwingstream/packets/tests/test_early.py
+++ b/redwingstream/packets/tests/test_early.py
@@ -7,6 +7,7 @@
     MAX_KEPT,
     EarlyPackets,
 )
+from redwingstream.packets.events import FlowDropped
 from redwingstream.packets.tests.network import (
     HOP,
     BalancerNode,
@@ -68,8 +69,14 @@
         caller = Caller(network, '100.64.0.1', 1000)
         caller.open(balancer)
         balancer.alive = False
-        network.run(KEPT_FOR + 0.1)
+        network.run(KEPT_FOR + 0.05)
         assert not balancer.steering.retry_early(network.now)
+        reasons = [
+            event.reason
+            for event in network.events
+            if isinstance(event, FlowDropped)
+        ]
+        assert reasons == ['route or agents not known in time']
 
 
 class TestBeforeTheAgents:
@@ -105,4 +112,4 @@
             early.keep(number.to_bytes(2), 0)
         assert len(early) == MAX_KEPT
         assert early.overflowed == 5
-        assert early.pop_all(0)[0].packet == (5).to_bytes(2)
+        assert early.pop_all()[0].packet == (5).to_bytes(2)
--- a/redwingstream/telemetry/families.py
+++ b/redwingstream/telemetry/families.py
@@ -76,7 +76,8 @@
 FLOWS = Family(
     'flows',
     Kind.GAUGE,
-    'Flows that are known: hints of a balancer; flows at the server beside an '
+    'Flows that are known: hints of a balancer, packets that it keeps until it '
+    'knows where to send them; flows at the server beside an '
     'agent, requests that it has not begun to answer, new flows that wait.',
 )
 TABLES = Family(
