--- a/redwingstream/openings/expectation.py
+++ b/redwingstream/openings/expectation.py
@@ -26,8 +26,9 @@
 Where more comes than the servers run, all that wait do so for as long as they
 may, and answers are late by it."""
 
-COLD_SHARE = 0.4
-"""The same for a cold server, of which it is known when it takes the next."""
+COLD_SHARE = 0.05
+"""The same for a cold server.  Its few places go to callers that have just come
+and get their answers in time, not to those for which it is late already."""
 
 
 def longest_wait(copies: int, timeout: float, *, is_cold: bool) -> float:
