--- a/redwingstream/fleet/tests/fakes.py
+++ b/redwingstream/fleet/tests/fakes.py
@@ -5,11 +5,29 @@
 
 import attrs
 
-from redwingstream.fleet.deployment import Deployment
+from redwingstream.fleet.deployment import Deployment, Listening
 from redwingstream.fleet.process import KEY_SIZE
+from redwingstream.openings.pacing import ColdLimit
 from redwingstream.wire.frames import FrameCodec
 
 KEY = b'k' * KEY_SIZE
+DEPLOYMENT = Deployment(
+    node='front-1',
+    zone='north',
+    host='10.1.0.100',
+    listening=Listening(),
+    first_port=7720,
+    last_port=7730,
+    seeds=('10.9.0.1',),
+    data_folder=None,
+    is_first_start=False,
+    tolerated=1,
+    beside=None,
+    cold_limit=ColdLimit(1, 5),
+    report_interval=1,
+    grace=5,
+    flow_life=60,
+)
 
 
 @attrs.define
--- a/redwingstream/fleet/tests/test_balancer.py
+++ b/redwingstream/fleet/tests/test_balancer.py
@@ -12,9 +12,12 @@
     Report,
 )
 from redwingstream.fleet.balancer import Balancer
-from redwingstream.fleet.deployment import Deployment, Listening
-from redwingstream.fleet.tests.fakes import KEY, FakeProcess, FakeSocket
-from redwingstream.openings.pacing import ColdLimit
+from redwingstream.fleet.tests.fakes import (
+    DEPLOYMENT,
+    KEY,
+    FakeProcess,
+    FakeSocket,
+)
 from redwingstream.packets.envelopes import Envelope, Kind
 from redwingstream.packets.flow import address_of
 from redwingstream.packets.ranking import pool_hash
@@ -30,23 +33,6 @@
 AGENT = address_of('10.1.0.1', 8172)
 OTHER_AGENT = address_of('10.1.1.1', 8172)
 CALLER = address_of('100.64.0.1', 1000)
-DEPLOYMENT = Deployment(
-    node='front-1',
-    zone='north',
-    host='10.1.0.100',
-    listening=Listening(),
-    first_port=7720,
-    last_port=7730,
-    seeds=('10.9.0.1',),
-    data_folder=None,
-    is_first_start=False,
-    tolerated=1,
-    beside=None,
-    cold_limit=ColdLimit(1, 5),
-    report_interval=1,
-    grace=5,
-    flow_life=60,
-)
 
 
 def _report(update: TablesUpdate, agents: dict[str, int]) -> bytes:
--- a/redwingstream/fleet/tests/test_control.py
+++ b/redwingstream/fleet/tests/test_control.py
@@ -8,10 +8,13 @@
 
 from redwingstream.directory.messages import UNASKED, Inquiry, Report
 from redwingstream.fleet.control import Control
-from redwingstream.fleet.deployment import Deployment, Listening
 from redwingstream.fleet.recalling import FleetMemory, Served
-from redwingstream.fleet.tests.fakes import KEY, FakeProcess, FakeSocket
-from redwingstream.openings.pacing import ColdLimit
+from redwingstream.fleet.tests.fakes import (
+    DEPLOYMENT,
+    KEY,
+    FakeProcess,
+    FakeSocket,
+)
 from redwingstream.packets.flow import address_of
 from redwingstream.storage.disk import open_folder
 from redwingstream.tables.machine.machine import Machine
@@ -20,23 +23,6 @@
 OTHER_CONTROL = address_of('10.2.0.100', 7720)
 BALANCER = address_of('10.1.0.101', 7721)
 REVISION = 7
-DEPLOYMENT = Deployment(
-    node='front-1',
-    zone='north',
-    host='10.1.0.100',
-    listening=Listening(),
-    first_port=7720,
-    last_port=7730,
-    seeds=('10.9.0.1',),
-    data_folder=None,
-    is_first_start=False,
-    tolerated=1,
-    beside=None,
-    cold_limit=ColdLimit(1, 5),
-    report_interval=1,
-    grace=5,
-    flow_life=60,
-)
 
 
 @pytest.fixture
