--- a/redwingstream/fleet/tests/fakes.py
+++ b/redwingstream/fleet/tests/fakes.py
@@ -10,14 +10,15 @@
 from redwingstream.openings.pacing import ColdLimit
 from redwingstream.wire.frames import FrameCodec
 
+FIRST_PORT = 7720
 KEY = b'k' * KEY_SIZE
 DEPLOYMENT = Deployment(
     node='front-1',
     zone='north',
     host='10.1.0.100',
     listening=Listening(),
-    first_port=7720,
-    last_port=7730,
+    first_port=FIRST_PORT,
+    last_port=FIRST_PORT + 10,
     seeds=('10.9.0.1',),
     data_folder=None,
     is_first_start=False,
