--- a/redwingstream/wire/messages.py
+++ b/redwingstream/wire/messages.py
@@ -6,7 +6,7 @@
 
 Kind numbers by slice: 1-15 wire and membership, 16-31 tables and operators,
 32-41 consensus, 42-47 commands of the replicated log (``tables/machine``),
-48-63 forwarding, 64-79 placement.
+48-63 forwarding, 64-79 placement, 80-95 directory.
 """
 
 from collections.abc import Callable
