--- a/redwingstream/directory/fleet_record.py
+++ b/redwingstream/directory/fleet_record.py
@@ -58,7 +58,7 @@
     raise RedwingstreamError(f'{name} holds no whole record of the fleet')
 
 
-class Audience:
+class Followers:
     """The processes that have asked a control instance lately."""
 
     def __init__(self) -> None:
--- a/redwingstream/directory/tests/test_fleet_record.py
+++ b/redwingstream/directory/tests/test_fleet_record.py
@@ -7,7 +7,7 @@
     HEARD_WITHIN,
     MAX_PROCESSES,
     WRITE_EVERY,
-    Audience,
+    Followers,
     WriteTurn,
     pack_record,
     unpack_record,
@@ -44,20 +44,20 @@
             unpack_record('fleet', bytes(contents))
 
 
-class TestAudience:
+class TestFollowers:
     """Who has asked lately."""
 
     def test_forgets_who_is_not_heard_any_more(self) -> None:
-        audience = Audience()
-        audience.hear(Address(1), 0)
-        audience.hear(Address(2), 5)
-        assert audience.present(HEARD_WITHIN + 1) == (Address(2),)
+        followers = Followers()
+        followers.hear(Address(1), 0)
+        followers.hear(Address(2), 5)
+        assert followers.present(HEARD_WITHIN + 1) == (Address(2),)
 
     def test_is_bounded(self) -> None:
-        audience = Audience()
+        followers = Followers()
         for number in range(MAX_PROCESSES + 10):
-            audience.hear(Address(number), 0)
-        assert len(audience.present(0)) == MAX_PROCESSES
+            followers.hear(Address(number), 0)
+        assert len(followers.present(0)) == MAX_PROCESSES
 
 
 class TestWriteTurn:
--- a/redwingstream/fleet/control.py
+++ b/redwingstream/fleet/control.py
@@ -181,7 +181,7 @@
         now = self.process.clock()
         match opened.payload:
             case Inquiry() as inquiry:
-                self.replication.memory.audience.hear(address_of(*source), now)
+                self.replication.memory.followers.hear(address_of(*source), now)
                 tables = self.table_source(now)
                 report = self._registry.answer(inquiry, tables, now)
                 self._send(report, source)
--- a/redwingstream/fleet/recalling.py
+++ b/redwingstream/fleet/recalling.py
@@ -5,7 +5,7 @@
 import attrs
 
 from redwingstream.directory.fleet_record import (
-    Audience,
+    Followers,
     WriteTurn,
     pack_record,
     unpack_record,
@@ -74,7 +74,7 @@
     """
 
     def __init__(self, log: Callable[[object], None]) -> None:
-        self.audience = Audience()
+        self.followers = Followers()
         self.history = TablesHistory()
         self._log = log
         self._turn = WriteTurn()
@@ -93,7 +93,7 @@
         self._recalled = record
         self._turn.written = attrs.evolve(record, tables=b'')
         for address in record.processes:
-            self.audience.hear(Address(address), now)
+            self.followers.hear(Address(address), now)
         self._log(
             FleetRecalled(
                 record.revision, len(record.processes), len(record.controls)
@@ -115,7 +115,7 @@
         if served.revision < self.history.tables.revision:
             return
         record = FleetRecord(
-            served.controls, self.audience.present(now), served.revision
+            served.controls, self.followers.present(now), served.revision
         )
         if not self._turn.is_due(record, now):
             return
--- a/redwingstream/fleet/tests/test_control.py
+++ b/redwingstream/fleet/tests/test_control.py
@@ -31,7 +31,7 @@
     machine = Machine()
     machine.state.revision = REVISION
     memory = FleetMemory(lambda event: None)
-    memory.audience.hear(BALANCER, 0)
+    memory.followers.hear(BALANCER, 0)
     served = Served((OTHER_CONTROL,), REVISION, machine.update_since)
     with open_folder(tmp_path) as folder:
         memory.keep(folder, served, 0)
--- a/redwingstream/fleet/tests/test_recalling.py
+++ b/redwingstream/fleet/tests/test_recalling.py
@@ -41,8 +41,8 @@
 def _written(folder: FakeFolder, revision: int) -> None:
     memory = FleetMemory(lambda event: None)
     memory.recall(folder, 0)
-    memory.audience.hear(BALANCER, 0)
-    memory.audience.hear(AGENT, 0)
+    memory.followers.hear(BALANCER, 0)
+    memory.followers.hear(AGENT, 0)
     memory.keep(folder, _served(revision), 0)
 
 
@@ -80,7 +80,7 @@
         _written(folder, revision=7)
         memory = FleetMemory(events.append)
         memory.recall(folder, 100)
-        assert memory.audience.present(100) == (BALANCER, AGENT)
+        assert memory.followers.present(100) == (BALANCER, AGENT)
 
 
 class TestKeep:
