--- a/redwingstream/openings/expectation.py
+++ b/redwingstream/openings/expectation.py
@@ -8,14 +8,12 @@
 
 from collections.abc import Sequence
 
+from redwingstream.openings.patience import waited_for
+
 MAX_WAIT = 1.2
 """Seconds that a new flow waits at most.  Its caller gives up 1.4 s after the
 first packet; the rest is for the way there and for the server's answer."""
 
-WAIT_BY_COPY = (MAX_WAIT, 1.0, 0.6)
-"""The same for the first packet and its copies, which callers send 0.2 and
-0.6 s later."""
-
 RUN_SECONDS = 0.04
 """Seconds that a server works on a request before it begins to answer.  Too
 long a guess only lets fewer wait."""
@@ -42,7 +40,7 @@
     is_cold : bool
         Whether it waits for a server that is cold.
     """
-    by_copy = WAIT_BY_COPY[min(copies, len(WAIT_BY_COPY) - 1)]
+    by_copy = MAX_WAIT - waited_for(copies)
     share = COLD_SHARE if is_cold else BUSY_SHARE
     return min(by_copy, timeout * share) if timeout else by_copy
 
