Read agents' records from three control instances, packed; back off from unresponsive ones

Six of the 12 have links of 2.7 Mbit/s and could not deliver; unanswered inquiries were repeated every 0.2 s and answered in full again. In the 16 s before traffic the processes sent 918 MB, 900 MB of it answers with records, and 58 of 64 balancers were ready before traffic, the median 5.9 s after their start.

Change: - A process selects three sources by rendezvous hashing and reads records only from these. A source that leaves two inquiries unanswered is replaced. The other control instances answer with their status (Status): that they run, and the revision of their tables. A newer revision is fetched from one of them. - Agents still report to every control instance, so each hears all of them. - An answer contains records as compressed rows, about 25 bytes each. - After three unanswered inquiries the pauses double, up to 0.8 s. - The pause follows from the number of processes that ask: 500 inquiries a second at a control instance, 1,000 while tables are unconfirmed or not all agents have been heard. - A control instance counts as having heard all agents after 1.5 s and 1.5 pauses (was 1.5 s, which a single pause can last with 12 control instances), and names a new control instance in each answer for 3 s. - Proofs of dead flows wait for the sources that are asked and answer; they no longer wait 3 s for a source that is not asked any more. - The record of the fleet is not assembled again before its next write is due.

--- a/redwingstream/directory/fleet_record.py
+++ b/redwingstream/directory/fleet_record.py
@@ -64,6 +64,10 @@
     def __init__(self) -> None:
         self._heard_at_by_address: dict[Address, float] = {}
 
+    def __len__(self) -> int:
+        """Return the number of remembered processes."""
+        return len(self._heard_at_by_address)
+
     def hear(self, address: Address, now: float) -> None:
         """Note that a process has asked."""
         known = self._heard_at_by_address
@@ -72,11 +76,15 @@
 
     def present(self, now: float) -> tuple[Address, ...]:
         """Return the processes that are remembered, in order."""
+        self.forget_old(now)
+        return tuple(sorted(self._heard_at_by_address))
+
+    def forget_old(self, now: float) -> None:
+        """Remove processes that have not asked within ``HEARD_WITHIN``."""
         known = self._heard_at_by_address
         for address, heard_at in tuple(known.items()):
             if now - heard_at > HEARD_WITHIN:
                 known.pop(address)
-        return tuple(sorted(known))
 
 
 @attrs.define
--- a/redwingstream/directory/messages.py
+++ b/redwingstream/directory/messages.py
@@ -69,6 +69,18 @@
     is_silent: bool
 
 
+class Wanted(enum.IntEnum):
+    """Content that an inquiry requests.
+
+    ``STATUS`` requests the revision of the tables, ``TABLES`` newer tables if
+    there are any, ``ALL`` agents' records as well.
+    """
+
+    STATUS = 0
+    TABLES = 1
+    ALL = 2
+
+
 @message(kind=80)
 class Inquiry:
     """A process asks a control instance what is new, and says what it is.
@@ -86,6 +98,8 @@
         The only pool whose agents the process wants; empty for all.
     record : AgentRecord or None
         What an agent says of itself; None from others.
+    wanted : Wanted
+        Requested content of the answer.
     """
 
     number: int
@@ -94,6 +108,7 @@
     cursor: int
     pool: str = ''
     record: AgentRecord | None = None
+    wanted: Wanted = Wanted.ALL
 
 
 @message(kind=81)
@@ -109,8 +124,9 @@
         Address of the control instance.
     boot, cursor : int
         To be named in the next inquiry.
-    records : tuple of HeardRecord
-        What has changed since the cursor.
+    records : bytes
+        Records that have changed since the cursor, encoded by
+        :mod:`redwingstream.directory.packing`.
     update : bytes
         The tables' changes, packed; empty when there are none.
     revision : int
@@ -120,27 +136,30 @@
     confirmed_age : float
         Seconds since the control instance last knew that its tables were the
         newest ones.
-    uptime : float
-        Seconds since it started; its record of the agents is not complete at
-        first.
+    has_heard_all : bool
+        True when it has been up long enough to have heard every reachable
+        agent.
     controls : tuple of int
         Addresses of the control instances that run.
     pause : float
         Seconds after which it wants to be asked again.
+    brings : Wanted
+        Content that the inquiry requested.
     """
 
     number: int
     sender: int
     boot: int
     cursor: int
-    records: tuple[HeardRecord, ...]
+    records: bytes
     update: bytes
     revision: int
     revision_age: float
     confirmed_age: float
-    uptime: float
+    has_heard_all: bool
     controls: tuple[int, ...]
     pause: float
+    brings: Wanted = Wanted.ALL
 
 
 @attrs.frozen
@@ -177,6 +196,32 @@
     confirmed_age: float
 
 
+@message(kind=85)
+class Status:
+    """Answer to an :class:`Inquiry` that requests no records.
+
+    Parameters
+    ----------
+    number : int
+        Of the inquiry.
+    sender : int
+        Address of the control instance.
+    revision : int
+        Revision of the tables that the control instance has.
+    confirmed_age : float
+        Seconds since the control instance last knew that its tables were the
+        newest ones.
+    pause : float
+        Seconds after which it wants to be asked again.
+    """
+
+    number: int
+    sender: int
+    revision: int
+    confirmed_age: float
+    pause: float
+
+
 @message(kind=82)
 class ControlHello:
     """A control instance tells the others that it runs.
--- a/redwingstream/directory/tests/test_inquiry.py
+++ b/redwingstream/directory/tests/test_inquiry.py
@@ -6,15 +6,23 @@
 import pytest
 
 from redwingstream.directory.inquiry import (
+    FETCH_PAUSE,
     HURRIED_SHARE,
     Inquirer,
     pack_update,
 )
-from redwingstream.directory.messages import Report, Unchanged
+from redwingstream.directory.contacts import SOURCE_COUNT
+from redwingstream.directory.messages import (
+    Report,
+    Status,
+    Unchanged,
+    Wanted,
+)
 from redwingstream.packets.flow import Address
 from redwingstream.tables.machine.machine import Machine
 
 CONTROL = Address(101)
+CONTROLS = tuple(map(Address, range(101, 113)))
 REVISION = 5
 PAUSE = 0.4
 
@@ -25,12 +33,12 @@
         sender=CONTROL,
         boot=1,
         cursor=0,
-        records=(),
+        records=b'',
         update=update,
         revision=revision,
         revision_age=0,
         confirmed_age=0.1,
-        uptime=9,
+        has_heard_all=True,
         controls=(),
         pause=PAUSE,
     )
@@ -125,7 +133,7 @@
     def test_confirms_the_tables(self) -> None:
         inquirer = _asked()
         answer = Unchanged(2, CONTROL, revision=0, confirmed_age=0.5)
-        inquirer.take_unchanged(answer, 20)
+        inquirer.take(answer, 20)
         assert inquirer.confirmed_at == 20 - 0.5
         assert inquirer.view.is_complete
 
@@ -133,11 +141,96 @@
         """Guards against refusals by tables that a restart has lost."""
         inquirer = Inquirer((CONTROL,), '', 0)
         answer = Unchanged(2, CONTROL, revision=REVISION, confirmed_age=0)
-        inquirer.take_unchanged(answer, 20)
+        inquirer.take(answer, 20)
         assert inquirer.confirmed_at == float('-inf')
 
     def test_of_a_stranger_is_left_alone(self) -> None:
         inquirer = _asked()
         answer = Unchanged(2, CONTROL + 1, revision=0, confirmed_age=0)
-        inquirer.take_unchanged(answer, 20)
+        inquirer.take(answer, 20)
         assert inquirer.confirmed_at < 20
+
+
+class TestWanted:
+    """Requested content for each of many control instances."""
+
+    def test_records_are_requested_only_from_sources(self) -> None:
+        """Guards against reading all records from every control instance."""
+        inquirer = Inquirer(CONTROLS, '', 0)
+        wanted_by_target = _wanted(inquirer, 0)
+        read_in_full = {
+            target
+            for target, wanted in wanted_by_target.items()
+            if wanted is Wanted.ALL
+        }
+        assert set(wanted_by_target) == set(CONTROLS)
+        assert read_in_full == inquirer.sources
+        assert len(read_in_full) == SOURCE_COUNT
+
+    def test_process_that_wants_no_agents_requests_tables(self) -> None:
+        inquirer = Inquirer(CONTROLS, '', 0, wants_agents=False)
+        asked = set(_wanted(inquirer, 0).values())
+        assert asked == {Wanted.TABLES, Wanted.STATUS}
+
+
+class TestStatus:
+    """Status answer of a control instance."""
+
+    @pytest.fixture
+    def inquirer(self) -> Inquirer:
+        made = Inquirer(CONTROLS, '', 0)
+        made.due(0, None)
+        return made
+
+    def test_of_the_same_tables_confirms_them(self, inquirer) -> None:
+        inquirer.take(_status(CONTROLS[0], 0), 10)
+        assert inquirer.confirmed_at == 10 - 0.1
+
+    def test_of_newer_tables_confirms_nothing(self, inquirer) -> None:
+        """Guards against refusing routes that are only in the newer tables."""
+        inquirer.take(_status(CONTROLS[0], REVISION), 10)
+        assert inquirer.confirmed_at == float('-inf')
+
+    def test_of_newer_tables_triggers_a_fetch(self, inquirer) -> None:
+        """Guards against delaying a change until a source is asked."""
+        other = min(set(CONTROLS) - inquirer.sources)
+        inquirer.take(_status(other, REVISION), 0.1)
+        assert _wanted(inquirer, 0.1) == {other: Wanted.TABLES}
+
+    def test_of_newer_tables_triggers_one_fetch_per_pause(
+        self, inquirer
+    ) -> None:
+        """Guards against fetching an update from every control instance."""
+        others = sorted(set(CONTROLS) - inquirer.sources)
+        for other in others:
+            inquirer.take(_status(other, REVISION), 0.1)
+        assert list(_wanted(inquirer, 0.1)) == others[:1]
+        inquirer.take(_status(others[1], REVISION), 0.11 + FETCH_PAUSE)
+        assert others[1] in _wanted(inquirer, 0.11 + FETCH_PAUSE)
+
+    def test_does_not_complete_the_view(self, inquirer) -> None:
+        """Guards against declaring flows dead from an incomplete view."""
+        inquirer.take(_status(CONTROLS[0], 0), 10)
+        assert not inquirer.view.is_complete
+
+
+class TestTablesReport:
+    """A report that contains only tables."""
+
+    def test_does_not_move_the_cursor(self) -> None:
+        """Guards against skipping agents' records."""
+        inquirer = _asked()
+        report = attrs.evolve(
+            _report(REVISION), boot=9, cursor=9, brings=Wanted.TABLES
+        )
+        inquirer.take(report, 11)
+        ask = inquirer.due(20, None)[0]
+        assert (ask.inquiry.boot, ask.inquiry.cursor) == (1, 0)
+
+
+def _status(sender: Address, revision: int) -> Status:
+    return Status(1, sender, revision, confirmed_age=0.1, pause=PAUSE)
+
+
+def _wanted(inquirer: Inquirer, now: float) -> dict[Address, Wanted]:
+    return {ask.target: ask.inquiry.wanted for ask in inquirer.due(now, None)}
--- a/redwingstream/directory/tests/test_view.py
+++ b/redwingstream/directory/tests/test_view.py
@@ -125,3 +125,32 @@
         view.take(SECOND, 1, (_silent(),), 12)
         view.refresh(13 + FORGOTTEN_AFTER)
         assert not view.of_pool('feed')
+
+
+class TestAnsweredSince:
+    """Whether all expected control instances have answered since a time."""
+
+    @pytest.fixture
+    def view(self) -> AgentView:
+        made = AgentView()
+        made.take(FIRST, 1, (_heard(),), 10)
+        made.take(SECOND, 1, (_heard(),), 11)
+        return made
+
+    def test_requires_all_that_answer(self, view) -> None:
+        assert view.answered_since(9, 11)
+        assert not view.answered_since(10, 11)
+
+    def test_ignores_one_that_is_no_longer_expected(self, view) -> None:
+        """Guards against late reports of dead flows to callers."""
+        view.expect_only(frozenset((SECOND,)))
+        assert view.answered_since(10, 11)
+
+    def test_requires_an_expected_one_without_an_answer(self, view) -> None:
+        """Guards against declaring a flow dead on partial information."""
+        view.expect_only(frozenset((SECOND, Address(103))))
+        assert not view.answered_since(10, 11)
+
+    def test_is_false_when_none_is_expected(self, view) -> None:
+        view.expect_only(frozenset())
+        assert not view.answered_since(9, 11)
--- a/redwingstream/directory/view.py
+++ b/redwingstream/directory/view.py
@@ -74,6 +74,7 @@
     def __init__(self) -> None:
         self.is_complete = False
         self._source_by_control: dict[Address, _Source] = {}
+        self._expected: frozenset[Address] | None = None
         self._agent_by_address: dict[Address, Agent] = {}
         self._agents_by_pool: dict[str, tuple[Agent, ...]] = {}
 
@@ -86,13 +87,22 @@
         """Return the agents of a pool, in no particular order."""
         return self._agents_by_pool.get(pool, ())
 
+    def expect_only(self, controls: frozenset[Address]) -> None:
+        """Set the control instances whose answers are expected."""
+        self._expected = controls
+
     def answered_since(self, since: float, now: float) -> bool:
-        """Whether all control instances that answer have done so since."""
+        """Whether all control instances that answer have done so since.
+
+        An expected control instance counts even if it has not answered yet.
+        """
         answers = [
             source.answered_at
             for source in self._source_by_control.values()
             if now - source.answered_at <= TRUSTED_FOR
         ]
+        if self._expected is not None:
+            answers = list(map(self._answered_at, self._expected))
         return bool(answers) and min(answers) > since
 
     def take(
@@ -177,6 +187,10 @@
             not hearing,
         )
 
+    def _answered_at(self, control: Address) -> float:
+        source = self._source_by_control.get(control)
+        return float('-inf') if source is None else source.answered_at
+
     def _keep(self, agent: Agent) -> bool:
         changed = self._agent_by_address.get(agent.address) != agent
         self._agent_by_address[agent.address] = agent
--- a/redwingstream/fleet/agent.py
+++ b/redwingstream/fleet/agent.py
@@ -64,7 +64,10 @@
         self._releasing: asyncio.TimerHandle | None = None
         self._address = address_of(packets.host, packets.port)
         inquirer = Inquirer(
-            deployment.seed_addresses, beside.pool, process.clock()
+            deployment.seed_addresses,
+            beside.pool,
+            process.clock(),
+            process.codec.boot,
         )
         self.gate = Gate(
             deployment.cold_limit,
--- a/redwingstream/fleet/balancer.py
+++ b/redwingstream/fleet/balancer.py
@@ -56,7 +56,9 @@
         self.process = process
         self._ready_logged = False
         own = deployment.internal(BALANCER_OFFSET)
-        inquirer = Inquirer(deployment.seed_addresses, '', process.clock())
+        inquirer = Inquirer(
+            deployment.seed_addresses, '', process.clock(), process.codec.boot
+        )
         self.following = Following(
             inquirer, process.codec, self._learn, process.log.write
         )
--- a/redwingstream/fleet/control.py
+++ b/redwingstream/fleet/control.py
@@ -13,6 +13,7 @@
     ControlHello,
     Inquiry,
     Report,
+    Status,
     Unchanged,
 )
 from redwingstream.errors import WireError
@@ -55,17 +56,24 @@
         self._own = own
         self.book = AgentBook()
         self._controls = Controls(own, deployment.seed_addresses)
+        self.replication = Replication(process, self._send)
         self._registry = Registry(
-            own, process.codec.boot, now, self.book, self._controls
+            own,
+            process.codec.boot,
+            now,
+            self.book,
+            self._controls,
+            self.replication.memory.followers,
+        )
+        self._inquirer = Inquirer(
+            (), '', now, process.codec.boot, wants_agents=False
         )
-        self._inquirer = Inquirer((), '', now)
         self._following = Following(
             self._inquirer,
             process.codec,
             lambda learned: None,
             process.log.write,
         )
-        self.replication = Replication(process, self._send)
         self._socket: DatagramSocket | None = None
         self._next_hello = now
         process.when_reloaded(
@@ -188,10 +196,8 @@
             case ControlHello() as hello:
                 self._controls.hear(hello, now)
                 self.replication.found(hello.founding)
-            case Report() as report:
-                self._inquirer.take(report, now)
-            case Unchanged() as answer:
-                self._inquirer.take_unchanged(answer, now)
+            case Report() | Unchanged() | Status() as answer:
+                self._following.take(answer)
             case message if isinstance(message, ReplicaMessage):
                 self.replication.receive(message)
 
--- a/redwingstream/fleet/following.py
+++ b/redwingstream/fleet/following.py
@@ -5,9 +5,9 @@
 
 from redwingstream.directory.inquiry import Inquirer, Learned
 from redwingstream.directory.messages import (
-    UNASKED,
     AgentRecord,
     Report,
+    Status,
     Unchanged,
 )
 from redwingstream.errors import WireError
@@ -92,15 +92,24 @@
         except WireError:
             self.malformed += 1
             return False
-        if not isinstance(opened.payload, Report | Unchanged):
+        if not isinstance(opened.payload, Report | Unchanged | Status):
             return False
-        self.reports += 1
+        self.take(opened.payload)
+        return True
+
+    def take(self, answer: Report | Unchanged | Status) -> None:
+        """Process an answer and send the inquiries that it makes due."""
         now = asyncio.get_running_loop().time()
+        self.reports += 1
         self._heard_at = now
-        self._learned(self._take(opened.payload, now))
-        if opened.payload.number == UNASKED:
+        try:
+            learned = self.inquirer.take(answer, now)
+        except WireError:
+            self.malformed += 1
+            return
+        self._learned(learned)
+        if self.inquirer.next_due() <= now:
             self._send(self.inquirer.due(now, self._own_record()))
-        return True
 
     def tick(self, now: float) -> float:
         """Ask whom it is time to ask; look at the agents again.
@@ -115,7 +124,7 @@
         if now >= self._refresh_at:
             self._refresh_at = now + REFRESH_EVERY
             changed = self.inquirer.view.refresh(now)
-            self._learned(Learned(tuple(changed), has_new_tables=False))
+            self._learned(Learned(tuple(changed)))
         due_at = min(self.inquirer.next_due(), self._refresh_at)
         return max(MIN_PAUSE, due_at - now)
 
@@ -134,12 +143,6 @@
         now = asyncio.get_running_loop().time()
         self.inquirer.follow_seeds(seeds, now)
 
-    def _take(self, answer: Report | Unchanged, now: float) -> Learned:
-        if isinstance(answer, Report):
-            return self.inquirer.take(answer, now)
-        self.inquirer.take_unchanged(answer, now)
-        return Learned((), has_new_tables=False)
-
     def _own_record(self) -> AgentRecord | None:
         return None if self._record is None else self._record()
 
--- a/redwingstream/fleet/recalling.py
+++ b/redwingstream/fleet/recalling.py
@@ -112,7 +112,8 @@
         Nothing is written while this instance has not caught up with what it
         recalled: the record on the disk is the better one.
         """
-        if served.revision < self.history.tables.revision:
+        is_behind = served.revision < self.history.tables.revision
+        if is_behind or now < self._turn.next_at:
             return
         record = FleetRecord(
             served.controls, self.followers.present(now), served.revision
--- a/redwingstream/fleet/registry.py
+++ b/redwingstream/fleet/registry.py
@@ -10,14 +10,18 @@
     AgentBook,
     Page,
 )
-from redwingstream.directory.controls import Controls
-from redwingstream.directory.inquiry import WARM_AFTER, pack_update
+from redwingstream.directory.controls import NAMED_FOR, Controls
+from redwingstream.directory.fleet_record import Followers
+from redwingstream.directory.inquiry import pack_update
 from redwingstream.directory.messages import (
     UNASKED,
     Inquiry,
     Report,
+    Status,
     Unchanged,
+    Wanted,
 )
+from redwingstream.directory.packing import pack_records
 from redwingstream.packets.flow import Address
 from redwingstream.tables.messages import TablesUpdate
 
@@ -32,8 +36,8 @@
 
 UNCONFIRMED_PAUSE = 0.1
 """Seconds after which a process is to ask again while this instance does not
-know whether its tables are the newest: after a restart of all instances,
-callers wait for the tables."""
+know whether its tables are the newest, or has not heard all agents.  After a
+restart of all instances, callers wait for both."""
 
 UNCONFIRMED_AGE = 1.0
 """Seconds since when the tables were last known to be the newest, from which
@@ -47,10 +51,26 @@
 """Inquiries a second that a control instance wants at most; with more processes
 each of them asks less often."""
 
-FULL_EVERY = 13
-"""Each so many inquiries of a process one is answered in full, with the control
-instances that run and the pause; no divisor of the usual numbers of control
-instances, so that none of them always gives the short answer."""
+MAX_URGENT_INQUIRIES = 1000
+"""Inquiries a second that a control instance wants at most while its tables are
+unconfirmed or it has not heard all agents: callers wait for the answers."""
+
+PAUSE_SET_EVERY = 0.1
+"""Seconds between two updates of the pause that processes are told."""
+
+WARM_AFTER = 1.5
+"""Least time in seconds after its start from which a control instance has heard
+every reachable agent.  Agents ask an unresponsive instance at least every 0.8 s
+and learn of a new one within a second."""
+
+WARM_PAUSES = 1.5
+"""Pauses after which a control instance has heard every reachable agent; one
+may last up to 1.25 times as long as requested."""
+
+FULL_EVERY = 7
+"""One in this many inquiries of a process to its sources is answered in full,
+with the running control instances and the pause.  Coprime with the number of
+sources, so that each of them gives full answers."""
 
 AGE_DIGITS = 3
 """Decimal digits of an age in seconds in the short answer."""
@@ -93,6 +113,8 @@
         The agents that it hears.
     controls : Controls
         The control instances that it hears.
+    followers : Followers
+        The processes that send it inquiries.
     """
 
     def __init__(
@@ -102,48 +124,40 @@
         started_at: float,
         book: AgentBook,
         controls: Controls,
+        followers: Followers,
     ) -> None:
         self._own = own
         self._boot = boot
         self._started_at = started_at
         self._book = book
         self._controls = controls
+        self._followers = followers
         self._packed_by_step: dict[tuple[int, int], bytes] = {}
-        self._asked = 0
-        self._asked_since = started_at
         self._pause = PAUSE
+        self._pause_set_at = float('-inf')
+        self._running = controls.running(started_at)
+        self._full_until = float('-inf')
         self._revision = 0
         self._revision_since = started_at
 
     def answer(
         self, inquiry: Inquiry, tables: TableSource, now: float
-    ) -> Report | Unchanged:
+    ) -> Report | Unchanged | Status:
         """Return the answer to an inquiry."""
-        self._count(now)
+        self._set_pause(now)
         if inquiry.record is not None:
             self._book.hear(inquiry.record, now)
-        cursor = inquiry.cursor if inquiry.boot == self._boot else 0
-        page = self._book.since(cursor, inquiry.pool, now)
-        if self._is_short(inquiry, page, tables, now):
-            return Unchanged(
-                inquiry.number,
-                self._own,
-                tables.revision,
-                round(tables.confirmed_age, AGE_DIGITS),
-            )
-        return Report(
+        if inquiry.wanted is Wanted.ALL:
+            return self._answer_all(inquiry, tables, now)
+        has_newer_tables = inquiry.revision < tables.revision
+        if inquiry.wanted is Wanted.TABLES and has_newer_tables:
+            return self._report(inquiry, Page((), 0), tables, now)
+        return Status(
             inquiry.number,
             self._own,
-            self._boot,
-            page.cursor,
-            page.records,
-            self._update(inquiry.revision, tables),
             tables.revision,
-            self._revision_age(tables.revision, now),
-            tables.confirmed_age,
-            now - self._started_at,
-            self._controls.running(now),
-            self._pause_for(inquiry, tables),
+            round(tables.confirmed_age, AGE_DIGITS),
+            self._pause_for(inquiry, tables, now),
         )
 
     def greeting(self, now: float) -> Report:
@@ -156,16 +170,49 @@
             self._own,
             self._boot,
             cursor=0,
-            records=(),
+            records=b'',
             update=b'',
             revision=0,
             revision_age=0,
             confirmed_age=float('inf'),
-            uptime=now - self._started_at,
+            has_heard_all=False,
             controls=self._controls.running(now),
             pause=self._pause,
         )
 
+    def _answer_all(
+        self, inquiry: Inquiry, tables: TableSource, now: float
+    ) -> Report | Unchanged:
+        cursor = inquiry.cursor if inquiry.boot == self._boot else 0
+        page = self._book.since(cursor, inquiry.pool, now)
+        if not self._is_short(inquiry, page, tables, now):
+            return self._report(inquiry, page, tables, now)
+        return Unchanged(
+            inquiry.number,
+            self._own,
+            tables.revision,
+            round(tables.confirmed_age, AGE_DIGITS),
+        )
+
+    def _report(
+        self, inquiry: Inquiry, page: Page, tables: TableSource, now: float
+    ) -> Report:
+        return Report(
+            inquiry.number,
+            self._own,
+            self._boot,
+            page.cursor,
+            pack_records(page.records),
+            self._update(inquiry.revision, tables),
+            tables.revision,
+            self._revision_age(tables.revision, now),
+            tables.confirmed_age,
+            self._has_heard_all(now),
+            self._controls.running(now),
+            self._pause_for(inquiry, tables, now),
+            inquiry.wanted,
+        )
+
     def _is_short(
         self, inquiry: Inquiry, page: Page, tables: TableSource, now: float
     ) -> bool:
@@ -175,12 +222,21 @@
         has = (inquiry.boot, inquiry.cursor, inquiry.revision)
         if has != (self._boot, page.cursor, tables.revision):
             return False
-        is_settled = now - self._started_at >= WARM_AFTER
-        return is_settled and tables.confirmed_age <= UNCONFIRMED_AGE
+        if not self._has_heard_all(now) or now < self._full_until:
+            return False
+        return tables.confirmed_age <= UNCONFIRMED_AGE
 
-    def _pause_for(self, inquiry: Inquiry, tables: TableSource) -> float:
-        if tables.confirmed_age > UNCONFIRMED_AGE:
-            return self._pause * UNCONFIRMED_PAUSE / PAUSE
+    def _has_heard_all(self, now: float) -> bool:
+        warm_after = max(WARM_AFTER, WARM_PAUSES * self._pause)
+        return now - self._started_at >= warm_after
+
+    def _pause_for(
+        self, inquiry: Inquiry, tables: TableSource, now: float
+    ) -> float:
+        is_settled = self._has_heard_all(now)
+        if tables.confirmed_age > UNCONFIRMED_AGE or not is_settled:
+            min_pause = len(self._followers) / MAX_URGENT_INQUIRIES
+            return max(UNCONFIRMED_PAUSE, min_pause)
         if inquiry.record is None:
             return self._pause * LISTENER_PAUSES
         return self._pause
@@ -191,16 +247,19 @@
             self._revision_since = now
         return now - self._revision_since
 
-    def _count(self, now: float) -> None:
-        self._asked += 1
-        passed = now - self._asked_since
-        if passed >= 1:
-            share = self._asked / passed / MAX_INQUIRIES
-            controls = len(self._controls.running(now)) / CONTROLS_AT_PAUSE
-            self._pause = max(PAUSE, PAUSE * controls, self._pause * share)
-            self._book.silent_after = max(SILENT_AFTER, MISSED * self._pause)
-            self._asked = 0
-            self._asked_since = now
+    def _set_pause(self, now: float) -> None:
+        if now - self._pause_set_at < PAUSE_SET_EVERY:
+            return
+        self._pause_set_at = now
+        self._followers.forget_old(now)
+        running = self._controls.running(now)
+        if running != self._running:
+            self._running = running
+            self._full_until = now + NAMED_FOR
+        controls = len(running) / CONTROLS_AT_PAUSE
+        min_pause = len(self._followers) / MAX_INQUIRIES
+        self._pause = max(PAUSE, PAUSE * controls, min_pause)
+        self._book.silent_after = max(SILENT_AFTER, MISSED * self._pause)
 
     def _update(self, revision: int, tables: TableSource) -> bytes:
         if revision >= tables.revision:
--- a/redwingstream/fleet/tests/test_balancer.py
+++ b/redwingstream/fleet/tests/test_balancer.py
@@ -11,6 +11,7 @@
     Readiness,
     Report,
 )
+from redwingstream.directory.packing import pack_records
 from redwingstream.fleet.balancer import Balancer
 from redwingstream.fleet.tests.fakes import (
     DEPLOYMENT,
@@ -51,12 +52,12 @@
         sender=CONTROL,
         boot=1,
         cursor=0,
-        records=records,
+        records=pack_records(records),
         update=pack_update(update),
         revision=update.revision,
         revision_age=0,
         confirmed_age=0,
-        uptime=60,
+        has_heard_all=True,
         controls=(),
         pause=0.4,
     )
