Query all agents of a pool in parallel for the agent that carries a flow

Cause: an agent searching for an open flow passed the packet from agent to agent, one millisecond per hop, and an envelope named at most 64 visited agents. In a pool of more than 64 agents a dead flow was therefore never proved dead.

Change: the agent sends the packet at once to all other agents of the pool that are not silent and have not been visited (Kind.LOOKUP). The agent that carries the flow delivers the packet and notifies the balancer and the requesting agent. The others answer NOT_CARRIED; an agent that does not know what its server holds answers after the server has handed the packet back. Agents that do not answer are queried once more after 0.2 s; without their answers the flow is not proved dead. Packets of the flow that arrive during the lookup (at most 16) are queued and sent to the agent that carries it.

An agent whose server answers a searched flow now announces the flow immediately; previously only the next packet of the flow was announced.

An envelope names up to 1,024 agents, and its count field now takes two bytes; its magic number is a new one, so that processes of an earlier version reject the envelope instead of misreading it. A larger pool is not searched, and the log says so. flow_not_found reports the number of agents that did not answer.

The test that flows in a pool of 80 are left alone relied on the bound of 64. It now sets that bound itself, so it still guards against declaring a flow dead after a search of only part of the pool.

Tests without network (packets/tests/test_large_pools.py), pools of 64, 65, 109 and 300 agents: an open flow is found within 0.3 s and with at most two packets per agent besides the balancers' pings; the caller of a dead flow is reset; one agent that does not answer prevents the reset; a lost datagram does not.

--- a/redwingstream/fleet/agent.py
+++ b/redwingstream/fleet/agent.py
@@ -204,5 +204,5 @@
         self.following.receive(datagram, source)
 
     def _keep_house(self, now: float) -> float:
-        self.carrying.tick(now)
+        self.outlet.send_all(self.carrying.tick(now))
         return HOUSEKEEPING
--- a/redwingstream/packets/bounded.py
+++ b/redwingstream/packets/bounded.py
@@ -72,6 +72,10 @@
             self._aged_by_key.pop(key)
         return gone
 
+    def pairs(self) -> list[tuple[KeyT, RowT]]:
+        """Return all keys with their rows, least recently used first."""
+        return [(key, aged.row) for key, aged in self._aged_by_key.items()]
+
     def rows(self) -> list[RowT]:
         """Return all rows, the one used longest ago first."""
         return [aged.row for aged in self._aged_by_key.values()]
--- a/redwingstream/packets/carrying.py
+++ b/redwingstream/packets/carrying.py
@@ -39,11 +39,9 @@
                 return [peer_datagram(Envelope(Kind.PONG, b''), source)]
             case Kind.OPENING:
                 return self._admitting.take(envelope, now)
-            case Kind.ONGOING:
+            case Kind.ONGOING | Kind.LOOKUP:
                 return self._searching.take(envelope, now)
-            case Kind.CARRIED:
-                self._note_elsewhere(envelope, now)
-        return []
+        return self._take_flow_location(envelope, source, now)
 
     def take_from_server(self, packet: bytes, now: float) -> list[Sending]:
         """Take what the server beside this agent sent."""
@@ -54,9 +52,10 @@
         if head.is_returned:
             return self._take_returned(head, now)
         carried = site.flows.carried(head.outbound, now)
+        sending: list[Sending] = [ToCaller(packet, head.target)]
         if carried is None:
             carried = self._rediscover(head.outbound, head, now)
-        sending: list[Sending] = [ToCaller(packet, head.target)]
+            sending.extend(self._searching.report_held(head.outbound))
         if head.is_accepting:
             sending.extend(self._accept(carried))
         else:
@@ -68,10 +67,20 @@
         """Let new flows go on that wait and need not any more."""
         return self._admitting.release(now)
 
-    def tick(self, now: float) -> None:
-        """Forget what is old."""
+    def tick(self, now: float) -> list[Sending]:
+        """Expire old entries and retry unanswered lookups."""
         self.site.flows.forget_old(now)
-        self._searching.forget_old(now)
+        return self._searching.tick(now)
+
+    def _take_flow_location(
+        self, envelope: Envelope, source: Address, now: float
+    ) -> list[Sending]:
+        match envelope.kind:
+            case Kind.CARRIED:
+                return self._note_elsewhere(envelope, now)
+            case Kind.NOT_CARRIED:
+                return self._searching.note_not_carried(envelope, source, now)
+        return []
 
     def _note_progress(self, carried: Carried, head: Head, now: float) -> None:
         self._note_outcome(carried, head, now)
@@ -100,10 +109,12 @@
             return self._admitting.returned(head, carried, now)
         return self._searching.returned(head, carried, now)
 
-    def _note_elsewhere(self, envelope: Envelope, now: float) -> None:
-        if envelope.best != self.site.place.address:
-            flow = self.site.codec.read(envelope.packet).inbound
-            self.site.flows.note_elsewhere(flow, envelope.best, now)
+    def _note_elsewhere(self, envelope: Envelope, now: float) -> list[Sending]:
+        if envelope.best == self.site.place.address:
+            return []
+        flow = self.site.codec.read(envelope.packet).inbound
+        self.site.flows.note_elsewhere(flow, envelope.best, now)
+        return self._searching.note_carried(flow, envelope.best)
 
     def _accept(self, carried: Carried) -> list[Sending]:
         if carried.standing is Standing.ESTABLISHED:
--- a/redwingstream/packets/envelopes.py
+++ b/redwingstream/packets/envelopes.py
@@ -5,7 +5,7 @@
 takes three times as long.
 
 Layout, big-endian: magic (1 byte), kind (1), hops (1), offer (1), pool (4),
-revision (8), origin (6), home (6), best (6), number of visited agents (1),
+revision (8), origin (6), home (6), best (6), number of visited agents (2),
 the visited agents (6 each), the packet.
 """
 
@@ -18,11 +18,13 @@
 from redwingstream.errors import WireError
 from redwingstream.packets.flow import NO_ADDRESS, Address
 
-MAGIC = 0x52
-MAX_VISITED = 64
-"""Agents that one packet may visit.  The second one usually knows; only after
-the loss of its memory as well the others are asked in turn, a millisecond each,
-and a pool of 48 servers was left unsearched by 16."""
+MAGIC = 0x53
+MAX_VISITED = 1024
+"""Maximum number of visited agents in an envelope; a larger pool is not
+searched."""
+
+MAX_HOPS = 255
+"""Maximum hop count; the field is one byte."""
 
 OFFER_UNIT = 0.005
 """Seconds in which an envelope names an expected wait."""
@@ -36,8 +38,10 @@
 
     ``OPENING`` and ``ONGOING`` carry a caller's packet.  ``CARRIED`` says that
     the agent ``best`` carries the packet's flow, ``PASSED`` that the opening
-    packet was passed on to it, ``NOT_CARRIED`` that no agent of the pool
-    carries the flow.  ``PING`` asks for a ``PONG``.
+    packet was passed on to it, ``NOT_CARRIED`` that none of the visited agents
+    carries the flow.  ``LOOKUP`` carries a packet like ``ONGOING``, but its
+    receiver does not pass it on: it answers ``home`` with ``NOT_CARRIED`` when
+    it does not carry the flow.  ``PING`` asks for a ``PONG``.
     """
 
     OPENING = 1
@@ -47,11 +51,12 @@
     PING = 5
     PONG = 6
     PASSED = 7
+    LOOKUP = 8
 
 
 _KIND_BY_NUMBER = MappingProxyType({int(kind): kind for kind in Kind})
 
-_HEAD = struct.Struct('>BBBBIQ6s6s6sB')
+_HEAD = struct.Struct('>BBBBIQ6s6s6sH')
 _ADDRESS_SIZE = 6
 
 # Places of the fields in the head, after the magic number.
--- a/redwingstream/packets/events.py
+++ b/redwingstream/packets/events.py
@@ -98,10 +98,11 @@
 
 @event
 class FlowNotFound:
-    """No agent of this pool carries the flow of a packet."""
+    """None of the agents that answered a lookup carries the flow."""
 
     flow: str
     visited: int
+    unanswered: int
 
 
 @event
--- a/redwingstream/packets/searching.py
+++ b/redwingstream/packets/searching.py
@@ -2,8 +2,8 @@
 
 The server itself is the record of its open flows: it hands back what it does
 not hold.  So an agent that has lost its memory finds its flows again by
-delivering, and a flow that no balancer and no home remembers is found by asking
-the agents of the pool one after the other.
+delivering, and a flow that no balancer and no home remembers is found by
+querying all agents of the pool, see :mod:`redwingstream.packets.lookups`.
 """
 
 import attrs
@@ -17,13 +17,21 @@
     peer_datagram,
 )
 from redwingstream.packets.envelopes import (
+    MAX_HOPS,
     MAX_VISITED,
     Envelope,
     Kind,
 )
-from redwingstream.packets.flow import FlowId, Head, flow_text, text_of
+from redwingstream.packets.flow import (
+    Address,
+    FlowId,
+    Head,
+    flow_text,
+    text_of,
+)
 from redwingstream.packets.flowbook import Carried, Standing
-from redwingstream.packets.ranking import pool_hash, ranked
+from redwingstream.packets.lookups import MAX_WAITING, Lookup, Lookups
+from redwingstream.packets.ranking import pool_hash
 from redwingstream.packets.site import Site
 
 MAX_TICKETS = 4096
@@ -56,10 +64,14 @@
         self._searched: BoundedTable[int, Envelope] = BoundedTable(
             MAX_TICKETS, TICKET_SECONDS
         )
+        self._unconfirmed: BoundedTable[FlowId, Envelope] = BoundedTable(
+            MAX_TICKETS, TICKET_SECONDS
+        )
         self._not_held: BoundedTable[FlowId, bool] = BoundedTable(
             MAX_NOT_HELD, site.flows.flow_life
         )
         self._ticket = 0
+        self._lookups = Lookups()
 
     def take(self, envelope: Envelope, now: float) -> list[Sending]:
         """Take a packet from a balancer or another agent."""
@@ -69,12 +81,13 @@
         if carried is not None:
             return self._deliver(envelope, carried, head, now)
         known = site.flows.elsewhere(head.inbound, now)
-        if known is not None and known not in envelope.visited:
+        if known is not None and _may_pass_to(known, envelope):
             return [peer_datagram(self._visited(envelope), known)]
         if self._cannot_be_here(head, now):
             # The server is spared the packets of a flow that it cannot hold: to
             # have them handed back one by one is a flow sent astray.
-            return self._search_on(envelope, head)
+            return self._search_on(envelope, head, now)
+        self._unconfirmed.put(head.inbound, envelope, now)
         return [ToServer(self._with_ticket(envelope, now))]
 
     def returned(
@@ -83,6 +96,7 @@
         """Take a packet that the server hands back."""
         site = self._site
         searched = self._searched.pop(head.ticket) if head.ticket else None
+        self._unconfirmed.pop(head.inbound)
         if carried is not None and carried.standing is Standing.ESTABLISHED:
             return self._flow_lost(carried, head, now)
         if carried is not None:
@@ -91,12 +105,47 @@
         self._not_held.put(head.inbound, row=True, now=now)
         if searched is None:
             return site.refusing.drop(head, 'handed back without a search')
-        return self._search_on(searched, head)
+        return self._search_on(searched, head, now)
+
+    def report_held(self, flow: FlowId) -> list[Sending]:
+        """Announce a flow that the server has answered after a search."""
+        envelope = self._unconfirmed.pop(flow)
+        return [] if envelope is None else self._report_found(flow, envelope)
+
+    def note_not_carried(
+        self, envelope: Envelope, agent: Address, now: float
+    ) -> list[Sending]:
+        """Take an agent's answer that it does not carry a flow."""
+        head = self._site.codec.read(envelope.packet)
+        lookup = self._lookups.note_not_carried(head.inbound, agent, now)
+        return [] if lookup is None else self._report_not_found(lookup, head)
 
-    def forget_old(self, now: float) -> None:
-        """Forget packets that the server has not handed back."""
+    def note_carried(self, flow: FlowId, agent: Address) -> list[Sending]:
+        """End the lookup of a flow and send its queued packets to its agent."""
+        lookup = self._lookups.end(flow)
+        if lookup is None:
+            return []
+        return [
+            peer_datagram(self._visited(waiting), agent)
+            for waiting in lookup.waiting
+        ]
+
+    def tick(self, now: float) -> list[Sending]:
+        """Expire old entries; retry or end overdue lookups."""
         self._searched.forget_old(now)
+        self._unconfirmed.forget_old(now)
         self._not_held.forget_old(now)
+        sending: list[Sending] = []
+        for flow, lookup in self._lookups.overdue(now):
+            if lookup.is_repeated:
+                self._lookups.end(flow)
+                head = self._site.codec.read(lookup.envelope.packet)
+                sending.extend(self._report_not_found(lookup, head))
+            else:
+                lookup.is_repeated = True
+                lookup.asked_at = now
+                sending.extend(lookup.requests())
+        return sending
 
     def _cannot_be_here(self, head: Head, now: float) -> bool:
         site = self._site
@@ -117,17 +166,19 @@
             packet = self._with_ticket(envelope, now)
         sending: list[Sending] = [ToServer(packet)]
         if envelope.hops:
-            site.counters.found += 1
-            site.log(
-                events.FlowFound(
-                    flow_text(head.inbound),
-                    envelope.hops,
-                    text_of(envelope.home),
-                ),
-            )
-            sending.extend(site.announce(envelope))
+            sending.extend(self._report_found(head.inbound, envelope))
         return sending
 
+    def _report_found(self, flow: FlowId, envelope: Envelope) -> list[Sending]:
+        site = self._site
+        site.counters.found += 1
+        site.log(
+            events.FlowFound(
+                flow_text(flow), envelope.hops, text_of(envelope.home)
+            ),
+        )
+        return list(site.announce(envelope))
+
     def _flow_lost(
         self, carried: Carried, head: Head, now: float
     ) -> list[Sending]:
@@ -143,32 +194,61 @@
         site.log(events.FlowLost(flow_text(carried.flow), age))
         return [ToCaller(site.codec.reset_for(head), head.source)]
 
-    def _search_on(self, envelope: Envelope, head: Head) -> list[Sending]:
+    def _search_on(
+        self, envelope: Envelope, head: Head, now: float
+    ) -> list[Sending]:
         site = self._site
-        searching = self._visited(envelope)
+        if envelope.kind is Kind.LOOKUP:
+            return [
+                peer_datagram(_not_carried_reply(site, envelope), envelope.home)
+            ]
+        lookup = self._lookups.find(head.inbound, now)
+        if lookup is not None:
+            return self._wait_for(lookup, envelope, head)
+        searching = attrs.evolve(
+            self._visited(envelope), home=site.place.address
+        )
         others = [
-            agent
+            agent.address
             for agent in site.peers()
             if agent.address not in searching.visited and not agent.is_silent
         ]
-        if others and len(searching.visited) < MAX_VISITED:
-            order = ranked(head.inbound, others, site.place.zone)
-            return [peer_datagram(searching, order[0].address)]
+        if len(others) + len(searching.visited) > MAX_VISITED:
+            return site.refusing.drop(head, 'the pool is too large to search')
+        lookup = self._lookups.start(head.inbound, searching, others, now)
+        if others:
+            return list(lookup.requests())
+        self._lookups.end(head.inbound)
+        return self._report_not_found(lookup, head)
+
+    def _wait_for(
+        self, lookup: Lookup, envelope: Envelope, head: Head
+    ) -> list[Sending]:
+        if len(lookup.waiting) >= MAX_WAITING:
+            return self._site.refusing.drop(head, 'too many wait for a lookup')
+        lookup.waiting.append(envelope)
+        return []
+
+    def _report_not_found(self, lookup: Lookup, head: Head) -> list[Sending]:
+        site = self._site
         site.counters.not_found += 1
-        visited = len(searching.visited)
-        site.log(events.FlowNotFound(flow_text(head.inbound), visited))
+        site.log(
+            events.FlowNotFound(
+                flow_text(head.inbound),
+                len(lookup.visited),
+                len(lookup.pending),
+            ),
+        )
         word = attrs.evolve(
-            searching,
-            kind=Kind.NOT_CARRIED,
-            packet=site.codec.head_only(envelope.packet),
-            pool=pool_hash(site.place.pool),
+            _not_carried_reply(site, lookup.envelope),
+            visited=tuple(lookup.visited),
         )
-        return [peer_datagram(word, envelope.origin)]
+        return [peer_datagram(word, lookup.envelope.origin)]
 
     def _visited(self, envelope: Envelope) -> Envelope:
         return attrs.evolve(
             envelope,
-            hops=min(envelope.hops + 1, MAX_VISITED),
+            hops=min(envelope.hops + 1, MAX_HOPS),
             visited=(*envelope.visited, self._site.place.address),
         )
 
@@ -176,3 +256,18 @@
         self._ticket = (self._ticket + 1) & _TICKET_MASK or 1
         self._searched.put(self._ticket, envelope, now)
         return self._site.codec.with_ticket(envelope.packet, self._ticket)
+
+
+def _may_pass_to(known: Address, envelope: Envelope) -> bool:
+    return envelope.kind is Kind.ONGOING and known not in envelope.visited
+
+
+def _not_carried_reply(site: Site, envelope: Envelope) -> Envelope:
+    """Return this agent's answer that it does not carry the flow."""
+    return attrs.evolve(
+        envelope,
+        kind=Kind.NOT_CARRIED,
+        packet=site.codec.head_only(envelope.packet),
+        pool=pool_hash(site.place.pool),
+        visited=(site.place.address,),
+    )
--- a/redwingstream/packets/tests/network.py
+++ b/redwingstream/packets/tests/network.py
@@ -220,7 +220,7 @@
             self.report()
         if self.alive:
             self._carry_out(self.carrying.release(self.network.now))
-            self.carrying.tick(self.network.now)
+            self._carry_out(self.carrying.tick(self.network.now))
 
     def _carry_out(self, sending: list[Sending]) -> None:
         self.network.carry_out(self.address, sending, self.server)
--- a/redwingstream/packets/tests/test_dead_flows.py
+++ b/redwingstream/packets/tests/test_dead_flows.py
@@ -4,6 +4,7 @@
 import pytest
 
 from redwingstream.directory.view import Agent
+from redwingstream.packets import searching
 from redwingstream.packets.dead_flows import PROOF_SECONDS
 from redwingstream.packets.events import FlowDeclaredDead, FlowOpened
 from redwingstream.packets.routebook import CONFIRMED_WITHIN
@@ -260,7 +261,11 @@
         assert not opened.caller.resets
         assert opened.caller.answers > 1
 
-    def test_is_left_alone_in_a_pool_larger_than_a_search(self) -> None:
+    def test_is_left_alone_in_a_pool_larger_than_a_search(
+        self, monkeypatch
+    ) -> None:
+        """Guards against declaring a flow dead after a partial search."""
+        monkeypatch.setattr(searching, 'MAX_VISITED', 64)
         lost = _lost(agents=80)
         lost.repeat()
         assert not lost.caller.resets
--- /dev/null
+++ b/redwingstream/packets/tests/test_large_pools.py
@@ -0,0 +1,186 @@
+"""Lookups of open flows in large pools after balancers and agents lose state.
+
+This is the state after a power loss or a wave of restarts: callers continue
+open or dead flows that no balancer or home remembers.
+"""
+
+import pytest
+
+from redwingstream.packets.tests.network import (
+    HOP,
+    IDLE_TIMEOUT,
+    POOL,
+    AgentNode,
+    Caller,
+    Network,
+)
+
+SIZES = (64, 65, 109, 300)
+ZONES = ('north', 'south', 'east')
+HOME_ZONE = 'west'
+PINGS = 5
+"""Allowance for the balancer's liveness pings to agents that it uses."""
+
+FOUND_WITHIN = 0.3
+"""Seconds; callers retransmit after 0.2 s and again 0.4 s later."""
+
+
+class _Fleet:
+    """A pool with one open flow.
+
+    The balancer's zone has one agent, the home of all flows.  Its server
+    refuses them, so the flow is carried in another zone.
+    """
+
+    def __init__(self, size: int) -> None:
+        self.network = Network()
+        for number in range(1, size):
+            self._add(f'10.1.{number // 200}.{number % 200 + 1}', number)
+        self.home = self._add('10.2.0.1')
+        self.home.server.refuses = True
+        self.network.make_known()
+        self.balancer = self.network.add_balancer('10.9.0.100', HOME_ZONE)
+        self.balancer.hears_control = True
+        self.caller = Caller(self.network, '100.64.0.1', 1000)
+        self.caller.open(self.balancer)
+        self.network.run(1)
+        assert self.caller.answers == 1
+
+    @property
+    def carrier(self) -> AgentNode:
+        """The agent whose server holds the flow."""
+        return next(
+            agent for agent in self.network.agents if agent.server.open_flows
+        )
+
+    def restart_other_agents(
+        self, listens_since: float = -IDLE_TIMEOUT
+    ) -> None:
+        """Restart the balancer and all agents except the carrier."""
+        carrier = self.carrier
+        for agent in self.network.agents:
+            if agent is not carrier:
+                agent.start(listens_since=listens_since)
+        self.balancer.start()
+
+    def restart_all(self) -> None:
+        """Restart the balancer, all agents and all servers."""
+        for agent in self.network.agents:
+            agent.server.restart()
+            agent.start(listens_since=-IDLE_TIMEOUT)
+        self.balancer.start()
+
+    def ask(self, seconds: float) -> None:
+        """Send a request from the caller and run the network."""
+        self.caller.ask(self.balancer)
+        self.network.run(seconds)
+
+    def _add(self, host: str, number: int | None = None) -> AgentNode:
+        zone = HOME_ZONE if number is None else ZONES[number % len(ZONES)]
+        agent = AgentNode(self.network, host, zone, POOL)
+        self.network.agent_by_address[agent.address] = agent
+        agent.report()
+        return agent
+
+
+@pytest.fixture(params=SIZES)
+def fleet(request) -> _Fleet:
+    return _Fleet(request.param)
+
+
+class TestOpenFlow:
+    """A server still holds the flow."""
+
+    def test_is_found_in_time(self, fleet) -> None:
+        """Guards against stalls while agents are queried sequentially."""
+        fleet.restart_other_agents()
+        fleet.ask(FOUND_WITHIN)
+        assert fleet.caller.answers == 2
+        assert not fleet.caller.resets
+
+    def test_is_found_with_few_packets(self, fleet) -> None:
+        """Guards against link saturation when many flows are searched."""
+        fleet.restart_other_agents()
+        before = _packets_received(fleet)
+        fleet.ask(FOUND_WITHIN)
+        size = len(fleet.network.agents)
+        assert size < _packets_received(fleet) - before <= 2 * size + PINGS
+
+    def test_is_searched_only_once(self, fleet) -> None:
+        fleet.restart_other_agents()
+        fleet.ask(FOUND_WITHIN)
+        before = _packets_received(fleet)
+        fleet.ask(FOUND_WITHIN)
+        assert fleet.caller.answers == 3
+        assert _packets_received(fleet) - before <= 1 + PINGS
+
+    def test_is_not_delivered_to_other_servers(self, fleet) -> None:
+        """Guards against packets delivered to servers without the flow."""
+        fleet.restart_other_agents()
+        fleet.ask(FOUND_WITHIN)
+        others = [
+            agent for agent in fleet.network.agents if agent != fleet.carrier
+        ]
+        assert not any(agent.server.taken for agent in others)
+
+    def test_is_found_after_every_agent_was_restarted(self, fleet) -> None:
+        """Guards against restarted agents that report open flows as dead."""
+        carrier = fleet.carrier
+        for agent in fleet.network.agents:
+            agent.start(listens_since=fleet.network.now)
+        fleet.balancer.start()
+        fleet.ask(FOUND_WITHIN)
+        assert fleet.caller.answers == 2
+        assert not fleet.caller.resets
+        assert carrier.server.open_flows
+
+    def test_receives_packets_sent_during_the_search(self, fleet) -> None:
+        """Guards against dropping packets received during a lookup."""
+        fleet.restart_other_agents()
+        fleet.caller.ask(fleet.balancer)
+        fleet.network.run(1.5 * HOP)
+        fleet.ask(FOUND_WITHIN)
+        assert fleet.caller.answers == 3
+
+
+class TestDeadFlow:
+    """No server holds the flow any more."""
+
+    def test_is_reset(self, fleet) -> None:
+        """Guards against callers that wait for their time-outs."""
+        fleet.restart_all()
+        fleet.network.run(1)
+        fleet.ask(1)
+        assert fleet.caller.resets == 1
+
+    def test_is_reset_despite_a_lost_datagram(self) -> None:
+        fleet = _Fleet(109)
+        fleet.restart_all()
+        fleet.network.run(1)
+        target = fleet.network.agents[50].address
+        lost = []
+
+        def drop_first(source: int, to: int) -> bool:
+            is_first = to == target and not lost
+            if is_first:
+                lost.append(source)
+            return is_first
+
+        fleet.network.lost = drop_first
+        fleet.ask(1.5)
+        assert lost
+        assert fleet.caller.resets == 1
+
+    def test_is_not_reset_while_one_agent_does_not_answer(self) -> None:
+        """Guards against resetting a flow that a silent agent may carry."""
+        fleet = _Fleet(109)
+        cut_off = fleet.carrier.address
+        fleet.restart_other_agents()
+        fleet.network.lost = lambda source, target: cut_off in (source, target)
+        for _ in range(4):
+            fleet.ask(1)
+        assert not fleet.caller.resets
+
+
+def _packets_received(fleet: _Fleet) -> int:
+    return sum(agent.site.counters.packets_in for agent in fleet.network.agents)
