Report ended servers when their agents stop

Cause: a flow is declared dead once every agent that may hold it has answered.

Change: an agent that is asked to stop connects to its server's port on the same instance. Only a refused connection shows that the process has ended; the agent then reports the new readiness ENDED, twice, since a datagram may be lost. Agents whose servers have ended are not asked for flows and do not delay the proof that a flow is dead. Agents whose servers have only announced their shutdown still do until they are silent, as before.

--- a/redwingstream/directory/book.py
+++ b/redwingstream/directory/book.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from redwingstream.directory.messages import AgentRecord, HeardRecord, Readiness
+from redwingstream.directory.messages import AgentRecord, HeardRecord
 
 SILENT_AFTER = 1.6
 """Least time in seconds after which an agent counts as silent."""
@@ -131,7 +131,7 @@
 
 
 def _lifetime(record: AgentRecord) -> float:
-    if record.readiness is Readiness.GONE:
+    if record.readiness.is_gone:
         return math.ceil(SILENT_AFTER)
     return FORGOTTEN_AFTER
 
--- a/redwingstream/directory/messages.py
+++ b/redwingstream/directory/messages.py
@@ -11,12 +11,22 @@
 
 
 class Readiness(enum.IntEnum):
-    """Whether an agent's server may be given new flows."""
+    """Whether an agent's server may be given new flows.
+
+    A ``GONE`` server has announced its shutdown and may still hold flows.  The
+    process of an ``ENDED`` server no longer runs, so it holds none.
+    """
 
     UNKNOWN = 0
     READY = 1
     DRAINING = 2
     GONE = 3
+    ENDED = 4
+
+    @property
+    def is_gone(self) -> bool:
+        """Whether the server is shutting down or its process has ended."""
+        return self in {Readiness.GONE, Readiness.ENDED}
 
 
 @attrs.frozen
--- a/redwingstream/fleet/agent.py
+++ b/redwingstream/fleet/agent.py
@@ -30,6 +30,10 @@
 from redwingstream.tables.snapshot import Tables
 from redwingstream.wire.datagrams import open_datagrams
 
+REPEAT_AFTER = 0.05
+"""Seconds until a stopping agent repeats its last record, in case a datagram is
+lost."""
+
 HOUSEKEEPING = 0.25
 """Seconds between two looks at old flows."""
 
@@ -126,7 +130,15 @@
                 yield self
 
     async def leave(self) -> None:
-        """Tell the control instances when the server has ended as well."""
+        """Report to the control instances whether the server has ended.
+
+        A flow is declared dead only once every agent that may hold it has
+        answered.  A stopped agent does not answer, so it must be excluded if
+        its server has ended.
+        """
+        await self.reporting.check_server_ended(self._beside.server)
+        self.following.tell_all()
+        await asyncio.sleep(REPEAT_AFTER)
         self.following.tell_all()
 
     def _make_record(self) -> AgentRecord:
--- a/redwingstream/fleet/events.py
+++ b/redwingstream/fleet/events.py
@@ -44,3 +44,10 @@
     routes: int
     zones_out: str
     confirmed_age: float
+
+
+@event
+class ServerEnded:
+    """A stopping agent has found that its server's process has ended."""
+
+    server: str
--- a/redwingstream/fleet/reporting.py
+++ b/redwingstream/fleet/reporting.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Callable
 
-from redwingstream.fleet.events import ServerReported
+from redwingstream.endpoints import Endpoint
+from redwingstream.fleet.events import ServerEnded, ServerReported
+from redwingstream.fleet.probing import has_ended
 from redwingstream.fleet.process import Process, ProcessReady
 from redwingstream.openings.gate import Gate
 from redwingstream.openings.reports import ServerReport
@@ -68,6 +70,12 @@
             self._note(report, 'left')
             self._changed()
 
+    async def check_server_ended(self, server: Endpoint) -> None:
+        """Check whether the server's process has ended, and record it if so."""
+        if await has_ended(server):
+            self._gate.state.mark_ended()
+            self._process.log.write(ServerEnded(str(server)))
+
     def _note(self, report: ServerReport, outcome: str) -> None:
         self._process.log.write(
             ServerReported(
--- a/redwingstream/openings/gate.py
+++ b/redwingstream/openings/gate.py
@@ -274,7 +274,7 @@
                 return Verdict.UNHEARD
             case Readiness.DRAINING:
                 return Verdict.DRAINING
-            case Readiness.GONE:
+            case Readiness.GONE | Readiness.ENDED:
                 return Verdict.GONE
         is_silent = now - self.state.heard_at > self._silent_after
         return Verdict.SILENT if is_silent else None
--- a/redwingstream/openings/reports.py
+++ b/redwingstream/openings/reports.py
@@ -51,6 +51,8 @@
         When it came.
     has_left : bool
         True when the server has said that it ends.
+    has_ended : bool
+        True when the server's process was found to have ended.
     is_seen_whole : bool
         True when this run of the server began while it was listened to, so that
         it holds no flow that it was not given since.
@@ -59,6 +61,7 @@
     report: ServerReport | None = None
     heard_at: float = float('-inf')
     has_left: bool = False
+    has_ended: bool = False
     is_seen_whole: bool = False
 
     def take(self, report: ServerReport, now: float) -> bool:
@@ -82,6 +85,7 @@
         self.report = report
         self.heard_at = now
         self.has_left = False
+        self.has_ended = False
         return True
 
     def leave(self, server: str) -> bool:
@@ -91,9 +95,15 @@
         self.has_left = True
         return True
 
+    def mark_ended(self) -> None:
+        """Record that the server's process has ended."""
+        self.has_ended = True
+
     @property
     def readiness(self) -> Readiness:
         """Whether the server may be given new flows, as it said."""
+        if self.has_ended:
+            return Readiness.ENDED
         if self.report is None:
             return Readiness.UNKNOWN
         return Readiness.GONE if self.has_left else self.report.readiness
--- a/redwingstream/packets/choosing.py
+++ b/redwingstream/packets/choosing.py
@@ -101,7 +101,7 @@
         return [
             agent
             for agent in self._view.of_pool(pool)
-            if agent.readiness is not Readiness.GONE
+            if not agent.readiness.is_gone
         ]
 
     def _reluctance(
--- a/redwingstream/packets/dead_flows.py
+++ b/redwingstream/packets/dead_flows.py
@@ -12,7 +12,7 @@
 import attrs
 
 from redwingstream.directory.messages import Readiness
-from redwingstream.directory.view import AgentView
+from redwingstream.directory.view import Agent, AgentView
 from redwingstream.packets.bounded import BoundedTable
 from redwingstream.packets.flow import Address, FlowId, Head
 from redwingstream.packets.ranking import pool_hash
@@ -162,17 +162,26 @@
         """Return the agents of a pool that may hold a flow.
 
         A server that has said that it ends may take a moment for it; its agent
-        falls silent once both are gone.
+        falls silent once both are gone.  A server that has ended holds no flow.
         """
         if pool not in self._addresses_by_pool:
             self._addresses_by_pool[pool] = frozenset(
                 agent.address
                 for agent in self._view.of_pool(pool)
-                if not (agent.is_silent and agent.readiness is Readiness.GONE)
+                if _may_hold_flow(agent)
             )
         return self._addresses_by_pool[pool]
 
 
+def _may_hold_flow(agent: Agent) -> bool:
+    match agent.readiness:
+        case Readiness.ENDED:
+            return False
+        case Readiness.GONE:
+            return not agent.is_silent
+    return True
+
+
 def _is_proof(missed: _Missed, route: Route, present: _PresentAgents) -> bool:
     if len(route.rules.earlier) >= MAX_EARLIER:
         # A pool that served the route before may be missing from the list.
--- a/redwingstream/packets/routebook.py
+++ b/redwingstream/packets/routebook.py
@@ -1,6 +1,5 @@
 """The routes that a balancer goes by, and how surely it knows them."""
 
-from redwingstream.directory.messages import Readiness
 from redwingstream.directory.view import AgentView
 from redwingstream.packets.flow import Address
 from redwingstream.tables.rows import Route
@@ -56,6 +55,5 @@
 
     def _has_agents(self, pool: str) -> bool:
         return any(
-            agent.readiness is not Readiness.GONE
-            for agent in self._view.of_pool(pool)
+            not agent.readiness.is_gone for agent in self._view.of_pool(pool)
         )
--- a/redwingstream/packets/site.py
+++ b/redwingstream/packets/site.py
@@ -5,7 +5,6 @@
 
 import attrs
 
-from redwingstream.directory.messages import Readiness
 from redwingstream.directory.view import Agent, AgentView
 from redwingstream.openings.expectation import longest_wait
 from redwingstream.openings.gate import Gate, Load
@@ -138,7 +137,7 @@
         return [
             agent
             for agent in self.view.of_pool(self.place.pool)
-            if agent.address != own and agent.readiness is not Readiness.GONE
+            if agent.address != own and not agent.readiness.is_gone
         ]
 
     def announce(self, envelope: Envelope) -> list[ToPeer]:
--- a/redwingstream/packets/tests/test_large_pools.py
+++ b/redwingstream/packets/tests/test_large_pools.py
@@ -171,6 +171,22 @@
         assert lost
         assert fleet.caller.resets == 1
 
+    def test_is_reset_when_agents_stop_after_their_servers(self) -> None:
+        """Guards against waiting for answers from agents that have stopped.
+
+        The servers end during a power loss; their agents then start and are
+        stopped before they receive a server report.
+        """
+        fleet = _Fleet(109)
+        fleet.restart_all()
+        for agent in fleet.network.agents[10:15]:
+            agent.gate.state.mark_ended()
+            agent.alive = False
+        fleet.network.make_known()
+        fleet.network.run(1)
+        fleet.ask(1)
+        assert fleet.caller.resets == 1
+
     def test_is_not_reset_while_one_agent_does_not_answer(self) -> None:
         """Guards against resetting a flow that a silent agent may carry."""
         fleet = _Fleet(109)
