An agent with an entry of an earlier flow from the same port does not reset a searched flow

Cause: a lookup reaches every agent of a pool. One of them may have carried an earlier flow from the same caller's port and still have its entry. It delivered the searched packet and announced the flow as its own; its server handed the packet back, and the agent reset the flow as lost, while another server held it.

Change: a searched packet goes to the server with a ticket, whether the agent has an entry or not. The flow is announced when the server answers on it. When the server hands the packet back, the agent drops its entry and answers that it does not carry the flow; it sends no reset.

Test: packets/tests/test_large_pools.py, test_survives_a_stale_entry_of_its_port, pools of 64, 65, 109 and 300; it failed before.

--- a/redwingstream/packets/carrying.py
+++ b/redwingstream/packets/carrying.py
@@ -55,7 +55,7 @@
         sending: list[Sending] = [ToCaller(packet, head.target)]
         if carried is None:
             carried = self._rediscover(head.outbound, head, now)
-            sending.extend(self._searching.report_held(head.outbound))
+        sending.extend(self._searching.report_held(head.outbound))
         if head.is_accepting:
             sending.extend(self._accept(carried))
         else:
--- a/redwingstream/packets/searching.py
+++ b/redwingstream/packets/searching.py
@@ -97,7 +97,9 @@
         site = self._site
         searched = self._searched.pop(head.ticket) if head.ticket else None
         self._unconfirmed.pop(head.inbound)
-        if carried is not None and carried.standing is Standing.ESTABLISHED:
+        is_lookup = searched is not None and searched.kind is Kind.LOOKUP
+        is_held = carried is not None and not is_lookup
+        if is_held and carried.standing is Standing.ESTABLISHED:
             return self._flow_lost(carried, head, now)
         if carried is not None:
             # The caller has acknowledged another server's answer.
@@ -161,6 +163,11 @@
         site = self._site
         if head.size:
             site.flows.ask(carried, now)
+        if envelope.kind is Kind.LOOKUP:
+            # The entry may belong to an earlier flow from the same port, while
+            # another server holds this one: the server's answer decides.
+            self._unconfirmed.put(head.inbound, envelope, now)
+            return [ToServer(self._with_ticket(envelope, now))]
         packet = envelope.packet
         if carried.standing is not Standing.ESTABLISHED:
             packet = self._with_ticket(envelope, now)
--- a/redwingstream/packets/tests/test_large_pools.py
+++ b/redwingstream/packets/tests/test_large_pools.py
@@ -6,10 +6,15 @@
 
 import pytest
 
+from redwingstream.packets.envelopes import Envelope, Kind
+from redwingstream.packets.flowbook import Carried, Standing
+from redwingstream.packets.tests.codec import OPENING, Packet
 from redwingstream.packets.tests.network import (
+    CODEC,
     HOP,
     IDLE_TIMEOUT,
     POOL,
+    SERVICE,
     AgentNode,
     Caller,
     Network,
@@ -142,6 +147,29 @@
         fleet.ask(FOUND_WITHIN)
         assert fleet.caller.answers == 3
 
+    def test_survives_a_stale_entry_of_its_port(self, fleet) -> None:
+        """Guards against a reset by an agent that carried an earlier flow.
+
+        The caller has used its port before; that flow ended elsewhere.
+        """
+        fleet.restart_other_agents()
+        opening = Packet(fleet.caller.address, SERVICE, 77, flags=OPENING)
+        flow = CODEC.read(opening.pack()).inbound
+        envelope = Envelope(Kind.OPENING, opening.pack())
+        now = fleet.network.now
+        stale = next(
+            agent
+            for agent in fleet.network.agents
+            if agent not in {fleet.home, fleet.carrier}
+        )
+        stale.site.flows.add(
+            Carried(flow, envelope, Standing.ESTABLISHED, now), now
+        )
+        for expected in range(2, 5):
+            fleet.ask(FOUND_WITHIN)
+            assert fleet.caller.answers == expected
+        assert not fleet.caller.resets
+
 
 class TestDeadFlow:
     """No server holds the flow any more."""
