A searched flow is announced at once where its opening packet fits

Cause: since the change before, an agent that carries a searched flow announced it only when its server answered.

Change: an entry whose opening packet is within 64 MB of the searched packet's sequence number is of the same flow: delivered and announced at once, as before. One farther away is of an earlier flow from the same port: the agent answers that it does not carry the flow, and its server is spared the packet. Only an entry whose opening packet is not known waits for the server's answer.

--- a/redwingstream/packets/searching.py
+++ b/redwingstream/packets/searching.py
@@ -44,6 +44,12 @@
 """Flows of which it is remembered, for a flow's life, that the server does not
 hold them; one that it is given later is known as its own."""
 
+MAX_FLOW_BYTES = 67108864
+"""Bytes that a caller sends on one flow at most.  A packet farther from the
+opening packet belongs to another flow from the same port."""
+
+SEQUENCE_MASK = 0xFFFFFFFF
+
 _TICKET_MASK = 0xFFFFFFFF
 
 
@@ -163,11 +169,14 @@
         site = self._site
         if head.size:
             site.flows.ask(carried, now)
-        if envelope.kind is Kind.LOOKUP:
+        opening = carried.envelope.packet
+        if envelope.kind is Kind.LOOKUP and not opening:
             # The entry may belong to an earlier flow from the same port, while
             # another server holds this one: the server's answer decides.
             self._unconfirmed.put(head.inbound, envelope, now)
             return [ToServer(self._with_ticket(envelope, now))]
+        if envelope.kind is Kind.LOOKUP and _is_other(site, opening, head):
+            return self._search_on(envelope, head, now)
         packet = envelope.packet
         if carried.standing is not Standing.ESTABLISHED:
             packet = self._with_ticket(envelope, now)
@@ -265,6 +274,12 @@
         return self._site.codec.with_ticket(envelope.packet, self._ticket)
 
 
+def _is_other(site: Site, opening: bytes, head: Head) -> bool:
+    """Whether a packet is of another flow than the one an agent opened."""
+    begun = site.codec.read(opening).sequence
+    return (head.sequence - begun) & SEQUENCE_MASK > MAX_FLOW_BYTES
+
+
 def _may_pass_to(known: Address, envelope: Envelope) -> bool:
     return envelope.kind is Kind.ONGOING and known not in envelope.visited
 
