A searched packet that is not delivered does not count as work of the server

An agent with an entry of an earlier flow from the same port counted the packet as a request that its server owes an answer, before it found that the packet belongs to another flow.

--- a/redwingstream/packets/searching.py
+++ b/redwingstream/packets/searching.py
@@ -167,16 +167,17 @@
         self, envelope: Envelope, carried: Carried, head: Head, now: float
     ) -> list[Sending]:
         site = self._site
+        opening = carried.envelope.packet
+        is_lookup = envelope.kind is Kind.LOOKUP
+        if is_lookup and opening and _is_other(site, opening, head):
+            return self._search_on(envelope, head, now)
         if head.size:
             site.flows.ask(carried, now)
-        opening = carried.envelope.packet
-        if envelope.kind is Kind.LOOKUP and not opening:
+        if is_lookup and not opening:
             # The entry may belong to an earlier flow from the same port, while
             # another server holds this one: the server's answer decides.
             self._unconfirmed.put(head.inbound, envelope, now)
             return [ToServer(self._with_ticket(envelope, now))]
-        if envelope.kind is Kind.LOOKUP and _is_other(site, opening, head):
-            return self._search_on(envelope, head, now)
         packet = envelope.packet
         if carried.standing is not Standing.ESTABLISHED:
             packet = self._with_ticket(envelope, now)
