Log tables that are not confirmed, and a control group that is too small

Change: tables_unconfirmed (own revision and version, the newest one named, for how long) and tables_confirmed at balancers and agents; group_too_small at the leader; the metrics replica (needed) and tables (newest_revision). No decision changes.

--- a/redwingstream/directory/inquiry.py
+++ b/redwingstream/directory/inquiry.py
@@ -97,6 +97,8 @@
         The newest tables, and earlier changes of them.
     confirmed_at : float
         Time at which the tables were last confirmed to be the newest.
+    newest_revision : int
+        Highest revision of the tables that a control instance has named.
     in_force_seconds : Histogram
         Seconds from the arrival of tables at a control instance until they
         were applied here.
@@ -124,6 +126,7 @@
         self.view = AgentView()
         self.history = TablesHistory()
         self.confirmed_at = float('-inf')
+        self.newest_revision = 0
         self.in_force_seconds = Histogram()
         self._pool = pool
         self._wanted_of_sources = Wanted.ALL if wants_agents else Wanted.TABLES
@@ -201,6 +204,7 @@
         WireError
             When its agents' records cannot be decoded.
         """
+        self.newest_revision = max(self.newest_revision, answer.revision)
         match answer:
             case Report():
                 return self._handle_report(answer, now)
--- a/redwingstream/fleet/control_client.py
+++ b/redwingstream/fleet/control_client.py
@@ -12,6 +12,7 @@
 )
 from redwingstream.errors import WireError
 from redwingstream.eventlog.lines import event
+from redwingstream.fleet.confirmation import ConfirmationMonitor
 from redwingstream.packets.flow import Address, pair_of
 from redwingstream.wire.datagrams import DatagramSocket
 from redwingstream.wire.frames import FrameCodec
@@ -87,6 +88,7 @@
         self._refresh_at = float('-inf')
         self._heard_at: float | None = None
         self._is_lost = False
+        self._confirmation: ConfirmationMonitor | None = None
 
     def attach(self, socket: DatagramSocket) -> None:
         """Set the socket that inquiries are sent through."""
@@ -128,6 +130,7 @@
         """
         self._send(self.inquirer.due_inquiries(now, self._own_record()))
         self._log_dependency(now)
+        self._check_confirmation(now)
         if now >= self._refresh_at:
             self._refresh_at = now + REFRESH_INTERVAL
             changed = self.inquirer.view.refresh(now)
@@ -164,6 +167,11 @@
             self._log(DependencyRegained('control'))
         self._is_lost = is_lost
 
+    def _check_confirmation(self, now: float) -> None:
+        if self._confirmation is None:
+            self._confirmation = ConfirmationMonitor(now, self._log)
+        self._confirmation.check(self.inquirer, now)
+
     def _send(self, inquiries: Iterable[object]) -> None:
         if self._socket is None:
             return
--- a/redwingstream/fleet/observed/common.py
+++ b/redwingstream/fleet/observed/common.py
@@ -45,6 +45,7 @@
         TABLES,
         {
             'revision': tables.revision,
+            'newest_revision': inquirer.newest_revision,
             'version': 0 if generation is None else generation.version,
             'routes': len(tables.route_by_key),
             'zones_out': len(zones_out),
--- a/redwingstream/fleet/observed/control.py
+++ b/redwingstream/fleet/observed/control.py
@@ -32,6 +32,7 @@
                 'is_leader': int(consensus.is_leader),
                 'accepted_index': consensus.commit,
                 'counting': len(consensus.log.group),
+                'needed': control.process.deployment.group_size,
                 'confirmed_age': consensus.confirmed_age(now),
             },
         )
--- a/redwingstream/fleet/replication.py
+++ b/redwingstream/fleet/replication.py
@@ -47,6 +47,18 @@
     group: str
 
 
+@event
+class GroupTooSmall:
+    """The group has fewer replicas than the tolerated losses require.
+
+    As many lost disks as the settings tolerate may leave it without a
+    majority, and an accepted change may be lost.
+    """
+
+    replicas: int
+    needed: int
+
+
 @event
 class ChangeProposed:
     """The leader proposes a change to the group."""
@@ -320,7 +332,8 @@
 
     def _log_role(self, replica: Replica) -> None:
         consensus = replica.consensus
-        group = ','.join(voter.name for voter in consensus.log.group)
+        voters = consensus.log.group
+        group = ','.join(voter.name for voter in voters)
         role = f'{consensus.role_name} {consensus.leader} {group}'
         if role == self._logged_role:
             return
@@ -330,6 +343,9 @@
                 consensus.role_name, consensus.term, consensus.leader, group
             ),
         )
+        needed = self._process.deployment.group_size
+        if consensus.is_leader and len(voters) < needed:
+            self._process.log.write(GroupTooSmall(len(voters), needed))
 
 
 async def _propose_all(
--- a/redwingstream/operators/flow_history.py
+++ b/redwingstream/operators/flow_history.py
@@ -50,6 +50,8 @@
         'server_reported',
         'dependency_lost',
         'dependency_regained',
+        'tables_unconfirmed',
+        'tables_confirmed',
         'process_started',
     )
 )
--- a/redwingstream/telemetry/families.py
+++ b/redwingstream/telemetry/families.py
@@ -83,8 +83,9 @@
 TABLES = Family(
     'tables',
     Kind.GAUGE,
-    'Revision and version in force here, routes, zones out, and seconds since '
-    'the tables were last known to be the newest.',
+    'Revision and version in force here, the newest revision that a control '
+    'instance has named, routes, zones out, and seconds since the tables were '
+    'last known to be the newest.',
 )
 AGENTS = Family(
     'agents',
@@ -102,8 +103,8 @@
     'replica',
     Kind.GAUGE,
     'The replica of a control instance: its term, whether it leads or counts, '
-    'last accepted index, replicas that count, seconds since its log was last '
-    'known to be the newest.',
+    'last accepted index, replicas that count and how many the tolerated '
+    'losses need, seconds since its log was last known to be the newest.',
 )
 DELAYS = Family(
     'delays',
