--- a/standins/packets/settings.py
+++ b/standins/packets/settings.py
@@ -31,6 +31,8 @@
         Its disk.
     is_first_start : bool
         True when the whole system starts for the first time.
+    tolerated_losses : int
+        How many machines with a disk may be lost at once.
     """
 
     name: str
@@ -39,6 +41,7 @@
     service: str = ''
     folder: Path | None = None
     is_first_start: bool = True
+    tolerated_losses: int = 1
 
 
 def write_settings(
@@ -58,7 +61,7 @@
         f'seeds={",".join(f"{seed}:{CONTROL_PORT}" for seed in seeds)}',
         f'bootstrap={str(machine.is_first_start).lower()}',
         'heartbeat_ms=1200',
-        'fault_tolerance.machines=1',
+        f'fault_tolerance.machines={machine.tolerated_losses}',
         'bounds.cold_burst_factor=1.5',
         'bounds.cold_slack=5',
         'bounds.grace_s=6',
--- a/standins/packets/site.py
+++ b/standins/packets/site.py
@@ -35,14 +35,22 @@
     zones : tuple of str
         Its zones.
     balancers : int
-        Front machines in each zone; the first has a disk and a control
-        instance.
+        Front machines in each zone.
+    disks : int
+        How many of them have a disk, from the first one on.
+    controls : int
+        How many of them run a control instance, from the first one on.
+    tolerated_losses : int
+        How many machines with a disk may be lost at once.
     servers_by_service : dict
         Servers of each service, zone by zone in turn.
     """
 
     zones: tuple[str, ...] = ('north', 'south', 'west')
     balancers: int = 1
+    disks: int = 1
+    controls: int = 1
+    tolerated_losses: int = 1
     servers_by_service: dict[str, int] = attrs.field(
         factory=lambda: {'feed': 3}
     )
@@ -71,7 +79,7 @@
         self.servers = [
             PacketServer(machine, self.runs) for machine in self._sides()
         ]
-        self.controls = [front for front in self.fronts if front.folder]
+        self.controls = list(self._controls())
         self.router_by_zone = {
             zone: Router(
                 front.host for front in self.fronts if front.zone == zone
@@ -104,7 +112,7 @@
         """Start every process, as the platform does for the first time."""
         for front in self.fronts:
             await self.start('balancer', front)
-            if front.folder:
+            if front in self.controls:
                 await self.start('control', front)
         for server in self.servers:
             await self.start('agent', server.machine)
@@ -152,13 +160,22 @@
         assert machine.folder is not None
         return machine.folder
 
+    def _controls(self) -> Iterator[Machine]:
+        for zone in self.plan.zones:
+            of_zone = [front for front in self.fronts if front.zone == zone]
+            yield from of_zone[: self.plan.controls]
+
     def _fronts(self) -> Iterator[Machine]:
+        losses = self.plan.tolerated_losses
         for number, zone in enumerate(self.plan.zones, start=1):
             for place in range(self.plan.balancers):
                 host = f'127.{self.network}.{number}.{FRONT_MACHINES + place}'
                 name = f'front-{zone}-{place + 1}'
-                disk = self.folder / f'{name}-disk' if place == 0 else None
-                yield Machine(name, host, zone, folder=disk)
+                has_disk = place < self.plan.disks
+                disk = self.folder / f'{name}-disk' if has_disk else None
+                yield Machine(
+                    name, host, zone, folder=disk, tolerated_losses=losses
+                )
 
     def _sides(self) -> Iterator[Machine]:
         place = SERVER_MACHINES
