Let a replica vote whose own log does not name it yet

No replica leads after losses that the group tolerates, so nothing confirms the recorded tables and older versions stay in force; here with one lost disk in a group of three.

Why it works, and why it is safe: votes count by identity, so one of a replica that the candidate's log does not name has no effect, and a replica under a new identity is another voter than before. Changes of the group need majorities of both groups. A replica without entries still gives no vote.

--- a/redwingstream/consensus/election.py
+++ b/redwingstream/consensus/election.py
@@ -39,11 +39,13 @@
 
 def on_request(state: ReplicaState, request: VoteRequest, now: float) -> None:
     """Answer a request for a vote or a pre-vote."""
-    if not state.log.group or not state.is_voter(state.myself):
-        # This replica has lost its disk or has never been a voter.  Its former
-        # identity may have voted in this term already, and a second vote could
-        # give one term two leaders.  So it does not vote until readmitted.
+    if not state.log.group:
+        # A replica without any entries may have lost its disk.
         return
+    # Otherwise it votes even if its own log does not name it: the entry that
+    # made it a voter may be on other replicas only.  A candidate counts a vote
+    # by the voter's identity, so a vote of a replica that is none, or that has
+    # voted under a former identity, has no effect.
     if not request.handed_over and _hears_leader(state, now):
         _answer(state, request, granted=False)
         return
