Resize a group of five under faults as well, with two lost disks at once

Cause: the state machine of the resizable group has three voters and loses one disk at a time; the grown sites have five voters among eight replicas and bear two.

Change: the checks count lost disks against what the group bears, and a second machine plays five of eight. The first machine draws and checks as before.

--- a/properties/seeds.py
+++ b/properties/seeds.py
@@ -17,6 +17,10 @@
             '4186f8ce79421815b58222be3ce06c7e85302d57379b83e6c46127463a4e'
             'cbad0209019fd3b4ff1d8f6092897d88b64b'
         ),
+        'resizing.ResizingFaultsOfFive': (
+            '7904b038fd467c7f10b07af75ff402c36efef560303e125e390a8100ea03'
+            '0b8aa62beb295267c292f1f32c7bca17ccdc'
+        ),
         'ledger.LedgerMachine': (
             'e01c324245d2d51176bca532ada95d48a688415794a7c4d04ddd42dee494'
             'd34199e6cafb6852911466d3d48d90b1881e'
--- a/properties/test_resizing.py
+++ b/properties/test_resizing.py
@@ -1,9 +1,9 @@
 """A group that nobody names, under losses, replacements, cuts and crashes.
 
-Five replicas run, three of them count.  Replicas crash, lose their disks, are
-frozen, are cut off, and are taken away for good while an empty one comes at
-another address.  As many disks are lost at once as three replicas bear: one of
-those that count, and the next one only when all that count have theirs.
+Five replicas run, three of them count; or eight run, and five count.  Replicas
+crash, lose their disks, are frozen, are cut off, and are taken away for good
+while an empty one comes at another address.  As many disks are lost at once as
+the group bears: one of three that count, two of five.
 """
 
 from hypothesis import seed, settings
@@ -24,34 +24,41 @@
 from redwingstream.tables.rows import ZoneMark
 
 NAMES = ('a', 'b', 'c', 'd', 'e')
-SIZE = 3
+NAMES_OF_EIGHT = (*NAMES, 'f', 'g', 'h')
 numbers = st.integers(0, len(NAMES) - 1)
 
 
-def _disks_are_whole(machine: 'ResizingFaults') -> bool:
-    """Whether every replica that counts still has the disk it counts by.
+def _lost_disks(machine: 'ResizingFaults') -> int:
+    """Return how many replicas that count are without the disk they count by.
 
     One that is about to count is among them: its group has to agree already.
     """
     witness = machine.fleet.checker
     identity_by_name = machine.fleet.identity_by_name()
     counting = (*witness.group.items(), *witness.joining.items())
-    return all(
-        identity_by_name.get(name) == identity for name, identity in counting
+    return sum(
+        identity_by_name.get(name) != identity for name, identity in counting
     )
 
 
+def _may_lose_a_disk(machine: 'ResizingFaults') -> bool:
+    """Whether the group bears the loss of one disk more."""
+    return _lost_disks(machine) < machine.size // 2
+
+
 @seed(seed_of('resizing.ResizingFaults'))
 class ResizingFaults(RuleBasedStateMachine):
     """Any faults in any order; accepted entries stay."""
 
+    names = NAMES
+    size = 3
     fleet: Fleet
     requests: int
     replaced: int
 
     @initialize(seed=st.integers(0, 2**32))
     def begin(self, seed: int) -> None:
-        self.fleet = Fleet(seed, NAMES, SIZE).form_group()
+        self.fleet = Fleet(seed, self.names, self.size).form_group()
         self.requests = 0
         self.replaced = 0
 
@@ -89,7 +96,7 @@
         if node.replica is None:
             node.start()
 
-    @precondition(_disks_are_whole)
+    @precondition(_may_lose_a_disk)
     @rule(number=numbers)
     def lose_disk(self, number: int) -> None:
         node = self._node(number)
@@ -97,7 +104,7 @@
         node.folder = FakeFolder(self.fleet.rng)
         node.start()
 
-    @precondition(_disks_are_whole)
+    @precondition(_may_lose_a_disk)
     @rule(number=numbers)
     def replace_for_good(self, number: int) -> None:
         self.replaced += 1
@@ -146,17 +153,34 @@
         fleet.pass_ticks(20)
         assert fleet.checker.answer_by_request['last'].code == ResultCode.OK
         assert len({node.packed_state() for node in fleet.nodes}) == 1
-        assert len(fleet.checker.group) == SIZE
-        assert _disks_are_whole(self)
+        assert len(fleet.checker.group) == self.size
+        assert not _lost_disks(self)
 
     def _node(self, number: int):
         return self.fleet.nodes[number]
 
 
+@seed(seed_of('resizing.ResizingFaultsOfFive'))
+class ResizingFaultsOfFive(ResizingFaults):
+    """Eight replicas, five of which count, bear the loss of two disks."""
+
+    names = NAMES_OF_EIGHT
+    size = 5
+
+    def _node(self, number: int):
+        # Rules draw five numbers; the changes so far select among all eight.
+        nodes = self.fleet.nodes
+        return nodes[(number + self.requests) % len(nodes)]
+
+
 ResizingFaults.TestCase.settings = settings(
     max_examples=90, stateful_step_count=40
 )
 TestResizingFaults = ResizingFaults.TestCase
+ResizingFaultsOfFive.TestCase.settings = settings(
+    max_examples=30, stateful_step_count=40
+)
+TestResizingFaultsOfFive = ResizingFaultsOfFive.TestCase
 
 
 class TestKeptSequences:
