--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -3,7 +3,7 @@
 import argparse
 import sys
 
-from soak.run import run
+from soak.run import SITE_BY_LOSSES, run
 
 DEFAULT_SECONDS = 60.0
 
@@ -19,10 +19,19 @@
     parser.add_argument(
         '--disks', action='store_true', help='let disks fill up as well'
     )
+    parser.add_argument(
+        '--losses',
+        type=int,
+        choices=tuple(SITE_BY_LOSSES),
+        default=1,
+        help='how many disks may be lost at once',
+    )
     asked = parser.parse_args()
     failed = 0
     for seed in range(asked.seed, asked.seed + asked.seeds):
-        outcome = run(seed, asked.seconds, fills_disks=asked.disks)
+        outcome = run(
+            seed, asked.seconds, fills_disks=asked.disks, losses=asked.losses
+        )
         print(  # noqa: WPS421 - the command's output
             f'seed {seed}: {outcome.faults} faults, {outcome.served} served, '
             f'not served {outcome.failures_by_reason}, '
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -58,12 +58,15 @@
         How many servers there are.
     zones : tuple of str
         All zones.
+    tolerated_losses : int
+        How many disks may be lost at once.
     """
 
     processes: tuple[str, ...]
     controls: tuple[str, ...]
     servers: int
     zones: tuple[str, ...]
+    tolerated_losses: int = 1
 
 
 def draw_plan(
@@ -93,15 +96,15 @@
     chance: random.Random, seconds: float, targets: Targets
 ) -> Iterator[Planned]:
     at = chance.expovariate(1 / MEAN_PAUSE)
-    lost_disk_at = float('-inf')
+    lost_disks_at: list[float] = []
     while at < seconds - SETTLE_SECONDS:
         fault = _draw_fault(chance, targets)
         if isinstance(fault, LoseDisk):
-            # One disk at a time is what the group of three bears.
-            if at - lost_disk_at < SETTLE_SECONDS:
-                fault = Kill(fault.process, fault.lasts)
+            recent = [one for one in lost_disks_at if at - one < SETTLE_SECONDS]
+            if len(recent) < targets.tolerated_losses:
+                lost_disks_at.append(at)
             else:
-                lost_disk_at = at
+                fault = Kill(fault.process, fault.lasts)
         yield Planned(round(at, 3), fault)
         at += chance.expovariate(1 / MEAN_PAUSE)
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import AsyncIterator
 from pathlib import Path
+from types import MappingProxyType
 
 import attrs
 
@@ -34,6 +35,19 @@
 """Last number of the first proxy's address."""
 
 SITE = Plan(servers_by_service={'feed': 3, 'reports': 3})
+LARGER_SITE = Plan(
+    zones=('north', 'south', 'west', 'east'),
+    balancers=2,
+    disks=2,
+    controls=2,
+    tolerated_losses=2,
+    servers_by_service={'feed': 4, 'reports': 4},
+)
+"""Five replicas count, among eight with disks."""
+
+SITE_BY_LOSSES = MappingProxyType({1: SITE, 2: LARGER_SITE})
+"""Site by the number of disks that may be lost at once."""
+
 LAST_READ_SECONDS = 15
 """Seconds for the last read: the users' figure for recovery, and some calls."""
 
@@ -71,7 +85,12 @@
 
 
 async def soak(
-    seed: int, seconds: float, folder: Path, *, fills_disks: bool = False
+    seed: int,
+    seconds: float,
+    folder: Path,
+    *,
+    fills_disks: bool = False,
+    losses: int = 1,
 ) -> Outcome:
     """Run a site under the faults of a seed.
 
@@ -85,8 +104,14 @@
         For settings, disks and logs.
     fills_disks : bool
         Whether disks fill up as well.
+    losses : int
+        How many disks may be lost at once: 1 or 2.
     """
-    async with running_site(folder, SITE) as site, _proxied(site) as proxies:
+    plan_of_site = SITE_BY_LOSSES[losses]
+    async with (
+        running_site(folder, plan_of_site) as site,
+        _proxied(site) as proxies,
+    ):
         seen = await _begun(site)
         plan = draw_plan(seed, seconds, _targets(site), fills_disks=fills_disks)
         injector = Injector(site, proxies)
@@ -151,6 +176,7 @@
         tuple(f'{control.name}-control' for control in site.controls),
         len(site.servers),
         site.plan.zones,
+        site.plan.tolerated_losses,
     )
 
 
@@ -178,10 +204,14 @@
     ]
 
 
-def run(seed: int, seconds: float, *, fills_disks: bool) -> Outcome:
+def run(
+    seed: int, seconds: float, *, fills_disks: bool, losses: int = 1
+) -> Outcome:
     """Run the soak in a folder of its own, which is kept when it failed."""
     folder = Path(tempfile.mkdtemp(prefix='redwingstream-soak-'))
-    outcome = asyncio.run(soak(seed, seconds, folder, fills_disks=fills_disks))
+    outcome = asyncio.run(
+        soak(seed, seconds, folder, fills_disks=fills_disks, losses=losses)
+    )
     if not outcome.broken:
         shutil.rmtree(folder, ignore_errors=True)
     return outcome
--- a/soak/tests/test_plan.py
+++ b/soak/tests/test_plan.py
@@ -1,5 +1,6 @@
 """A seed gives the same faults in each run."""
 
+import attrs
 import pytest
 
 from soak.faults import FillDisk, LoseDisk
@@ -33,6 +34,21 @@
         pauses = [after - before for before, after in zip(lost, lost[1:])]
         assert all(pause >= SETTLE_SECONDS for pause in pauses)
 
+    @pytest.mark.parametrize('seed', range(20))
+    def test_loses_as_many_disks_as_tolerated(self, seed) -> None:
+        targets = attrs.evolve(TARGETS, tolerated_losses=2)
+        lost = [
+            one.at
+            for one in draw_plan(seed, 300, targets)
+            if isinstance(one.fault, LoseDisk)
+        ]
+        pauses = [third - first for first, third in zip(lost, lost[2:])]
+        assert all(pause >= SETTLE_SECONDS for pause in pauses)
+        assert any(
+            after - before < SETTLE_SECONDS
+            for before, after in zip(lost, lost[1:])
+        )
+
     @pytest.mark.parametrize('seed', range(5))
     def test_full_disks_change_no_other_fault(self, seed) -> None:
         plain = draw_plan(seed, 60, TARGETS)
--- a/soak/tests/test_short.py
+++ b/soak/tests/test_short.py
@@ -11,8 +11,8 @@
 class TestShortRun:
     """Real processes under the faults of one seed."""
 
-    @pytest.mark.parametrize('seed', [1])
-    async def test_every_promise_holds(self, seed, tmp_path) -> None:
-        outcome = await soak(seed, SECONDS, tmp_path)
+    @pytest.mark.parametrize(('seed', 'losses'), [(1, 1), (86, 2)])
+    async def test_every_promise_holds(self, seed, losses, tmp_path) -> None:
+        outcome = await soak(seed, SECONDS, tmp_path, losses=losses)
         assert outcome.broken == ()
         assert outcome.served
