Test that votes count by identity

test_a_replica_outside_its_own_group_votes fails on the code before; test_a_vote_under_another_identity_does_not_count holds on both and guards what rests on.

--- a/redwingstream/consensus/tests/test_core.py
+++ b/redwingstream/consensus/tests/test_core.py
@@ -138,6 +138,32 @@
         assert not sent_to(effects, 'b')[0].granted
         assert replica.term == 2
 
+    def test_a_replica_outside_its_own_group_votes(self) -> None:
+        """Guards against a group without a leader after a lost disk."""
+        replica = Consensus(
+            MYSELF, ('a', 'b', 'c'), Timing(), random.Random(0), now=0
+        )
+        earlier_group = (Voter('d', 4), SECOND, THIRD)
+        formed = Snapshot(0, 0, earlier_group, b'')
+        replica.restore(HardState(2, ''), formed, [])
+        request = VoteRequest(3, SECOND, 7, 2, pre=False, handed_over=False)
+        effects = replica.step(Received(request), 2)
+        votes = sent_to(effects, 'b')
+        assert [(vote.sender, vote.granted) for vote in votes] == [
+            (MYSELF, True)
+        ]
+        assert effects.hard_state == HardState(3, 'b')
+
+    def test_a_vote_under_another_identity_does_not_count(self) -> None:
+        """Guards against two leaders of a term after a lost disk."""
+        replica = make_replica(Entry(1, 2, KIND, b''))
+        replica.step(Ticked(), 2)
+        stranger = Voter(SECOND.name, 22)
+        for pre in (True, False):
+            vote = VoteAnswer(3, stranger, pre=pre, granted=True)
+            replica.step(Received(vote), 2)
+        assert not replica.is_leader
+
 
 class TestEntries:
     """A follower's log becomes equal to the leader's."""
