Log packets that an agent takes for another flow, and returned entries

The logs name a lookup that counts the carrier as not carrying the flow, and not why the carrier says so: its entry may be missing, taken for an earlier flow's, or returned by its server.

Change: an agent with an entry logs `flow_mismatch` (both sequence numbers, state, age) when it answers that a packet belongs to another flow, and `flow_returned` when its server returns a packet and the entry is removed.

--- a/redwingstream/operators/flow_history.py
+++ b/redwingstream/operators/flow_history.py
@@ -23,6 +23,11 @@
         'flow_dropped': 'a packet was dropped: {reason}',
         'flow_lost': 'the server does not hold it any more after {age} s',
         'flow_found': 'found by a search of {hops} hops',
+        'flow_mismatch': (
+            'not carried here: the agent carries another flow of this port '
+            '({state}, opened {age} s ago)'
+        ),
+        'flow_returned': 'returned by the server ({state}, {age} s old)',
         'flow_not_found': 'no agent carries it, {visited} were asked',
         'flow_declared_dead': 'reset, since no server can hold it any more',
     }
--- a/redwingstream/packets/events.py
+++ b/redwingstream/packets/events.py
@@ -182,6 +182,61 @@
     home: str
 
 
+@event
+class FlowMismatch:
+    """A packet belongs to another flow than the one that this agent carries.
+
+    Both flows have the same caller port and service.
+
+    Parameters
+    ----------
+    flow : str
+        Addresses of the flow, as ``caller>service``.
+    kind : str
+        Kind of the envelope with the packet.
+    state : str
+        Progress of the flow that this agent carries.
+    age : float
+        Seconds since that flow was opened.
+    opening_sequence : int
+        Sequence number of the packet that opened it.
+    sequence, acknowledged : int
+        Sequence and acknowledgement numbers of the packet.
+    """
+
+    flow: str
+    kind: str
+    state: str
+    age: float
+    opening_sequence: int
+    sequence: int
+    acknowledged: int
+
+
+@event
+class FlowReturned:
+    """The server returned a packet of a flow that its agent had an entry for.
+
+    The agent has removed the entry.
+
+    Parameters
+    ----------
+    flow : str
+        Addresses of the flow, as ``caller>service``.
+    state : str
+        Progress of the flow of the entry.
+    age : float
+        Seconds since that flow was opened.
+    is_lookup : bool
+        True if the packet came with a lookup of another agent.
+    """
+
+    flow: str
+    state: str
+    age: float
+    is_lookup: bool
+
+
 @event
 class FlowNotFound:
     """None of the agents that answered a lookup carries the flow.
@@ -238,26 +293,3 @@
     """The server beside this agent serves its requests again."""
 
     flow: str
-
-
-@event
-class AgentDoubted:
-    """An agent did not answer a balancer; other agents are preferred.
-
-    Parameters
-    ----------
-    agent : str
-        Address of the agent.
-    silent_for : float
-        Seconds since its last envelope arrived.
-    """
-
-    agent: str
-    silent_for: float
-
-
-@event
-class AgentTrusted:
-    """An agent that was in doubt has answered."""
-
-    agent: str
--- a/redwingstream/packets/open_flows.py
+++ b/redwingstream/packets/open_flows.py
@@ -117,6 +117,14 @@
         if carried is not None:
             # The caller has acknowledged another server's answer.
             context.flows.remove(carried)
+            context.log(
+                events.FlowReturned(
+                    flow_text(carried.flow),
+                    carried.state.name,
+                    round(now - carried.opened_at, 3),
+                    is_lookup,
+                ),
+            )
         self._not_held.put(head.inbound, row=True, now=now)
         if searched is None:
             return context.refusals.drop(head, 'handed back without a search')
@@ -178,6 +186,7 @@
         opening = carried.envelope.packet
         is_lookup = envelope.kind is Kind.LOOKUP
         if is_lookup and opening and _is_other_flow(context, opening, head):
+            context.log(_mismatch(context, envelope, carried, now))
             return self._search(envelope, head, now)
         if head.size:
             context.flows.record_request(carried, now)
@@ -295,6 +304,22 @@
     return (head.sequence - first_sequence) & SEQUENCE_MASK > MAX_FLOW_BYTES
 
 
+def _mismatch(
+    context: AgentContext, envelope: Envelope, carried: CarriedFlow, now: float
+) -> events.FlowMismatch:
+    """Return the log event of a packet of another flow from the same port."""
+    head = context.codec.read(envelope.packet)
+    return events.FlowMismatch(
+        flow_text(carried.flow),
+        envelope.kind.name,
+        carried.state.name,
+        round(now - carried.opened_at, 3),
+        context.codec.read(carried.envelope.packet).sequence,
+        head.sequence,
+        head.acknowledged,
+    )
+
+
 def _may_pass_to(known: Address, envelope: Envelope) -> bool:
     return envelope.kind is Kind.ONGOING and known not in envelope.visited
 
--- a/redwingstream/packets/trust.py
+++ b/redwingstream/packets/trust.py
@@ -5,8 +5,8 @@
 
 import attrs
 
-from redwingstream.packets import events
 from redwingstream.packets.flow import Address, text_of
+from redwingstream.packets.trust_events import AgentDoubted, AgentTrusted
 
 DOUBT_SECONDS = 2
 """Seconds for which an agent that did not answer is in doubt and other agents
@@ -85,7 +85,7 @@
         contact.pings = 0
         if now < contact.doubted_until:
             contact.doubted_until = now
-            self._log(events.AgentTrusted(text_of(address)))
+            self._log(AgentTrusted(text_of(address)))
 
     def heard_since(self, address: Address, since: float) -> bool:
         """Whether an agent has sent an envelope since a point in time."""
@@ -122,5 +122,5 @@
     ) -> None:
         if now >= contact.doubted_until:
             silent_for = round(now - contact.heard_at, 3)
-            self._log(events.AgentDoubted(text_of(address), silent_for))
+            self._log(AgentDoubted(text_of(address), silent_for))
         contact.doubted_until = now + DOUBT_SECONDS
