Tell flows of one port apart by what the caller acknowledges

What callers saw: an open flow was reset 2 ms after it had opened, while its server held it.

Cause: an agent with an entry compared the sequence number of a looked-up packet with that of the opening packet. A packet before it, or more than 64 MB after it, was taken for one of another flow from the same port, and the agent answered that it does not carry the flow. Nothing in the protocol orders the packets of a caller by these numbers: the first acknowledgement of the stand-in's callers has number 0, its opening packet 1. When that acknowledgement overtakes the carrier's notices (a busy machine), the home searches the pool, every agent denies the flow, and the balancer resets it. The class: a guess used as proof.

Change: an agent records which sequence numbers its server has sent on a flow. A caller acknowledges only these, and the protocol opens a flow at the server that is acknowledged. A packet that acknowledges others is of another flow; where the agent cannot know (it has not seen the acceptance, or half of all numbers are used) its server decides. Sequence numbers of callers decide nothing.

Why it works: the acceptance passes the agent before the caller can acknowledge it, so that the carrier never denies its flow; an agent that was offered a copy, or carried an earlier flow, still does.

Test: test_large_pools, test_is_not_denied_by_sequence_numbers, failed in 16 of 24 cases before (all distances before the opening number or 64 MB after it, pools of 64 to 300), passes now.

--- a/redwingstream/packets/agent_flows.py
+++ b/redwingstream/packets/agent_flows.py
@@ -6,7 +6,8 @@
 
 from redwingstream.packets.bounded_table import BoundedTable
 from redwingstream.packets.envelopes import Envelope
-from redwingstream.packets.flow import Address, FlowId
+from redwingstream.packets.flow import Address, FlowId, Head
+from redwingstream.packets.flow_identity import Identity, SentRange
 
 MAX_FLOWS = 20000
 """Maximum number of flows of the server that are remembered; a server holds
@@ -68,6 +69,9 @@
         True once the server has sent data.
     is_ending : bool
         True once the server has sent its last packet.
+    sent : SentRange or None
+        What the server has sent; None if this agent has not seen it accept the
+        flow.
     """
 
     flow: FlowId
@@ -78,6 +82,20 @@
     has_asked: bool = False
     has_answered: bool = False
     is_ending: bool = False
+    sent: SentRange | None = None
+
+    def record_sent(self, head: Head) -> None:
+        """Record a packet of the server."""
+        if self.sent is not None and not head.is_accepting:
+            self.sent.record(head)
+        elif head.is_accepting and not self._is_accepted_by(head):
+            self.sent = SentRange(head.sequence)
+
+    def identify(self, head: Head) -> Identity:
+        """Return whether a caller's packet belongs to this flow."""
+        if self.sent is None:
+            return Identity.UNKNOWN
+        return self.sent.identify(head)
 
     def is_given_up(self, now: float) -> bool:
         """Whether the answer is overdue and no longer counts as load."""
@@ -86,6 +104,9 @@
         limit = MAX_ANSWER_WAIT if self.has_asked else MAX_HANDSHAKE_WAIT
         return now - self.wait_started_at > limit
 
+    def _is_accepted_by(self, head: Head) -> bool:
+        return self.sent is not None and self.sent.first == head.sequence
+
 
 class AgentFlows:
     """The flows known to one agent.
--- a/redwingstream/packets/agent_forwarder.py
+++ b/redwingstream/packets/agent_forwarder.py
@@ -66,6 +66,7 @@
             outgoing.extend(self._handle_acceptance(carried))
         else:
             carried.state = FlowState.ESTABLISHED
+        carried.record_sent(head)
         self._record_progress(carried, head, now)
         return outgoing
 
--- a/redwingstream/packets/events.py
+++ b/redwingstream/packets/events.py
@@ -198,18 +198,20 @@
         Progress of the flow that this agent carries.
     age : float
         Seconds since that flow was opened.
-    opening_sequence : int
-        Sequence number of the packet that opened it.
-    sequence, acknowledged : int
-        Sequence and acknowledgement numbers of the packet.
+    accepted_sequence : int
+        Sequence number with which its server accepted it.
+    sent_length : int
+        Number of sequence numbers that its server has sent from there on.
+    acknowledged : int
+        Acknowledgement number of the packet, outside of these.
     """
 
     flow: str
     kind: str
     state: str
     age: float
-    opening_sequence: int
-    sequence: int
+    accepted_sequence: int
+    sent_length: int
     acknowledged: int
 
 
--- a/redwingstream/packets/open_flows.py
+++ b/redwingstream/packets/open_flows.py
@@ -32,6 +32,7 @@
     flow_text,
     text_of,
 )
+from redwingstream.packets.flow_identity import Identity, SentRange
 from redwingstream.packets.lookups import MAX_WAITING, Lookup, Lookups
 from redwingstream.packets.ranking import pool_hash
 
@@ -47,13 +48,6 @@
 maximum life of a flow.  A flow that the server opens later is found in the
 table of its own flows first."""
 
-MAX_FLOW_BYTES = 67108864
-"""Maximum number of bytes that a caller sends on one flow.  A packet whose
-sequence number is farther from that of the opening packet belongs to another
-flow from the same port."""
-
-SEQUENCE_MASK = 0xFFFFFFFF
-
 _TICKET_MASK = 0xFFFFFFFF
 
 
@@ -183,16 +177,15 @@
         self, envelope: Envelope, carried: CarriedFlow, head: Head, now: float
     ) -> list[Outgoing]:
         context = self._context
-        opening = carried.envelope.packet
         is_lookup = envelope.kind is Kind.LOOKUP
-        if is_lookup and opening and _is_other_flow(context, opening, head):
-            context.log(_mismatch(context, envelope, carried, now))
+        identity = carried.identify(head) if is_lookup else Identity.SAME
+        if identity is Identity.OTHER:
+            context.log(_mismatch(envelope, carried, head, now))
             return self._search(envelope, head, now)
         if head.size:
             context.flows.record_request(carried, now)
-        if is_lookup and not opening:
-            # The entry may belong to an earlier flow from the same port, while
-            # another server holds this one: the server's answer decides.
+        if identity is Identity.UNKNOWN:
+            # Another server may hold the flow: the server's answer decides.
             self._unconfirmed.put(head.inbound, envelope, now)
             return [ToServer(self._with_ticket(envelope, now))]
         packet = envelope.packet
@@ -298,24 +291,18 @@
         return self._context.codec.with_ticket(envelope.packet, self._ticket)
 
 
-def _is_other_flow(context: AgentContext, opening: bytes, head: Head) -> bool:
-    """Whether a packet belongs to another flow than the opening packet."""
-    first_sequence = context.codec.read(opening).sequence
-    return (head.sequence - first_sequence) & SEQUENCE_MASK > MAX_FLOW_BYTES
-
-
 def _mismatch(
-    context: AgentContext, envelope: Envelope, carried: CarriedFlow, now: float
+    envelope: Envelope, carried: CarriedFlow, head: Head, now: float
 ) -> events.FlowMismatch:
     """Return the log event of a packet of another flow from the same port."""
-    head = context.codec.read(envelope.packet)
+    sent = carried.sent or SentRange(0, 0)
     return events.FlowMismatch(
         flow_text(carried.flow),
         envelope.kind.name,
         carried.state.name,
         round(now - carried.opened_at, 3),
-        context.codec.read(carried.envelope.packet).sequence,
-        head.sequence,
+        sent.first,
+        sent.length,
         head.acknowledged,
     )
 
--- a/redwingstream/packets/tests/test_large_pools.py
+++ b/redwingstream/packets/tests/test_large_pools.py
@@ -8,6 +8,7 @@
 
 from redwingstream.packets.agent_flows import CarriedFlow, FlowState
 from redwingstream.packets.envelopes import Envelope, Kind
+from redwingstream.packets.flow_identity import SEQUENCE_MASK
 from redwingstream.packets.tests.codec import OPENING, Packet
 from redwingstream.packets.tests.network import (
     CODEC,
@@ -20,6 +21,9 @@
     Network,
 )
 
+OPENING_SEQUENCE = 1
+"""Sequence number with which simulated callers open their flows."""
+
 SIZES = (64, 65, 109, 300)
 ZONES = ('north', 'south', 'east')
 HOME_ZONE = 'west'
@@ -137,6 +141,29 @@
         assert not fleet.caller.resets
         assert carrier.server.open_flows
 
+    @pytest.mark.parametrize(
+        'distance', [-(1 << 27), -1, 0, 1, 1 << 27, 1 << 31]
+    )
+    def test_is_not_denied_by_sequence_numbers(self, fleet, distance) -> None:
+        """Guards against a carrier that takes its flow for an earlier one.
+
+        A bare acknowledgement of the caller reaches the balancer before the
+        carrier's notice; its sequence number may be anywhere.
+        """
+        fleet.restart_other_agents()
+        fleet.balancer.handle_packet(
+            Packet(
+                fleet.caller.address,
+                SERVICE,
+                (OPENING_SEQUENCE + distance) & SEQUENCE_MASK,
+                fleet.caller.accepted,
+            ),
+        )
+        fleet.network.run(1)
+        assert not fleet.caller.resets
+        fleet.ask(FOUND_WITHIN)
+        assert fleet.caller.answers == 2
+
     def test_receives_packets_sent_during_the_search(self, fleet) -> None:
         """Guards against dropping packets received during a lookup."""
         fleet.restart_other_agents()
