Stand-in of the routers: use the nearest zones when a zone has no balancer left

Cause: a stand-in unlike the page. The platform's protocol says under Ingress: "If fewer than half of a zone's nodes are in rotation, the provider uses all of that zone's nodes. If none is in rotation, the provider uses the nodes of the nearest zones." The stand-in knew the first sentence only and went on sending to the only balancer of the zone after it had ended. A request begun in the last moments before the end (request stopping-20, 2.4 s after SIGTERM; process_stopped after 2.5 s) reached nobody for 3 s.

Change: routers know those of the other zones, which are all equally near in the stand-in. The checks, waits and bounds of the tests stay.

--- a/standins/packets/callers.py
+++ b/standins/packets/callers.py
@@ -46,26 +46,44 @@
 
 
 class Router:
-    """Spreads packets over the balancers that are in rotation.
+    """Spreads the packets of a zone over the balancers that are in rotation.
 
     Parameters
     ----------
     balancers : iterable of str
-        IP addresses of the balancers.
+        IP addresses of the zone's balancers.
+
+    Attributes
+    ----------
+    nearest : list of Router
+        Routers of the nearest zones.
     """
 
     def __init__(self, balancers: Iterable[str]) -> None:
         self.balancers = list(balancers)
+        self.nearest: list[Router] = []
         self._misses_by_host: dict[str, int] = {}
 
     @property
-    def rotation(self) -> list[str]:
-        """The balancers that packets go to."""
-        ready = [
+    def ready(self) -> list[str]:
+        """The zone's balancers that are in rotation."""
+        return [
             host
             for host in self.balancers
             if self._misses_by_host.get(host, MISSES) < MISSES
         ]
+
+    @property
+    def rotation(self) -> list[str]:
+        """The balancers that packets go to.
+
+        All of the zone if fewer than half of them are in rotation; those of the
+        nearest zones if none is.
+        """
+        ready = self.ready
+        if not ready:
+            elsewhere = [host for near in self.nearest for host in near.ready]
+            return elsewhere or self.balancers
         few = 2 * len(ready) < len(self.balancers)
         return self.balancers if few else ready
 
@@ -74,6 +92,11 @@
         rotation = self.rotation
         return rotation[hash(flow) % len(rotation)]
 
+    def record_probe(self, host: str, *, is_ok: bool) -> None:
+        """Record the answer of a balancer that was asked."""
+        misses = self._misses_by_host.get(host, MISSES)
+        self._misses_by_host[host] = 0 if is_ok else misses + 1
+
     async def probe(self) -> None:
         """Ask all balancers whether they are ready."""
         await asyncio.gather(*map(self._probe_one, self.balancers))
@@ -95,8 +118,7 @@
     async def _probe_one(self, host: str) -> None:
         address = f'{host}:{READY_PORT}'
         answer = await call('GET', address, '/api/ready', seconds=PROBE_SECONDS)
-        misses = self._misses_by_host.get(host, MISSES)
-        self._misses_by_host[host] = 0 if answer.is_ok else misses + 1
+        self.record_probe(host, is_ok=answer.is_ok)
 
 
 @attrs.define
--- a/standins/packets/site.py
+++ b/standins/packets/site.py
@@ -86,6 +86,13 @@
             )
             for zone in plan.zones
         }
+        for zone, router in self.router_by_zone.items():
+            # All zones are equally far from each other.
+            router.nearest = [
+                other
+                for name, other in self.router_by_zone.items()
+                if name != zone
+            ]
         self.operator = PacketOperator(
             control.host for control in self.controls
         )
