Keep packets of another flow away from an agent's entry of the same port

What callers would see: an open flow is reset by an agent that carried an earlier flow from the same port, while another server holds it.

Cause: an agent delivered every packet that a balancer's hint or a home's record brought it for an entry, and took a returned packet of an established entry for the loss of the flow: it reset the caller at once, without asking the other agents. Two agents could announce one flow when the entry had been learned from the server. The class: a decision by address and port about a packet of unknown origin.

Change: each packet that meets an entry is identified by what its caller acknowledges, not only a lookup. A packet of another flow goes to the known carrier or is searched for. Where the agent cannot know, the packet carries a ticket; returned, it starts a search in place of a reset, and the flow is announced only once the server has answered.

--- a/redwingstream/packets/agent_flows.py
+++ b/redwingstream/packets/agent_flows.py
@@ -93,7 +93,7 @@
 
     def identify(self, head: Head) -> Identity:
         """Return whether a caller's packet belongs to this flow."""
-        if self.sent is None:
+        if self.sent is None or head.is_reset:
             return Identity.UNKNOWN
         return self.sent.identify(head)
 
--- a/redwingstream/packets/open_flows.py
+++ b/redwingstream/packets/open_flows.py
@@ -84,11 +84,13 @@
         head = context.codec.read(envelope.packet)
         carried = context.flows.find_carried(head.inbound, now)
         if carried is not None:
-            return self._deliver(envelope, carried, head, now)
+            if carried.identify(head) is not Identity.OTHER:
+                return self._deliver(envelope, carried, head, now)
+            context.log(_mismatch(envelope, carried, head, now))
         known = context.flows.find_carrier(head.inbound, now)
         if known is not None and _may_pass_to(known, envelope):
             return [peer_datagram(self._with_visit(envelope), known)]
-        if self._is_known_absent(head, now):
+        if carried is not None or self._is_known_absent(head, now):
             # Packets of a flow that the server cannot hold are not delivered to
             # it: it would have to return each of them.
             return self._search(envelope, head, now)
@@ -104,9 +106,10 @@
             self._envelope_by_ticket.pop(head.ticket) if head.ticket else None
         )
         self._unconfirmed.pop(head.inbound)
-        is_lookup = searched is not None and searched.kind is Kind.LOOKUP
-        is_held = carried is not None and not is_lookup
-        if is_held and carried.state is FlowState.ESTABLISHED:
+        is_established = (
+            carried is not None and carried.state is FlowState.ESTABLISHED
+        )
+        if is_established and searched is None:
             return self._handle_lost_flow(carried, head, now)
         if carried is not None:
             # The caller has acknowledged another server's answer.
@@ -116,7 +119,7 @@
                     flow_text(carried.flow),
                     carried.state.name,
                     round(now - carried.opened_at, 3),
-                    is_lookup,
+                    searched is not None and searched.kind is Kind.LOOKUP,
                 ),
             )
         self._not_held.put(head.inbound, row=True, now=now)
@@ -177,22 +180,17 @@
         self, envelope: Envelope, carried: CarriedFlow, head: Head, now: float
     ) -> list[Outgoing]:
         context = self._context
-        is_lookup = envelope.kind is Kind.LOOKUP
-        identity = carried.identify(head) if is_lookup else Identity.SAME
-        if identity is Identity.OTHER:
-            context.log(_mismatch(envelope, carried, head, now))
-            return self._search(envelope, head, now)
+        is_unknown = carried.identify(head) is Identity.UNKNOWN
         if head.size:
             context.flows.record_request(carried, now)
-        if identity is Identity.UNKNOWN:
-            # Another server may hold the flow: the server's answer decides.
-            self._unconfirmed.put(head.inbound, envelope, now)
-            return [ToServer(self._with_ticket(envelope, now))]
         packet = envelope.packet
-        if carried.state is not FlowState.ESTABLISHED:
+        if is_unknown or carried.state is not FlowState.ESTABLISHED:
             packet = self._with_ticket(envelope, now)
         outgoing: list[Outgoing] = [ToServer(packet)]
-        if envelope.hops:
+        if is_unknown and envelope.hops:
+            # Another server may hold the flow: the server's answer decides.
+            self._unconfirmed.put(head.inbound, envelope, now)
+        elif envelope.hops:
             outgoing.extend(self._report_found(head.inbound, envelope))
         return outgoing
 
--- a/redwingstream/packets/tests/test_large_pools.py
+++ b/redwingstream/packets/tests/test_large_pools.py
@@ -8,7 +8,9 @@
 
 from redwingstream.packets.agent_flows import CarriedFlow, FlowState
 from redwingstream.packets.envelopes import Envelope, Kind
-from redwingstream.packets.flow_identity import SEQUENCE_MASK
+from redwingstream.packets.events import FlowFound
+from redwingstream.packets.flow import FlowId
+from redwingstream.packets.flow_identity import SEQUENCE_MASK, SentRange
 from redwingstream.packets.tests.codec import OPENING, Packet
 from redwingstream.packets.tests.network import (
     CODEC,
@@ -62,6 +64,43 @@
             agent for agent in self.network.agents if agent.server.open_flows
         )
 
+    @property
+    def flow(self) -> FlowId:
+        """The open flow."""
+        opening = Packet(self.caller.address, SERVICE, flags=OPENING)
+        return CODEC.read(opening.pack()).inbound
+
+    def add_earlier_flow(
+        self, distance: int, sent: SentRange | None
+    ) -> AgentNode:
+        """Give an agent an entry of an earlier flow from the caller's port.
+
+        Parameters
+        ----------
+        distance : int
+            Distance of the sequence numbers of both opening packets.
+        sent : SentRange or None
+            What the agent knows of its server's packets.
+
+        Returns
+        -------
+        AgentNode
+            The agent, neither the home nor the carrier.
+        """
+        sequence = OPENING_SEQUENCE - distance & SEQUENCE_MASK
+        opening = Packet(self.caller.address, SERVICE, sequence, flags=OPENING)
+        envelope = Envelope(Kind.OPENING, opening.pack() if sent else b'')
+        now = self.network.now
+        agent = next(
+            agent
+            for agent in self.network.agents
+            if agent not in {self.home, self.carrier}
+        )
+        carried = CarriedFlow(self.flow, envelope, FlowState.ESTABLISHED, now)
+        carried.sent = sent
+        agent.context.flows.add(carried, now)
+        return agent
+
     def restart_other_agents(self, started_at: float = -IDLE_TIMEOUT) -> None:
         """Restart the balancer and all agents except the carrier."""
         carrier = self.carrier
@@ -196,6 +235,52 @@
         assert not fleet.caller.resets
 
 
+@pytest.mark.parametrize('distance', [0, 1, 1 << 26])
+@pytest.mark.parametrize('sent', [SentRange(9000, 400), None])
+class TestEarlierFlow:
+    """An agent has an entry of an earlier flow from the same port."""
+
+    def test_is_not_announced(self, fleet, distance, sent) -> None:
+        """Guards against two agents that announce one flow."""
+        fleet.restart_other_agents()
+        stale = fleet.add_earlier_flow(distance, sent)
+        fleet.network.events.clear()
+        fleet.ask(FOUND_WITHIN)
+        assert fleet.caller.answers == 2
+        found = [
+            one for one in fleet.network.events if isinstance(one, FlowFound)
+        ]
+        assert len(found) == 1
+        assert not stale.server.taken
+
+    def test_is_not_lost_by_a_wrong_hint(self, fleet, distance, sent) -> None:
+        """Guards against a reset by an agent that a hint names as the carrier.
+
+        The server of that agent returns the packet, though it was established.
+        """
+        fleet.restart_other_agents()
+        stale = fleet.add_earlier_flow(distance, sent)
+        fleet.balancer.forwarder.hints.put(
+            fleet.flow, stale.address, fleet.network.now
+        )
+        for expected in range(2, 5):
+            fleet.ask(FOUND_WITHIN)
+            assert fleet.caller.answers == expected
+        assert not fleet.caller.resets
+
+    def test_is_not_lost_by_a_wrong_home(self, fleet, distance, sent) -> None:
+        """Guards against a reset by an agent that the home names."""
+        fleet.restart_other_agents()
+        stale = fleet.add_earlier_flow(distance, sent)
+        fleet.home.context.flows.record_carrier(
+            fleet.flow, stale.address, fleet.network.now
+        )
+        for expected in range(2, 5):
+            fleet.ask(FOUND_WITHIN)
+            assert fleet.caller.answers == expected
+        assert not fleet.caller.resets
+
+
 class TestDeadFlow:
     """No server holds the flow any more."""
 
