Move packets delivered to find out about a flow into a module of their own

open_flows.py held three tables about packets whose fate at the server is not known; they are Probes now, with one method a step. No behaviour changes; the tests of packets pass.

--- a/redwingstream/packets/open_flows.py
+++ b/redwingstream/packets/open_flows.py
@@ -12,7 +12,6 @@
 from redwingstream.packets import events
 from redwingstream.packets.agent_context import AgentContext
 from redwingstream.packets.agent_flows import CarriedFlow, FlowState
-from redwingstream.packets.bounded_table import BoundedTable
 from redwingstream.packets.effects import (
     Outgoing,
     ToCaller,
@@ -34,22 +33,9 @@
 )
 from redwingstream.packets.flow_identity import Identity, SentRange
 from redwingstream.packets.lookups import MAX_WAITING, Lookup, Lookups
+from redwingstream.packets.probes import Probes
 from redwingstream.packets.ranking import pool_hash
 
-MAX_TICKETS = 4096
-"""Maximum number of packets delivered to the server that it may return."""
-
-TICKET_SECONDS = 1
-"""Seconds for which a returned packet is expected; the server returns it within
-a millisecond."""
-
-MAX_NOT_HELD = 8192
-"""Maximum number of flows remembered as not held by the server, each for the
-maximum life of a flow.  A flow that the server opens later is found in the
-table of its own flows first."""
-
-_TICKET_MASK = 0xFFFFFFFF
-
 
 class OpenFlowHandler:
     """Delivers packets of open flows, and looks up carriers of other flows.
@@ -66,16 +52,7 @@
     def __init__(self, context: AgentContext, started_at: float) -> None:
         self._context = context
         self._started_at = started_at
-        self._envelope_by_ticket: BoundedTable[int, Envelope] = BoundedTable(
-            MAX_TICKETS, TICKET_SECONDS
-        )
-        self._unconfirmed: BoundedTable[FlowId, Envelope] = BoundedTable(
-            MAX_TICKETS, TICKET_SECONDS
-        )
-        self._not_held: BoundedTable[FlowId, bool] = BoundedTable(
-            MAX_NOT_HELD, context.flows.flow_life
-        )
-        self._ticket = 0
+        self._probes = Probes(context.codec, context.flows.flow_life)
         self._lookups = Lookups()
 
     def handle_packet(self, envelope: Envelope, now: float) -> list[Outgoing]:
@@ -94,18 +71,15 @@
             # Packets of a flow that the server cannot hold are not delivered to
             # it: it would have to return each of them.
             return self._search(envelope, head, now)
-        self._unconfirmed.put(head.inbound, envelope, now)
-        return [ToServer(self._with_ticket(envelope, now))]
+        self._probes.expect_answer(head.inbound, envelope, now)
+        return [ToServer(self._probes.with_ticket(envelope, now))]
 
     def handle_returned(
         self, head: Head, carried: CarriedFlow | None, now: float
     ) -> list[Outgoing]:
         """Handle a packet of an open flow that the server has returned."""
         context = self._context
-        searched = (
-            self._envelope_by_ticket.pop(head.ticket) if head.ticket else None
-        )
-        self._unconfirmed.pop(head.inbound)
+        searched = self._probes.pop_returned(head)
         is_established = (
             carried is not None and carried.state is FlowState.ESTABLISHED
         )
@@ -122,14 +96,14 @@
                     searched is not None and searched.kind is Kind.LOOKUP,
                 ),
             )
-        self._not_held.put(head.inbound, row=True, now=now)
+        self._probes.record_not_held(head.inbound, now)
         if searched is None:
             return context.refusals.drop(head, 'handed back without a search')
         return self._search(searched, head, now)
 
     def handle_server_answer(self, flow: FlowId) -> list[Outgoing]:
         """Announce a flow if the server has answered a test packet."""
-        envelope = self._unconfirmed.pop(flow)
+        envelope = self._probes.pop_answered(flow)
         return [] if envelope is None else self._report_found(flow, envelope)
 
     def handle_not_carried(
@@ -152,9 +126,7 @@
 
     def tick(self, now: float) -> list[Outgoing]:
         """Evict expired entries; retry or end overdue lookups."""
-        self._envelope_by_ticket.evict_expired(now)
-        self._unconfirmed.evict_expired(now)
-        self._not_held.evict_expired(now)
+        self._probes.evict_expired(now)
         outgoing: list[Outgoing] = []
         for flow, lookup in self._lookups.overdue(now):
             if lookup.is_repeated:
@@ -174,7 +146,7 @@
         knows_all_from = self._started_at + context.flows.idle_timeout
         if context.gate.state.is_observed_from_start or now >= knows_all_from:
             return True
-        return self._not_held.get(head.inbound, now) is not None
+        return self._probes.is_not_held(head.inbound, now)
 
     def _deliver(
         self, envelope: Envelope, carried: CarriedFlow, head: Head, now: float
@@ -185,11 +157,11 @@
             context.flows.record_request(carried, now)
         packet = envelope.packet
         if is_unknown or carried.state is not FlowState.ESTABLISHED:
-            packet = self._with_ticket(envelope, now)
+            packet = self._probes.with_ticket(envelope, now)
         outgoing: list[Outgoing] = [ToServer(packet)]
         if is_unknown and envelope.hops:
             # Another server may hold the flow: the server's answer decides.
-            self._unconfirmed.put(head.inbound, envelope, now)
+            self._probes.expect_answer(head.inbound, envelope, now)
         elif envelope.hops:
             outgoing.extend(self._report_found(head.inbound, envelope))
         return outgoing
@@ -283,11 +255,6 @@
             visited=(*envelope.visited, self._context.location.address),
         )
 
-    def _with_ticket(self, envelope: Envelope, now: float) -> bytes:
-        self._ticket = (self._ticket + 1) & _TICKET_MASK or 1
-        self._envelope_by_ticket.put(self._ticket, envelope, now)
-        return self._context.codec.with_ticket(envelope.packet, self._ticket)
-
 
 def _mismatch(
     envelope: Envelope, carried: CarriedFlow, head: Head, now: float
--- /dev/null
+++ b/redwingstream/packets/probes.py
@@ -0,0 +1,89 @@
+"""Packets that show whether the server beside an agent holds their flows.
+
+The server itself knows its flows: it returns a packet of a flow that it does
+not hold.  An agent that cannot know whether a flow is its server's delivers a
+packet of it and waits for what the server does.
+"""
+
+from redwingstream.packets.bounded_table import BoundedTable
+from redwingstream.packets.envelopes import Envelope
+from redwingstream.packets.flow import FlowId, Head, PacketCodec
+
+MAX_PENDING = 4096
+"""Maximum number of packets delivered to the server that it may return."""
+
+PENDING_SECONDS = 1
+"""Seconds for which a returned packet is expected; the server returns it within
+a millisecond."""
+
+MAX_NOT_HELD = 8192
+"""Maximum number of flows remembered as not held by the server, each for the
+maximum life of a flow.  A flow that the server opens later is found in the
+table of its own flows first."""
+
+_TICKET_MASK = 0xFFFFFFFF
+
+
+class Probes:
+    """Packets whose fate at the server is not known yet, and denied flows.
+
+    Parameters
+    ----------
+    codec : PacketCodec
+        Writes tickets into packets.
+    flow_life : float
+        Maximum life of a flow in seconds.
+    """
+
+    def __init__(self, codec: PacketCodec, flow_life: float) -> None:
+        self._codec = codec
+        self._ticket = 0
+        self._envelope_by_ticket: BoundedTable[int, Envelope] = BoundedTable(
+            MAX_PENDING, PENDING_SECONDS
+        )
+        self._unanswered_by_flow: BoundedTable[FlowId, Envelope] = BoundedTable(
+            MAX_PENDING, PENDING_SECONDS
+        )
+        self._not_held: BoundedTable[FlowId, bool] = BoundedTable(
+            MAX_NOT_HELD, flow_life
+        )
+
+    def with_ticket(self, envelope: Envelope, now: float) -> bytes:
+        """Return the packet of an envelope with a ticket.
+
+        If the server returns the packet, the envelope is found by the ticket.
+        """
+        self._ticket = (self._ticket + 1) & _TICKET_MASK or 1
+        self._envelope_by_ticket.put(self._ticket, envelope, now)
+        return self._codec.with_ticket(envelope.packet, self._ticket)
+
+    def expect_answer(
+        self, flow: FlowId, envelope: Envelope, now: float
+    ) -> None:
+        """Expect the server to show with its next packet that it has a flow."""
+        self._unanswered_by_flow.put(flow, envelope, now)
+
+    def pop_answered(self, flow: FlowId) -> Envelope | None:
+        """Return the envelope that the server has answered, or None."""
+        return self._unanswered_by_flow.pop(flow)
+
+    def pop_returned(self, head: Head) -> Envelope | None:
+        """Return the envelope of a packet that the server has returned."""
+        self._unanswered_by_flow.pop(head.inbound)
+        return (
+            self._envelope_by_ticket.pop(head.ticket) if head.ticket else None
+        )
+
+    def record_not_held(self, flow: FlowId, now: float) -> None:
+        """Record that the server does not hold a flow."""
+        self._not_held.put(flow, row=True, now=now)
+
+    def is_not_held(self, flow: FlowId, now: float) -> bool:
+        """Whether the server has shown that it does not hold a flow."""
+        return self._not_held.get(flow, now) is not None
+
+    def evict_expired(self, now: float) -> None:
+        """Evict packets that the server will not return, and old flows."""
+        self._envelope_by_ticket.evict_expired(now)
+        self._unanswered_by_flow.evict_expired(now)
+        self._not_held.evict_expired(now)
