Show a replica as follower only once its readmission is committed

No leader came any more: changes and reads are answered 503.

Cause: the role followed the replica's own log, where the entry that makes it a voter takes effect before it is committed. While it is not, the group before it has to agree as well, and two of its three voters are gone.

Why it works: a follower whose commit index covers the entry knows it to be on majorities of both groups, so the group before it is not needed any more. Only the name that dumps and log lines show changes.

--- a/redwingstream/consensus/core.py
+++ b/redwingstream/consensus/core.py
@@ -153,12 +153,23 @@
 
     @property
     def role_name(self) -> str:
-        """Name of the role, for dumps and log events."""
-        if not self._state.log.group:
+        """Name of the role, for dumps and log events.
+
+        Notes
+        -----
+        A follower counts: once it is shown as one, operators may take another
+        replica down.  So one whose readmission is not committed yet is still
+        shown as a learner.
+        """
+        state = self._state
+        if not state.log.group:
             return 'fresh'
-        if not self._state.is_voter(self._state.myself):
+        if not state.is_voter(state.myself):
+            return 'learner'
+        is_committed = state.myself in state.log.group_at(state.commit)
+        if isinstance(state.role, Follower) and not is_committed:
             return 'learner'
-        return type(self._state.role).__name__.lower()
+        return type(state.role).__name__.lower()
 
     def confirmed_age(self, now: float) -> float:
         """Return for how many seconds its log may have been behind.
--- a/redwingstream/consensus/tests/test_resizing.py
+++ b/redwingstream/consensus/tests/test_resizing.py
@@ -10,6 +10,7 @@
 NAMES = ('a', 'b', 'c', 'd')
 SOON = 40
 LONG = 120
+CUT_TICKS = 4
 
 
 def _voter_names(node: Node) -> set[str]:
@@ -21,6 +22,13 @@
     fleet.cut_links.update({(one, other), (other, one)})
 
 
+def _lose_disk(fleet: Fleet, node: Node) -> None:
+    """Restart a replica with an empty disk."""
+    node.crash()
+    node.folder = FakeFolder(fleet.rng)
+    node.start()
+
+
 def _fleet_led_by(name: str, names: tuple[str, ...] = NAMES) -> Fleet:
     """Return a fleet led by a given replica, trying seeds in order."""
     for seed in range(50):
@@ -153,6 +161,36 @@
         fleet.pass_ticks(LONG)
         assert fleet.all_are_voters()
 
+    @pytest.mark.parametrize('seed', range(5))
+    def test_is_shown_as_follower_once_another_disk_may_be_lost(
+        self, seed
+    ) -> None:
+        """Guards against a group without a leader after two losses in a row.
+
+        The third replica learns of the readmission late.
+        """
+        fleet = Fleet(seed, ('a', 'b', 'c'), SIZE).form_group()
+        fleet.pass_ticks(SOON)
+        leader = fleet.leader()
+        lost, third = (node for node in fleet.nodes if node is not leader)
+        _lose_disk(fleet, lost)
+        cut_for = 0
+        for _ in range(LONG):
+            if lost.replica.consensus.role_name == 'follower':
+                break
+            is_cut = (
+                leader.replica.consensus.log.joining and cut_for < CUT_TICKS
+            )
+            fleet.cut_links.clear()
+            if is_cut:
+                fleet.isolate(third.name)
+                cut_for += 1
+            fleet.pass_ticks(1)
+        assert lost.replica.consensus.role_name == 'follower'
+        _lose_disk(fleet, leader)
+        fleet.heal_all()
+        assert fleet.leader() is not None
+
     def test_a_second_loss_after_a_power_failure_loses_nothing(self) -> None:
         """The tables are lost although the first disk was replaced in time.
 
