--- a/redwingstream/packets/open_flows.py
+++ b/redwingstream/packets/open_flows.py
@@ -125,7 +125,7 @@
         )
 
     def handle_server_answer(self, flow: FlowId) -> list[Outgoing]:
-        """Announce a flow if the server has answered a test packet."""
+        """Announce a flow if the server has answered a probe."""
         envelope = self._probes.pop_answered(flow)
         return [] if envelope is None else self._report_found(flow, envelope)
 
