TestLostDisk: wait for the new run of the replica, not for its former one

Cause: a wrong wait. `_until_voter` looked for `follower` after the last `process_started` of the log. Where the new process had not written that line yet (a busy machine), it found the former run's, whose `follower` ended the wait at once. The second disk was then removed while the first replica was still empty: two of three at once, which a group of three does not bear, and the test says "readmitted before the next one is lost".

Change: the wait begins at the length of the log before the restart. It is stricter: `follower` has to come from the new run. Bound, check and the order of the losses stay.

--- a/processes/test_packets.py
+++ b/processes/test_packets.py
@@ -232,17 +232,20 @@
             name = f'{control.name}-control'
             await site.kill(name)
             shutil.rmtree(site.disk(control))
+            logged = len(site.log(name))
             await site.restart(name)
-            await _until_voter(site, name)
+            await _until_voter(site, name, logged)
         assert (await site.operator.read()).body == body
 
 
-async def _until_voter(site: PacketSite, name: str) -> None:
-    """Wait until a replica that lost its disk counts again."""
+async def _until_voter(site: PacketSite, name: str, logged: int) -> None:
+    """Wait until a replica that lost its disk counts again.
+
+    Its former run had logged so many characters.
+    """
     end = time.monotonic() + START_SECONDS
-    started = site.log(name).rindex('"process_started"')
-    while '"follower"' not in site.log(name)[started:]:
-        assert time.monotonic() < end, site.log(name)[started:]
+    while '"follower"' not in site.log(name)[logged:]:
+        assert time.monotonic() < end, site.log(name)[logged:]
         await asyncio.sleep(0.1)
 
 
