Let agents of another zone decide on new flows of a busy one

Cause: four agents decide on a new flow, and those of the caller's zone come first. In a zone with more than four ready agents all four were of that zone, so no flow ever left it, however long its servers' queues were and however idle those of the next zone.

Change: after two agents of a zone that both would let the flow wait for more than 40 ms the next two are of other zones. The order of agents is in a module of its own.

--- a/redwingstream/packets/new_flows.py
+++ b/redwingstream/packets/new_flows.py
@@ -6,8 +6,6 @@
 
 import attrs
 
-from redwingstream.directory.messages import Readiness
-from redwingstream.directory.view import Agent
 from redwingstream.openings.gate import Verdict
 from redwingstream.packets import events
 from redwingstream.packets.agent_context import AgentContext
@@ -15,7 +13,6 @@
 from redwingstream.packets.effects import Outgoing, ToServer, peer_datagram
 from redwingstream.packets.envelopes import (
     NO_OFFER,
-    OFFER_UNIT,
     Envelope,
     Kind,
 )
@@ -27,18 +24,13 @@
     flow_text,
     text_of,
 )
-from redwingstream.packets.ranking import pool_hash, rank_agents
+from redwingstream.packets.next_agent import (
+    MAX_AGENTS_TRIED,
+    next_target,
+)
+from redwingstream.packets.ranking import pool_hash
 from redwingstream.packets.waiting_flows import WaitingFlow
 
-MAX_AGENTS_TRIED = 4
-"""Maximum number of agents that decide on a new flow.  With random loads the
-least loaded of four is within a tenth of the best of all, and each additional
-agent delays the caller by up to a millisecond."""
-
-MAX_ZONE_WAIT = 0.04
-"""Expected wait in seconds up to which a new flow stays in its availability
-zone.  In another zone each byte of the flow is transferred between zones."""
-
 
 class NewFlowHandler:
     """Accepts new flows, passes them on to other agents, or refuses them.
@@ -118,7 +110,7 @@
         offer = context.offered_wait(head, now)
         if offer < envelope.offer:
             passed = attrs.evolve(passed, best=own, offer=offer)
-        target = self._next_target(head.inbound, passed)
+        target = next_target(context, head.inbound, passed)
         if target == own:
             return self._open_or_hold(envelope, head, verdict, now)
         if target == NO_ADDRESS or envelope.hops > MAX_AGENTS_TRIED:
@@ -285,30 +277,3 @@
             ),
         )
         return [ToServer(envelope.packet)]
-
-    def _next_target(self, flow: FlowId, passed: Envelope) -> Address:
-        """Return the next agent to try, or the best one if none is left."""
-        following = self._next_agent(flow, passed)
-        if following is None:
-            return passed.best
-        is_elsewhere = following.zone != self._context.location.zone
-        if is_elsewhere and passed.offer * OFFER_UNIT <= MAX_ZONE_WAIT:
-            return passed.best
-        return following.address
-
-    def _next_agent(self, flow: FlowId, passed: Envelope) -> Agent | None:
-        if passed.hops >= MAX_AGENTS_TRIED:
-            return None
-        # Agents of a zone that is out cannot open the flow and would use up one
-        # of the few attempts.
-        zones_out = self._context.gate.rules.zones_out
-        usable = [
-            agent
-            for agent in self._context.peers()
-            if agent.address not in passed.visited
-            and agent.readiness is Readiness.READY
-            and not agent.is_silent
-            and agent.zone not in zones_out
-        ]
-        order = rank_agents(flow, usable, self._context.location.zone)
-        return order[0] if order else None
