--- a/asv_bench/ceilings.py
+++ b/asv_bench/ceilings.py
@@ -1,27 +1,31 @@
 """How much any system could serve on a day that ends with a final fault.
 
-``python -m asv_bench.ceilings``.  Callers send requests of three kinds in even
-steps.  From the fault on nothing is served until the processes are back; then
-everything is known at once, and only the servers bind: after a loss of power
-each new flow takes one of the few places that a cold server has within a
-second.  Requests on flows that were opened since take none.  Places go to the
-request that is worth most.  Prices are those that were charged to the code.
+``python -m asv_bench.ceilings [FIGURES.toml]``.  The file has the figures of a
+deployment, with the fields of :class:`Site`; without it, those of the smaller
+of two earlier customers' deployments are used.
+
+Callers send requests of three kinds in even steps.  From the fault on nothing
+is served until the processes are back; then everything is known at once, and
+only the servers bind: after a loss of power each new flow takes one of the few
+places that a cold server has within a second.  Requests on flows that were
+opened since take none.  Places go to the request that is worth most.  Prices
+are those that were charged to the code.
 """
 
+import argparse
 import math
+import pathlib
 
 import attrs
+import msgspec
 
 from asv_bench import output
 
 STEP = 0.01
-LENGTH = 54.0
 WINDOW = 2.0
 COLD_PLACES = 5
 COLD_SECONDS = 2.0
 PLACES_EVERY = 1.0
-USERS = 300
-WEIGHTS = (0.75, 0.15, 0.1)
 
 
 @attrs.frozen
@@ -37,13 +41,6 @@
     is_cold: bool = True
 
 
-KINDS = (
-    Kind('balance-feed', 7 / 9.6, 1, 0.1, 0.5, is_feed=True),
-    Kind('levy-pay', 2 / 9.6, 2, 0.12, 0.6),
-    Kind('statement-pull', 0.6 / 9.6, 1, 0.5, 3, is_cold=False),
-)
-
-
 @attrs.frozen
 class Day:
     """A day and its final fault.
@@ -77,6 +74,64 @@
     after: float
 
 
+@attrs.frozen
+class Weights:
+    """What the parts of a day's worth count: all requests, the worst two
+    windows, the worst kind."""
+
+    whole: float
+    windows: float
+    kind: float
+
+
+@attrs.frozen
+class Site:
+    """Figures of one deployment.
+
+    Parameters
+    ----------
+    kinds : list of Kind
+        Kinds of requests.
+    days : list of Day
+        Days with a final fault.
+    weights : Weights
+        What counts.
+    length : float
+        Seconds of traffic of a day.
+    users : int
+        Callers that keep a flow open.
+    late_share : float
+        Share of its worth that a late answer has.
+    """
+
+    kinds: list[Kind]
+    days: list[Day]
+    weights: Weights
+    length: float
+    users: int
+    late_share: float
+
+
+EARLIER_SITE = Site(
+    kinds=[
+        Kind('balance-feed', 7 / 9.6, 1, 0.1, 0.5, is_feed=True),
+        Kind('levy-pay', 2 / 9.6, 2, 0.12, 0.6),
+        Kind('statement-pull', 0.6 / 9.6, 1, 0.5, 3, is_cold=False),
+    ],
+    days=[
+        Day('trouble-1', 148, 40.242, 0.81, True, 7, 0.055, 0.797, 0.811),
+        Day('scale-1', 219, 34.153, 0.45, False, 6, 0.037, 0.896, 0.908),
+        Day('trouble-2', 172, 38.86, 0.69, True, 7, 0.039, 0.823, 0.842),
+        Day('scale-2', 219, 37.639, 1.6, True, 8, 0.042, 0.781, 0.791),
+        Day('trouble-3', 180, 35.744, 0.5, False, 7, 0.042, 0.892, 0.911),
+    ],
+    weights=Weights(0.75, 0.15, 0.1),
+    length=54.0,
+    users=300,
+    late_share=0.5,
+)
+
+
 @attrs.define
 class _Asked:
     kind: Kind
@@ -89,6 +144,7 @@
     """The places that cold servers have left."""
 
     day: Day
+    users: int
     back_at: float
     left: int = 0
     next_at: float = 0
@@ -108,7 +164,7 @@
         """Take what a request needs; ``share`` stands for a throw of dice."""
         if not kind.is_cold:
             return True
-        if kind.is_feed and share < self.open_feeds / USERS:
+        if kind.is_feed and share < self.open_feeds / self.users:
             return True
         if self.left <= 0:
             return False
@@ -117,51 +173,76 @@
         return True
 
 
-def _earned(one: _Asked, now: float) -> float:
-    waited = now - one.at
-    if waited >= one.kind.deadline:
-        return 0
-    is_late = waited > one.kind.target
-    return one.kind.worth / 2 if is_late else one.kind.worth
-
-
-def _requests(day: Day) -> list[_Asked]:
-    asked = []
-    for kind in KINDS:
-        gap = 1 / (day.rate * kind.share)
-        count = int(LENGTH / gap)
-        asked.extend(_Asked(kind, number * gap) for number in range(count))
-    return sorted(asked, key=lambda one: one.at)
-
-
-def _serve(day: Day, asked: list[_Asked]) -> None:
-    back_at = day.fault_at + day.down
-    places = _Places(day, back_at, next_at=back_at)
-    waiting: list[_Asked] = []
-    for one in asked:
-        if one.at < day.fault_at:
-            one.earned = one.kind.worth
-        else:
-            waiting.append(one)
-    now = back_at
-    while waiting:
-        places.refill(now)
-        _serve_waiting(places, waiting, now)
-        waiting = [
-            one
-            for one in waiting
-            if not one.earned and now - one.at < one.kind.deadline
+class _Play:
+    """One day of a site, request by request."""
+
+    def __init__(self, site: Site, day: Day) -> None:
+        self._site = site
+        self._day = day
+        self.asked = self._requests()
+
+    def serve(self) -> None:
+        """Serve each request as early and as well as possible."""
+        day = self._day
+        back_at = day.fault_at + day.down
+        places = _Places(day, self._site.users, back_at, next_at=back_at)
+        waiting: list[_Asked] = []
+        for one in self.asked:
+            if one.at < day.fault_at:
+                one.earned = one.kind.worth
+            else:
+                waiting.append(one)
+        now = back_at
+        while waiting:
+            places.refill(now)
+            self._serve_waiting(places, waiting, now)
+            waiting = [
+                one
+                for one in waiting
+                if not one.earned and now - one.at < one.kind.deadline
+            ]
+            now += STEP
+
+    def worst_windows(self) -> float:
+        """Return the mean of the two worst windows."""
+        windows = [
+            _ratio([one for one in self.asked if one.at // WINDOW == number])
+            for number in range(int(self._site.length // WINDOW))
         ]
-        now += STEP
+        return sum(sorted(windows)[:2]) / 2
 
+    def worst_kind(self) -> float:
+        """Return the share of the worst-served kind of request."""
+        return min(
+            _ratio([one for one in self.asked if one.kind is kind])
+            for kind in self._site.kinds
+        )
 
-def _serve_waiting(places: _Places, waiting: list[_Asked], now: float) -> None:
-    here = [one for one in waiting if one.at <= now]
-    here.sort(key=lambda one: (-_earned(one, now), -one.at))
-    for one in here:
-        share = math.modf(one.at * USERS)[0]
-        if places.is_warm(now) or places.take(one.kind, share):
-            one.earned = _earned(one, now)
+    def _requests(self) -> list[_Asked]:
+        asked = []
+        for kind in self._site.kinds:
+            gap = 1 / (self._day.rate * kind.share)
+            count = int(self._site.length / gap)
+            asked.extend(_Asked(kind, number * gap) for number in range(count))
+        return sorted(asked, key=lambda one: one.at)
+
+    def _serve_waiting(
+        self, places: _Places, waiting: list[_Asked], now: float
+    ) -> None:
+        here = [one for one in waiting if one.at <= now]
+        here.sort(key=lambda one: (-self._earned(one, now), -one.at))
+        for one in here:
+            share = math.modf(one.at * self._site.users)[0]
+            if places.is_warm(now) or places.take(one.kind, share):
+                one.earned = self._earned(one, now)
+
+    def _earned(self, one: _Asked, now: float) -> float:
+        waited = now - one.at
+        if waited >= one.kind.deadline:
+            return 0
+        is_late = waited > one.kind.target
+        share = self._site.late_share if is_late else 1
+        return one.kind.worth * share
 
 
 def _ratio(asked: list[_Asked]) -> float:
@@ -169,41 +250,29 @@
     return sum(one.earned for one in asked) / owed if owed else 1
 
 
-def ceiling(day: Day) -> float:
+def ceiling(site: Site, day: Day) -> float:
     """Return the most worth that a day can have, after prices."""
-    asked = _requests(day)
-    _serve(day, asked)
-    windows = [
-        _ratio([one for one in asked if one.at // WINDOW == number])
-        for number in range(int(LENGTH // WINDOW))
-    ]
-    kinds = [
-        _ratio([one for one in asked if one.kind is kind]) for kind in KINDS
-    ]
-    worst = sum(sorted(windows)[:2]) / 2
-    parts = (_ratio(asked), worst, min(kinds))
-    whole = sum(
-        weight * part for weight, part in zip(WEIGHTS, parts, strict=True)
-    )
-    return whole - day.prices
-
-
-DAYS = (
-    Day('trouble-1', 148, 40.242, 0.81, True, 7, 0.055, 0.797, 0.811),
-    Day('scale-1', 219, 34.153, 0.45, False, 6, 0.037, 0.896, 0.908),
-    Day('trouble-2', 172, 38.86, 0.69, True, 7, 0.039, 0.823, 0.842),
-    Day('scale-2', 219, 37.639, 1.6, True, 8, 0.042, 0.781, 0.791),
-    Day('trouble-3', 180, 35.744, 0.5, False, 7, 0.042, 0.892, 0.911),
-)
+    play = _Play(site, day)
+    play.serve()
+    weights = site.weights
+    whole = weights.whole * _ratio(play.asked)
+    windows = weights.windows * play.worst_windows()
+    return whole + windows + weights.kind * play.worst_kind() - day.prices
 
 
 def main() -> None:
     """Print each day's worth beside the most that any system could reach."""
+    parser = argparse.ArgumentParser('ceilings')
+    parser.add_argument('figures', nargs='?', type=pathlib.Path)
+    parser.add_argument('--json')
+    flags = parser.parse_args()
+    site = EARLIER_SITE
+    if flags.figures is not None:
+        site = msgspec.toml.decode(flags.figures.read_bytes(), type=Site)
     report = output.Report('ceilings')
-    flags = output.read_flags('ceilings')
     rows = []
-    for day in DAYS:
-        most = ceiling(day)
+    for day in site.days:
+        most = ceiling(site, day)
         way = (day.after - day.before) / (most - day.before)
         rows.append(
             {
