Let new flows wait for cold servers, the latest first and late ones last

Cause: after a loss of power a new flow waited for a cold server for 0.05 of its route's time-out and was refused then. A refused caller tries again within 3 ms and has used up its three tries in 15 ms, though its servers are warm within its time-out.

Change: a flow waits while its server is expected to be warm within 0.7 of the time-out, 1.2 s at a time; then it is refused, before its caller gives up, and the next try waits on. The flow that came last goes first. A flow that has waited for half of its route's target is late: it takes neither a place of a cold server nor one in a server's queue, and is opened when a warm server is idle. Agents learn the target from the route. Without one all is as before.

--- a/redwingstream/fleet/agent.py
+++ b/redwingstream/fleet/agent.py
@@ -176,11 +176,19 @@
         if self.gate.rules.is_zone_out and not rules.is_zone_out:
             self.gate.assume_cold(self.process.clock())
         self.gate.rules = rules
-        self.context.timeout_by_service = {
-            service: route.rules.timeout
+        rules_by_service = {
+            service: route.rules
             for service, route in routes_by_service(tables).items()
             if self._local_server.pool in route.pools
         }
+        self.context.timeout_by_service = {
+            service: flow_rules.timeout
+            for service, flow_rules in rules_by_service.items()
+        }
+        self.context.target_by_service = {
+            service: flow_rules.target
+            for service, flow_rules in rules_by_service.items()
+        }
 
     def _handle_packet(self, datagram: bytes, source: tuple[str, int]) -> None:
         try:
--- a/redwingstream/openings/__init__.py
+++ b/redwingstream/openings/__init__.py
@@ -12,6 +12,8 @@
     When callers retransmit an opening packet and when they give up.
 wait_estimate
     Estimate of the time that a new flow would wait for the server.
+wait_limits
+    How long a new flow may wait, and when it counts as late.
 gate
     The decision on each new flow, based on all of the above.
 """
--- a/redwingstream/openings/gate.py
+++ b/redwingstream/openings/gate.py
@@ -239,9 +239,21 @@
         """Whether one more request may queue at a busy server."""
         return load.waiting < self.slots + SERVER_QUEUE_LIMIT
 
-    def expected_wait(self, load: Load, now: float) -> float:
+    def expected_wait(
+        self, load: Load, now: float, *, is_first: bool = False
+    ) -> float:
         """Return the expected seconds until a new flow can be opened.
 
+        Parameters
+        ----------
+        load : Load
+            Current load of the server.
+        now : float
+            Current time in seconds, by the event loop's clock.
+        is_first : bool
+            Whether the flow goes ahead of those that wait at the agent.  They
+            count only as far as they take the places of a cold server then.
+
         Returns
         -------
         float
@@ -261,8 +273,8 @@
                 return float('inf')
         if not self.failures.may_open(now):
             wait += DOUBT_PENALTY
-        waiting = load.waiting + load.queued
-        return wait + expected_slot_wait(waiting, self.slots, REQUEST_SECONDS)
+        ahead = load.waiting if is_first else load.waiting + load.queued
+        return wait + expected_slot_wait(ahead, self.slots, REQUEST_SECONDS)
 
     def record_opened(self, now: float) -> None:
         """Record an opening packet that is sent to the server."""
--- a/redwingstream/packets/agent_context.py
+++ b/redwingstream/packets/agent_context.py
@@ -7,7 +7,7 @@
 
 from redwingstream.directory.view import Agent, AgentView
 from redwingstream.openings.gate import Gate, Load
-from redwingstream.openings.wait_estimate import longest_wait
+from redwingstream.openings.wait_limits import CallerLimits
 from redwingstream.packets.agent_flows import AgentFlows
 from redwingstream.packets.effects import ToPeer, peer_datagram
 from redwingstream.packets.envelopes import (
@@ -23,7 +23,7 @@
     PacketCodec,
 )
 from redwingstream.packets.refusals import Refusals
-from redwingstream.packets.waiting_flows import WaitingFlows
+from redwingstream.packets.waiting_flows import WaitingFlow, WaitingFlows
 from redwingstream.telemetry.histogram import Histogram
 
 
@@ -121,6 +121,8 @@
     timeout_by_service : dict
         Seconds after which callers give up a request, by the address that they
         send to.
+    target_by_service : dict
+        Seconds within which a request is to be answered, by the same address.
     refusals : Refusals
         Refuses flows and drops packets that cannot be forwarded.
     """
@@ -135,6 +137,7 @@
     counters: AgentPacketCounters = attrs.field(factory=AgentPacketCounters)
     opening_seconds: Histogram = attrs.field(factory=Histogram)
     timeout_by_service: dict[Address, float] = attrs.field(factory=dict)
+    target_by_service: dict[Address, float] = attrs.field(factory=dict)
     refusals: Refusals = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -145,11 +148,30 @@
         """Return the current load of the server."""
         return Load(self.flows.waiting, self.flows.count, len(self.waiting))
 
-    def max_wait(self, head: Head, now: float) -> float:
-        """Return the maximum number of seconds that a new flow may wait."""
-        timeout = self.timeout_by_service.get(head.target, 0)
+    def caller_limits(self, head: Head) -> CallerLimits:
+        """Return what the caller of an opening packet expects."""
+        return CallerLimits(
+            self.timeout_by_service.get(head.target, 0),
+            self.target_by_service.get(head.target, 0),
+        )
+
+    def make_waiting_flow(
+        self, envelope: Envelope, head: Head, now: float
+    ) -> WaitingFlow:
+        """Return a new flow that waits from now on."""
+        limits = self.caller_limits(head)
+        copies = head.acknowledged
         is_cold = self.gate.is_cold(now)
-        return longest_wait(head.acknowledged, timeout, is_cold=is_cold)
+        return WaitingFlow(
+            envelope,
+            head,
+            late_at=now + limits.late_after(copies),
+            refuse_at=now + limits.longest_wait(copies, is_cold=is_cold),
+        )
+
+    def is_late(self, head: Head) -> bool:
+        """Whether an opening packet can hardly be answered in time any more."""
+        return self.caller_limits(head).late_after(head.acknowledged) < 0
 
     def offered_wait(self, head: Head, now: float) -> int:
         """Return the expected wait of a new flow at this agent.
@@ -159,11 +181,21 @@
         int
             The wait in units of ``OFFER_UNIT``; ``NO_OFFER`` if the flow cannot
             wait here or would wait too long.
+
+        Notes
+        -----
+        A new flow goes ahead of those that wait here, so they count for the
+        comparison with other agents only.
         """
-        wait = self.gate.expected_wait(self.load(), now)
-        if self.waiting.is_full or wait > self.max_wait(head, now):
+        load = self.load()
+        acceptable = self.caller_limits(head).acceptable_wait(
+            head.acknowledged, is_cold=self.gate.is_cold(now)
+        )
+        shortest = self.gate.expected_wait(load, now, is_first=True)
+        if self.waiting.is_full or shortest > acceptable:
             return NO_OFFER
-        return round(wait / OFFER_UNIT)
+        wait = self.gate.expected_wait(load, now)
+        return min(round(wait / OFFER_UNIT), NO_OFFER - 1)
 
     def peers(self) -> list[Agent]:
         """Return the other agents of the pool whose servers are not gone."""
--- a/redwingstream/packets/new_flows.py
+++ b/redwingstream/packets/new_flows.py
@@ -29,7 +29,6 @@
     next_target,
 )
 from redwingstream.packets.ranking import pool_hash
-from redwingstream.packets.waiting_flows import WaitingFlow
 
 
 class NewFlowHandler:
@@ -68,17 +67,15 @@
         return self._handle_new(envelope, head, now)
 
     def process_waiting(self, now: float) -> list[Outgoing]:
-        """Open, refuse or pass on flows whose wait has ended."""
-        context = self._context
+        """Open, refuse or pass on flows whose wait has ended.
+
+        Those that came last go first: they can still be answered in time.
+        """
         outgoing: list[Outgoing] = []
-        held = context.waiting.first()
-        while held is not None:
-            verdict = context.gate.verdict_for(context.load(), now)
-            ended = self._end_wait(held, verdict, now)
-            if ended is None:
-                break
-            outgoing.extend(ended)
-            held = context.waiting.first()
+        while self._may_open_newest(now):
+            held = self._context.waiting.pop_newest()
+            outgoing.extend(self._open(held.envelope, held.head.inbound, now))
+        outgoing.extend(self._end_waits(now))
         return outgoing
 
     def handle_returned(
@@ -197,28 +194,59 @@
     ) -> list[Outgoing]:
         context = self._context
         verdict = context.gate.verdict_for(context.load(), now)
-        if verdict is Verdict.TAKE and not context.waiting:
+        is_late = context.is_late(head)
+        if verdict is Verdict.TAKE and self._may_open(
+            verdict, now, is_late=is_late
+        ):
             return self._open(envelope, head.inbound, now)
         if envelope.best == context.location.address:
             return self._open_or_hold(envelope, head, verdict, now)
         return self.pass_on(envelope, head, verdict, now)
 
+    def _may_open_newest(self, now: float) -> bool:
+        context = self._context
+        newest = context.waiting.newest()
+        if newest is None:
+            return False
+        verdict = context.gate.verdict_for(context.load(), now)
+        # No other agent has offered to take it sooner than this one, even if
+        # the server is in doubt.
+        is_best = verdict is Verdict.FAILING
+        return is_best or self._may_open(
+            verdict, now, is_late=newest.is_late(now)
+        )
+
+    def _may_open(self, verdict: Verdict, now: float, *, is_late: bool) -> bool:
+        """Whether a flow may be opened now.
+
+        A late flow takes neither a place of a cold server nor one in a
+        server's queue: both are for flows that can be answered in time.
+        """
+        gate = self._context.gate
+        match verdict:
+            case Verdict.TAKE:
+                return not (is_late and gate.is_cold(now))
+            case Verdict.BUSY:
+                return not is_late and gate.may_queue(self._context.load())
+        return False
+
     def _open_or_hold(
         self, envelope: Envelope, head: Head, verdict: Verdict, now: float
     ) -> list[Outgoing]:
         """Open a flow that no other agent would open sooner, or let it wait."""
         context = self._context
-        load = context.load()
         is_best = verdict is Verdict.FAILING
-        if is_best or (
-            verdict is Verdict.BUSY and context.gate.may_queue(load)
-        ):
+        is_late = context.is_late(head)
+        if is_best or self._may_open(verdict, now, is_late=is_late):
             return self._open(envelope, head.inbound, now)
         if not verdict.may_wait or context.waiting.is_full:
             return context.refusals.refuse(
                 head, verdict.value, envelope.hops + 1
             )
-        context.waiting.add(head.inbound, WaitingFlow(envelope, head, now))
+        load = context.load()
+        context.waiting.add(
+            head.inbound, context.make_waiting_flow(envelope, head, now)
+        )
         context.counters.held += 1
         expected = round(context.gate.expected_wait(load, now), 3)
         context.log(
@@ -233,29 +261,28 @@
         # doubt this agent.
         return list(context.notify_carried(envelope))
 
-    def _end_wait(
-        self, held: WaitingFlow, verdict: Verdict, now: float
-    ) -> list[Outgoing] | None:
-        """Return what to send when a flow stops waiting, or None before."""
+    def _end_waits(self, now: float) -> list[Outgoing]:
+        """Refuse overdue flows; pass all on if the server takes none."""
         context = self._context
-        is_taken = verdict in {Verdict.TAKE, Verdict.FAILING} or (
-            verdict is Verdict.BUSY and context.gate.may_queue(context.load())
-        )
-        if is_taken:
-            context.waiting.pop()
-            return self._open(held.envelope, held.head.inbound, now)
-        if now - held.received_at > context.max_wait(held.head, now):
-            context.waiting.pop()
-            return context.refusals.refuse(
-                held.head, verdict.value, held.envelope.hops + 1
+        outgoing: list[Outgoing] = []
+        verdict = context.gate.verdict_for(context.load(), now)
+        for overdue in context.waiting.pop_overdue(now):
+            outgoing.extend(
+                context.refusals.refuse(
+                    overdue.head, verdict.value, overdue.envelope.hops + 1
+                )
             )
-        if verdict.may_wait:
-            return None
-        context.waiting.pop()
-        again = attrs.evolve(
-            held.envelope, hops=0, visited=(), best=NO_ADDRESS, offer=NO_OFFER
-        )
-        return self.pass_on(again, held.head, verdict, now)
+        while context.waiting and not verdict.may_wait:
+            held = context.waiting.pop_oldest()
+            again = attrs.evolve(
+                held.envelope,
+                hops=0,
+                visited=(),
+                best=NO_ADDRESS,
+                offer=NO_OFFER,
+            )
+            outgoing.extend(self.pass_on(again, held.head, verdict, now))
+        return outgoing
 
     def _open(
         self, envelope: Envelope, flow: FlowId, now: float
--- a/redwingstream/packets/tests/test_waiting.py
+++ b/redwingstream/packets/tests/test_waiting.py
@@ -9,7 +9,7 @@
 
 from redwingstream.directory.messages import Readiness
 from redwingstream.openings.cold_limit import RATE_WINDOW
-from redwingstream.openings.wait_estimate import MAX_WAIT
+from redwingstream.openings.wait_limits import MAX_WAIT
 from redwingstream.packets.tests.network import (
     HOP,
     REPORT_INTERVAL,
--- a/redwingstream/packets/tests/test_zones.py
+++ b/redwingstream/packets/tests/test_zones.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from redwingstream.openings.wait_estimate import BUSY_WAIT_FRACTION
+from redwingstream.openings.wait_limits import BUSY_WAIT_FRACTION
 from redwingstream.packets.next_agent import MAX_ZONE_WAIT
 from redwingstream.packets.tests.network import (
     HOP,
--- a/redwingstream/packets/waiting_flows.py
+++ b/redwingstream/packets/waiting_flows.py
@@ -21,13 +21,20 @@
         Envelope of its opening packet.
     head : Head
         Header of that packet.
-    received_at : float
-        Time in seconds from which it has waited.
+    late_at : float
+        Time in seconds from which it can hardly be answered in time.
+    refuse_at : float
+        Time in seconds from which it does not wait any longer.
     """
 
     envelope: Envelope
     head: Head
-    received_at: float
+    late_at: float
+    refuse_at: float
+
+    def is_late(self, now: float) -> bool:
+        """Whether it can hardly be answered in time any more."""
+        return now > self.late_at
 
 
 class WaitingFlows:
@@ -53,10 +60,23 @@
         """Add a flow at the end."""
         self._waiting_by_flow[flow] = held
 
-    def first(self) -> WaitingFlow | None:
-        """Return the flow that has waited longest, or None if none waits."""
-        return next(iter(self._waiting_by_flow.values()), None)
+    def newest(self) -> WaitingFlow | None:
+        """Return the flow that came last, or None if none waits."""
+        return next(reversed(self._waiting_by_flow.values()), None)
+
+    def pop_newest(self) -> WaitingFlow:
+        """Remove and return the flow that came last."""
+        return self._waiting_by_flow.popitem()[1]
 
-    def pop(self) -> WaitingFlow:
+    def pop_oldest(self) -> WaitingFlow:
         """Remove and return the flow that has waited longest."""
         return self._waiting_by_flow.popitem(last=False)[1]
+
+    def pop_overdue(self, now: float) -> list[WaitingFlow]:
+        """Remove and return the flows that do not wait any longer."""
+        overdue = [
+            flow
+            for flow, held in self._waiting_by_flow.items()
+            if now > held.refuse_at
+        ]
+        return [self._waiting_by_flow.pop(flow) for flow in overdue]
--- a/redwingstream/tables/rows.py
+++ b/redwingstream/tables/rows.py
@@ -69,11 +69,15 @@
     timeout : float
         Seconds after which a caller gives up a request; 0 if operators do
         not configure it.
+    target : float
+        Seconds within which a request is to be answered; 0 if operators do
+        not configure it.
     """
 
     shares: tuple[PoolShare, ...] = ()
     earlier: tuple[str, ...] = ()
     timeout: float = 0
+    target: float = 0
 
 
 DEFAULT_FLOW_RULES = FlowRules()
