Find out at once that a silent server has ended, and answer searches for it

Cause: an agent whose server has ended hands each searched packet to a server that does not run. Nothing comes back, so it does not answer, and one agent without an answer keeps every dead flow of the pool from being declared dead. It looked whether its server runs only when it was stopped itself.

If it has ended, the agent says so to control, drops the entries of its flows and answers searches itself. A packet or a report of the server takes that back; flows are then probed again, so a wrong verdict costs a search.

test_is_reset_when_agents_know_that_their_servers_ended fails without it.

--- a/redwingstream/fleet/agent.py
+++ b/redwingstream/fleet/agent.py
@@ -66,6 +66,7 @@
         self._local_server: LocalServer = local_server
         self._sequence = 0
         self._release_timer: asyncio.TimerHandle | None = None
+        self._server_check: asyncio.Task[None] | None = None
         self._address = address_of(packets.host, packets.port)
         inquirer = Inquirer(
             deployment.seed_addresses,
@@ -126,10 +127,31 @@
             self.control_client.attach(inside)
             with self.process.running(
                 PeriodicTask('following', self.control_client.tick),
-                PeriodicTask('housekeeping', self._run_housekeeping),
+                PeriodicTask('housekeeping', self.run_housekeeping),
             ):
                 yield self
 
+    def run_housekeeping(self, now: float) -> float:
+        """Evict expired entries; look after a server that sends nothing.
+
+        Parameters
+        ----------
+        now : float
+            Current time in seconds, by the event loop's clock.
+
+        Returns
+        -------
+        float
+            Seconds until the next call.
+        """
+        self.packet_sender.send_all(self.forwarder.tick(now))
+        is_checking = (
+            self._server_check is not None and not self._server_check.done()
+        )
+        if self.context.silence.is_unresponsive(now) and not is_checking:
+            self._server_check = asyncio.create_task(self._check_server())
+        return HOUSEKEEPING_INTERVAL
+
     async def prepare_stop(self) -> None:
         """Report to the control instances whether the server has ended.
 
@@ -137,6 +159,8 @@
         answered.  A stopped agent does not answer, so it must be excluded if
         its server has ended.
         """
+        if self._server_check is not None:
+            self._server_check.cancel()
         await self.server_reports.check_server_ended(self._local_server.server)
         self.control_client.send_to_all()
         await asyncio.sleep(REPEAT_AFTER)
@@ -234,6 +258,13 @@
     ) -> None:
         self.control_client.receive(datagram, source)
 
-    def _run_housekeeping(self, now: float) -> float:
-        self.packet_sender.send_all(self.forwarder.tick(now))
-        return HOUSEKEEPING_INTERVAL
+    async def _check_server(self) -> None:
+        """Find out whether a server that sends nothing has ended.
+
+        While it is not known, a lookup of a flow waits for this agent, and no
+        flow of the pool can be declared dead.
+        """
+        await self.server_reports.check_server_ended(self._local_server.server)
+        self.context.silence.record_heard()
+        if self.gate.state.has_ended:
+            self.control_client.send_to_all()
--- a/redwingstream/fleet/server_reports.py
+++ b/redwingstream/fleet/server_reports.py
@@ -78,9 +78,14 @@
 
     async def check_server_ended(self, server: Endpoint) -> None:
         """Check whether the server's process has ended, and record it if so."""
-        if await has_ended(server):
-            self._gate.state.mark_ended()
-            self._process.log.write(ServerEnded(str(server)))
+        state = self._gate.state
+        last_report_at = state.received_at
+        if not await has_ended(server) or state.received_at > last_report_at:
+            return
+        state.mark_ended()
+        # A server that has ended holds no flow.
+        self._flows.clear()
+        self._process.log.write(ServerEnded(str(server)))
 
     def _log_report(self, report: ServerReport, outcome: str) -> None:
         self._process.log.write(
--- a/redwingstream/fleet/tests/test_agent.py
+++ b/redwingstream/fleet/tests/test_agent.py
@@ -1,4 +1,4 @@
-"""Records that an agent sends when it stops."""
+"""Records that an agent sends when its server ends or it stops."""
 
 import asyncio
 import socket
@@ -16,7 +16,11 @@
     FakeProcess,
     FakeSocket,
 )
-from redwingstream.packets.tests.codec import PlainCodec
+from redwingstream.openings.server_silence import UNRESPONSIVE_AFTER
+from redwingstream.packets.envelopes import Envelope, Kind
+from redwingstream.packets.flow import address_of
+from redwingstream.packets.tests.codec import Packet, PlainCodec
+from redwingstream.packets.tests.network import SERVICE
 from redwingstream.wire.frames import FrameCodec
 
 HOST = '127.0.0.1'
@@ -28,8 +32,8 @@
         yield listening
 
 
-async def _readiness_on_stop(port: int) -> list[Readiness]:
-    """Return the server readiness in each record of a stopping agent."""
+def _make_agent(port: int) -> tuple[Agent, FakeSocket]:
+    """Return an agent beside a server at a port, and what it sends."""
     loop = asyncio.get_running_loop()
     deployment = attrs.evolve(
         DEPLOYMENT,
@@ -39,13 +43,40 @@
     agent = Agent(FakeProcess(deployment, loop.time), PlainCodec())
     sent = FakeSocket()
     agent.control_client.attach(sent)
-    await agent.prepare_stop()
+    return agent, sent
+
+
+def _readiness_in(sent: FakeSocket) -> list[Readiness]:
+    """Return the server readiness in each record that an agent has sent."""
     codec = FrameCodec(KEY)
     opened = [codec.open(frame).payload for frame in sent.sent]
     assert all(isinstance(payload, Inquiry) for payload in opened)
     return [payload.record.readiness for payload in opened]
 
 
+async def _readiness_on_stop(port: int) -> list[Readiness]:
+    """Return the server readiness in each record of a stopping agent."""
+    agent, sent = _make_agent(port)
+    await agent.prepare_stop()
+    return _readiness_in(sent)
+
+
+async def _readiness_on_silence(port: int) -> list[Readiness]:
+    """Return the same of an agent whose server leaves a packet unanswered."""
+    agent, sent = _make_agent(port)
+    attached = FakeSocket()
+    agent.packet_sender.attach(callers=attached, peers=attached)
+    packet = Packet(address_of('100.64.0.1', 1), SERVICE, 1, 2, size=4)
+    now = agent.process.clock()
+    agent.forwarder.handle_envelope(
+        Envelope(Kind.ONGOING, packet.pack()), address_of(HOST, 1), now
+    )
+    agent.run_housekeeping(now + UNRESPONSIVE_AFTER / 2)
+    agent.run_housekeeping(now + UNRESPONSIVE_AFTER * 2)
+    await asyncio.sleep(0.1)
+    return _readiness_in(sent)
+
+
 class TestStop:
     """An agent is asked to stop."""
 
@@ -65,3 +96,18 @@
             Readiness.UNKNOWN,
             Readiness.UNKNOWN,
         ]
+
+
+class TestSilentServer:
+    """A server sends nothing although it was given a packet."""
+
+    async def test_reports_that_server_has_ended(self, server) -> None:
+        """Guards against lookups that wait until the agent is stopped."""
+        port = server.getsockname()[1]
+        server.close()
+        assert await _readiness_on_silence(port) == [Readiness.ENDED]
+
+    async def test_running_server_is_not_reported_ended(self, server) -> None:
+        """Guards against resetting flows of a server that hangs."""
+        port = server.getsockname()[1]
+        assert not await _readiness_on_silence(port)
--- a/redwingstream/openings/__init__.py
+++ b/redwingstream/openings/__init__.py
@@ -4,6 +4,8 @@
 -------
 reports
     Reports of a server on its own state, and which of them is the newest.
+server_silence
+    Whether a server sends anything after packets were delivered to it.
 cold_limit
     Limit on the new flows that a cold server gets within a second.
 failure_tracking
--- a/redwingstream/openings/gate.py
+++ b/redwingstream/openings/gate.py
@@ -285,6 +285,7 @@
 
     def record_answer(self) -> None:
         """Record a packet of the server, which shows that it is running."""
+        self.state.mark_running()
         self._unanswered_at = None
 
     def record_full(self, now: float) -> None:
--- a/redwingstream/openings/reports.py
+++ b/redwingstream/openings/reports.py
@@ -98,6 +98,11 @@
     def mark_ended(self) -> None:
         """Record that the server's process has ended."""
         self.has_ended = True
+        self.is_observed_from_start = False
+
+    def mark_running(self) -> None:
+        """Record a sign that the server's process is running."""
+        self.has_ended = False
 
     @property
     def readiness(self) -> Readiness:
--- a/redwingstream/packets/agent_context.py
+++ b/redwingstream/packets/agent_context.py
@@ -7,6 +7,7 @@
 
 from redwingstream.directory.view import Agent, AgentView
 from redwingstream.openings.gate import Gate, Load
+from redwingstream.openings.server_silence import ServerSilence
 from redwingstream.openings.wait_limits import CallerLimits
 from redwingstream.packets.agent_flows import AgentFlows
 from redwingstream.packets.effects import ToPeer, peer_datagram
@@ -123,6 +124,8 @@
         send to.
     target_by_service : dict
         Seconds within which a request is to be answered, by the same address.
+    silence : ServerSilence
+        Whether the server sends anything.
     refusals : Refusals
         Refuses flows and drops packets that cannot be forwarded.
     """
@@ -138,6 +141,7 @@
     opening_seconds: Histogram = attrs.field(factory=Histogram)
     timeout_by_service: dict[Address, float] = attrs.field(factory=dict)
     target_by_service: dict[Address, float] = attrs.field(factory=dict)
+    silence: ServerSilence = attrs.field(factory=ServerSilence)
     refusals: Refusals = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
--- a/redwingstream/packets/agent_forwarder.py
+++ b/redwingstream/packets/agent_forwarder.py
@@ -8,7 +8,12 @@
 from redwingstream.packets import events
 from redwingstream.packets.agent_context import AgentContext
 from redwingstream.packets.agent_flows import CarriedFlow, FlowState
-from redwingstream.packets.effects import Outgoing, ToCaller, peer_datagram
+from redwingstream.packets.effects import (
+    Outgoing,
+    ToCaller,
+    ToServer,
+    peer_datagram,
+)
 from redwingstream.packets.envelopes import (
     Envelope,
     Kind,
@@ -40,14 +45,9 @@
     ) -> list[Outgoing]:
         """Handle an envelope from a balancer or another agent."""
         self.context.counters.packets_in += 1
-        match envelope.kind:
-            case Kind.PING:
-                return [peer_datagram(Envelope(Kind.PONG, b''), source)]
-            case Kind.OPENING:
-                return self._new_flows.handle_opening(envelope, now)
-            case Kind.ONGOING | Kind.LOOKUP:
-                return self._open_flows.handle_packet(envelope, now)
-        return self._handle_flow_location(envelope, source, now)
+        outgoing = self._dispatch(envelope, source, now)
+        self._record_delivered(outgoing, now)
+        return outgoing
 
     def handle_server_packet(self, packet: bytes, now: float) -> list[Outgoing]:
         """Handle a packet sent by the server beside this agent."""
@@ -55,6 +55,7 @@
         context.counters.packets_out += 1
         head = context.codec.read(packet)
         context.gate.record_answer()
+        context.silence.record_heard()
         if head.is_returned:
             return self._handle_returned(head, now)
         carried = context.flows.find_carried(head.outbound, now)
@@ -76,13 +77,27 @@
 
     def process_waiting(self, now: float) -> list[Outgoing]:
         """Open, refuse or pass on new flows whose wait has ended."""
-        return self._new_flows.process_waiting(now)
+        outgoing = self._new_flows.process_waiting(now)
+        self._record_delivered(outgoing, now)
+        return outgoing
 
     def tick(self, now: float) -> list[Outgoing]:
         """Evict expired entries and retry unanswered lookups."""
         self.context.flows.evict_expired(now)
         return self._open_flows.tick(now)
 
+    def _dispatch(
+        self, envelope: Envelope, source: Address, now: float
+    ) -> list[Outgoing]:
+        match envelope.kind:
+            case Kind.PING:
+                return [peer_datagram(Envelope(Kind.PONG, b''), source)]
+            case Kind.OPENING:
+                return self._new_flows.handle_opening(envelope, now)
+            case Kind.ONGOING | Kind.LOOKUP:
+                return self._open_flows.handle_packet(envelope, now)
+        return self._handle_flow_location(envelope, source, now)
+
     def _handle_flow_location(
         self, envelope: Envelope, source: Address, now: float
     ) -> list[Outgoing]:
@@ -95,6 +110,10 @@
                 )
         return []
 
+    def _record_delivered(self, outgoing: list[Outgoing], now: float) -> None:
+        if any(isinstance(one, ToServer) for one in outgoing):
+            self.context.silence.record_delivered(now)
+
     def _record_progress(
         self, carried: CarriedFlow, head: Head, now: float
     ) -> None:
--- a/redwingstream/packets/open_flows.py
+++ b/redwingstream/packets/open_flows.py
@@ -164,6 +164,8 @@
 
     def _is_known_absent(self, head: Head, now: float) -> bool:
         context = self._context
+        if context.gate.state.has_ended:
+            return True
         # The server sends on each flow that it holds within the idle time-out,
         # so that from then on the agent knows all of them.
         knows_all_from = self._started_at + context.flows.idle_timeout
--- a/redwingstream/packets/tests/test_large_pools.py
+++ b/redwingstream/packets/tests/test_large_pools.py
@@ -375,6 +375,33 @@
         fleet.ask(1)
         assert fleet.caller.resets == 1
 
+    def test_is_reset_when_agents_know_that_their_servers_ended(self) -> None:
+        """Guards against lookups that wait for servers that do not run.
+
+        The agents beside them go on for seconds before they are stopped.
+        """
+        fleet = _Fleet(109)
+        fleet.restart_all()
+        for agent in fleet.network.agents[10:15]:
+            agent.start(started_at=fleet.network.now)
+            agent.server.alive = False
+            agent.is_not_reporting = True
+            agent.gate.state.mark_ended()
+        fleet.network.run(1)
+        fleet.ask(1)
+        assert fleet.caller.resets == 1
+
+    def test_is_not_reset_by_a_server_taken_for_ended(self) -> None:
+        """Guards against resetting flows of a server that runs after all."""
+        fleet = _Fleet(109)
+        fleet.restart_other_agents()
+        fleet.carrier.gate.state.mark_ended()
+        fleet.carrier.context.flows.clear()
+        fleet.carrier.report()
+        fleet.ask(1)
+        assert not fleet.caller.resets
+        assert fleet.caller.answers > 1
+
     def test_is_not_reset_while_one_agent_does_not_answer(self) -> None:
         """Guards against resetting a flow that a silent agent may carry."""
         fleet = _Fleet(109)
