Do not take a refused connection of a leaving server for its end

Cause: the agent looks whether a silent server still runs, and took a refused connection as proof that it had ended. A server closes its listener when it announces its end, and serves its open flows for up to two seconds more. In the recorded break the last packet came 0.62 s before the reset, which is the silence of 0.25 s, the housekeeping interval of 0.25 s and one search; the servers that were replaced then had announced their end two seconds earlier. A full link makes it likely, since a server that waits for an upload's packets is silent.

Ruled out: lookups that were not answered do not count as visited, so lost lookups alone prove nothing.

Change: a refused connection is no proof once the server has announced its end. Its flows can be declared dead once the agent is silent, as before.

Test: test_leaving_server_is_not_reported_ended fails on the code before (one ENDED record) and passes now.

--- a/redwingstream/fleet/server_reports.py
+++ b/redwingstream/fleet/server_reports.py
@@ -80,7 +80,9 @@
         """Check whether the server's process has ended, and record it if so."""
         state = self._gate.state
         last_report_at = state.received_at
-        if not await has_ended(server) or state.received_at > last_report_at:
+        if not state.proves_end_by_refusal or not await has_ended(server):
+            return
+        if state.received_at > last_report_at or state.is_leaving:
             return
         state.mark_ended()
         # A server that has ended holds no flow.
--- a/redwingstream/fleet/tests/test_agent.py
+++ b/redwingstream/fleet/tests/test_agent.py
@@ -16,6 +16,7 @@
     FakeProcess,
     FakeSocket,
 )
+from redwingstream.openings.reports import ServerReport
 from redwingstream.openings.server_silence import UNRESPONSIVE_AFTER
 from redwingstream.packets.envelopes import Envelope, Kind
 from redwingstream.packets.flow import address_of
@@ -24,6 +25,15 @@
 from redwingstream.wire.frames import FrameCodec
 
 HOST = '127.0.0.1'
+REPORT = ServerReport(
+    's-1',
+    born=1,
+    sequence=9,
+    pool='feed',
+    readiness=Readiness.DRAINING,
+    cold_for=0,
+    slots=1,
+)
 
 
 @pytest.fixture
@@ -61,9 +71,15 @@
     return _readiness_in(sent)
 
 
-async def _readiness_on_silence(port: int) -> list[Readiness]:
+async def _readiness_on_silence(
+    port: int, *, is_leaving: bool = False
+) -> list[Readiness]:
     """Return the same of an agent whose server leaves a packet unanswered."""
     agent, sent = _make_agent(port)
+    if is_leaving:
+        agent.server_reports.handle_report(REPORT)
+        agent.server_reports.handle_leave(REPORT.server)
+        sent.sent.clear()
     attached = FakeSocket()
     agent.packet_sender.attach(callers=attached, peers=attached)
     packet = Packet(address_of('100.64.0.1', 1), SERVICE, 1, 2, size=4)
@@ -111,3 +127,12 @@
         """Guards against resetting flows of a server that hangs."""
         port = server.getsockname()[1]
         assert not await _readiness_on_silence(port)
+
+    async def test_leaving_server_is_not_reported_ended(self, server) -> None:
+        """Guards against resetting flows of a server that still serves them.
+
+        It has closed its listener, and is silent between two packets.
+        """
+        port = server.getsockname()[1]
+        server.close()
+        assert not await _readiness_on_silence(port, is_leaving=True)
--- a/redwingstream/openings/reports.py
+++ b/redwingstream/openings/reports.py
@@ -95,6 +95,15 @@
         self.is_leaving = True
         return True
 
+    @property
+    def proves_end_by_refusal(self) -> bool:
+        """Whether a refused connection shows that the server has ended.
+
+        A server that has announced its end closes its listener, and serves
+        its open flows for up to two more seconds.
+        """
+        return not self.is_leaving
+
     def mark_ended(self) -> None:
         """Record that the server's process has ended."""
         self.has_ended = True
