Read kind and priority of routes and the rate of the link

Decisions about uploads, about work that cannot be repeated and about the order of waiting flows need what the operators configure: a route's type and priority, and limits.link_mbps of the settings. Until now they were not read.

Nothing uses them yet.

docs/load-scheduling.md specifies the parts.

--- a/redwingstream/fleet/deployment.py
+++ b/redwingstream/fleet/deployment.py
@@ -91,6 +91,9 @@
         Seconds from the request to stop until the process is killed.
     max_flow_age : float
         Seconds after which any flow may be given up.
+    link_rate : float
+        Bytes per second that the link of the instance carries in each
+        direction; infinite when not known.
     """
 
     node: str
@@ -108,6 +111,7 @@
     report_interval: float
     grace_seconds: float
     max_flow_age: float
+    link_rate: float = float('inf')
 
     @property
     def group_size(self) -> int:
--- a/redwingstream/tables/rows.py
+++ b/redwingstream/tables/rows.py
@@ -48,6 +48,25 @@
     weight: int
 
 
+class FlowKind(enum.StrEnum):
+    """Kind of the requests that a route's callers send.
+
+    ``NON_IDEMPOTENT`` and ``UPLOAD`` requests may run at most once.  ``UPLOAD``
+    and ``DOWNLOAD`` requests carry much data to or from the server.
+    ``UNKNOWN`` if operators do not configure it.
+    """
+
+    UNKNOWN = ''
+    IDEMPOTENT = 'idempotent'
+    NON_IDEMPOTENT = 'non_idempotent'
+    UPLOAD = 'upload'
+    DOWNLOAD = 'download'
+
+
+DEFAULT_PRIORITY = 2
+"""Priority of a route for which operators do not configure one; 0 is the most
+urgent."""
+
 MAX_EARLIER_POOLS = 4
 """Maximum number of former pools kept in a route.  Flows last for at most a
 minute, and changing the pool of a route more than four times within a minute
@@ -72,12 +91,18 @@
     target : float
         Seconds within which a request is to be answered; 0 if operators do
         not configure it.
+    kind : FlowKind
+        Kind of the requests.
+    priority : int
+        Priority of the requests; 0 is the most urgent.
     """
 
     shares: tuple[PoolShare, ...] = ()
     earlier: tuple[str, ...] = ()
     timeout: float = 0
     target: float = 0
+    kind: FlowKind = FlowKind.UNKNOWN
+    priority: int = DEFAULT_PRIORITY
 
 
 DEFAULT_FLOW_RULES = FlowRules()
