Count an upload as load from its last packet

A server occupies a slot only once it has a whole request, but its agent counted an upload as load from its first packet: an idle server looked busy while an upload was in transfer, and new flows were held or passed on.

For services of routes of kind UPLOAD only a data packet that is not full (below 1,200 bytes) starts the count. A reset of the server during the transfer is still a failed request. A request whose last packet is full is not counted; for the rest of its routes nothing changes.

--- a/redwingstream/fleet/agent.py
+++ b/redwingstream/fleet/agent.py
@@ -205,14 +205,7 @@
             for service, route in routes_by_service(tables).items()
             if self._local_server.pool in route.pools
         }
-        self.context.timeout_by_service = {
-            service: flow_rules.timeout
-            for service, flow_rules in rules_by_service.items()
-        }
-        self.context.target_by_service = {
-            service: flow_rules.target
-            for service, flow_rules in rules_by_service.items()
-        }
+        self.context.apply_flow_rules(rules_by_service)
 
     def _handle_packet(self, datagram: bytes, source: tuple[str, int]) -> None:
         try:
--- a/redwingstream/packets/agent_context.py
+++ b/redwingstream/packets/agent_context.py
@@ -9,7 +9,7 @@
 from redwingstream.openings.gate import Gate, Load
 from redwingstream.openings.server_silence import ServerSilence
 from redwingstream.openings.wait_limits import CallerLimits
-from redwingstream.packets.agent_flows import AgentFlows
+from redwingstream.packets.agent_flows import AgentFlows, CarriedFlow
 from redwingstream.packets.effects import ToPeer, peer_datagram
 from redwingstream.packets.envelopes import (
     NO_OFFER,
@@ -25,6 +25,7 @@
 )
 from redwingstream.packets.refusals import Refusals
 from redwingstream.packets.waiting_flows import WaitingFlow, WaitingFlows
+from redwingstream.tables.rows import FlowKind, FlowRules
 from redwingstream.telemetry.histogram import Histogram
 
 
@@ -124,6 +125,8 @@
         send to.
     target_by_service : dict
         Seconds within which a request is to be answered, by the same address.
+    upload_services : frozenset of Address
+        Addresses whose callers send uploads.
     silence : ServerSilence
         Whether the server sends anything.
     refusals : Refusals
@@ -141,6 +144,7 @@
     opening_seconds: Histogram = attrs.field(factory=Histogram)
     timeout_by_service: dict[Address, float] = attrs.field(factory=dict)
     target_by_service: dict[Address, float] = attrs.field(factory=dict)
+    upload_services: frozenset[Address] = frozenset()
     silence: ServerSilence = attrs.field(factory=ServerSilence)
     refusals: Refusals = attrs.field(init=False)
 
@@ -148,10 +152,34 @@
         """Create the refusals with the codec and log of this agent."""
         self.refusals = Refusals(self.codec, self.log)
 
+    def apply_flow_rules(
+        self, rules_by_service: dict[Address, FlowRules]
+    ) -> None:
+        """Apply the rules of the routes that the pool serves."""
+        self.timeout_by_service = {
+            service: rules.timeout
+            for service, rules in rules_by_service.items()
+        }
+        self.target_by_service = {
+            service: rules.target for service, rules in rules_by_service.items()
+        }
+        self.upload_services = frozenset(
+            service
+            for service, rules in rules_by_service.items()
+            if rules.kind is FlowKind.UPLOAD
+        )
+
     def load(self) -> Load:
         """Return the current load of the server."""
         return Load(self.flows.waiting, self.flows.count, len(self.waiting))
 
+    def record_data(self, carried: CarriedFlow, head: Head, now: float) -> None:
+        """Record a data packet of a caller that is given to the server."""
+        if head.target in self.upload_services:
+            self.flows.record_upload(carried, head, now)
+        else:
+            self.flows.record_request(carried, now)
+
     def caller_limits(self, head: Head) -> CallerLimits:
         """Return what the caller of an opening packet expects."""
         return CallerLimits(
--- a/redwingstream/packets/agent_flows.py
+++ b/redwingstream/packets/agent_flows.py
@@ -26,6 +26,10 @@
 overload a request waits for one second at the agent and some tenths at the
 server."""
 
+FULL_PACKET_SIZE = 1200
+"""Bytes of data in a full packet.  A packet of an upload with fewer bytes is
+the last one of its request."""
+
 MAX_HANDSHAKE_WAIT = 0.15
 """Seconds after which a new flow without a request no longer counts as load.  A
 caller sends its request within a round trip, but never if it has given up while
@@ -65,6 +69,9 @@
         none is.
     has_asked : bool
         True once the caller has sent data.
+    is_sending : bool
+        True while an upload of the caller has not reached the server as a
+        whole.
     has_answered : bool
         True once the server has sent data.
     is_ending : bool
@@ -80,10 +87,17 @@
     opened_at: float
     wait_started_at: float | None = None
     has_asked: bool = False
+    is_sending: bool = False
     has_answered: bool = False
     is_ending: bool = False
     sent: SentRange | None = None
 
+    @property
+    def is_answer_awaited(self) -> bool:
+        """Whether the caller has sent at least a part of a request."""
+        is_waiting = self.wait_started_at is not None
+        return self.has_asked and (is_waiting or self.is_sending)
+
     def record_sent(self, head: Head) -> None:
         """Record a packet of the server."""
         if self.sent is not None and not head.is_accepting:
@@ -191,10 +205,29 @@
         if not carried.has_asked:
             carried.has_asked = True
             self.stop_waiting(carried)
+        carried.is_sending = False
         self.start_waiting(carried, now)
 
+    def record_upload(
+        self, carried: CarriedFlow, head: Head, now: float
+    ) -> None:
+        """Record a data packet of an upload.
+
+        A server occupies a slot only once it has the whole request, so an
+        upload counts as load from its last packet, the one that is not full.
+        """
+        if head.size < FULL_PACKET_SIZE:
+            self.record_request(carried, now)
+            return
+        if not carried.has_asked:
+            carried.has_asked = True
+            self.stop_waiting(carried)
+        # A full packet after the last one of a request is a retransmission.
+        carried.is_sending = carried.wait_started_at is None
+
     def stop_waiting(self, carried: CarriedFlow) -> None:
         """Count the flow as no longer awaiting an answer."""
+        carried.is_sending = False
         if carried.wait_started_at is not None:
             self.waiting -= 1
             carried.wait_started_at = None
--- a/redwingstream/packets/agent_forwarder.py
+++ b/redwingstream/packets/agent_forwarder.py
@@ -130,10 +130,7 @@
         self, carried: CarriedFlow, head: Head, now: float
     ) -> None:
         context = self.context
-        is_answer_awaited = (
-            carried.has_asked and carried.wait_started_at is not None
-        )
-        if not is_answer_awaited or carried.is_ending:
+        if not carried.is_answer_awaited or carried.is_ending:
             return
         if head.size and context.gate.failures.record_served(now):
             context.log(events.ServerTrusted(flow_text(carried.flow)))
--- a/redwingstream/packets/open_flows.py
+++ b/redwingstream/packets/open_flows.py
@@ -179,7 +179,7 @@
         context = self._context
         is_unknown = carried.identify(head) is Identity.UNKNOWN
         if head.size:
-            context.flows.record_request(carried, now)
+            context.record_data(carried, head, now)
         packet = envelope.packet
         if is_unknown or carried.state is not FlowState.ESTABLISHED:
             packet = self._probes.with_ticket(envelope, now)
