Schedule uploads on low-bandwidth balancer links

Cause: the link of an instance queues 50 ms of packets and drops the rest. At 2.05 Mbit/s one upload's window of 16 packets takes longer than that, so opening packets and requests of all other flows are lost with it.

While the link is full, a missing answer is no evidence against an agent. Used only with a finite link rate and a route of kind UPLOAD. Metrics families link and link_queue.

--- a/redwingstream/fleet/balancer.py
+++ b/redwingstream/fleet/balancer.py
@@ -19,6 +19,7 @@
     log_tables,
     routes_by_service,
 )
+from redwingstream.links.upload_link import make_upload_link
 from redwingstream.packets.balancer_forwarder import BalancerForwarder
 from redwingstream.packets.envelopes import MAGIC, unpack_envelope
 from redwingstream.packets.flow import PacketCodec, address_of
@@ -70,6 +71,7 @@
             inquirer.view,
             process.log.write,
             DEFAULT_IDLE_TIMEOUT,
+            make_upload_link(deployment.link_rate, process.log.write),
         )
         self.packet_sender = PacketSender(_port(deployment))
         process.on_reload(
@@ -96,9 +98,12 @@
         ):
             self.packet_sender.attach(callers=outside, peers=inside)
             self.control_client.attach(inside)
-            with self.process.running(
-                PeriodicTask('following', self.control_client.tick),
-                PeriodicTask('housekeeping', self._run_housekeeping),
+            with (
+                self.process.running(
+                    PeriodicTask('following', self.control_client.tick),
+                    PeriodicTask('housekeeping', self._run_housekeeping),
+                ),
+                contextlib.closing(self.packet_sender),
             ):
                 yield self
 
@@ -141,6 +146,10 @@
         inquirer = self.control_client.inquirer
         tables = inquirer.history.tables
         self.forwarder.apply_tables(tables, routes_by_service(tables))
+        link = self.forwarder.link
+        self.packet_sender.use_scheduler(
+            None if link is None else link.scheduler
+        )
         if tables.generation is not None:
             self.forwarder.hints.age = tables.generation.idle_timeout
         log_tables(self.process, inquirer)
--- a/redwingstream/packets/balancer_forwarder.py
+++ b/redwingstream/packets/balancer_forwarder.py
@@ -8,11 +8,11 @@
 """
 
 from collections.abc import Callable
-from typing import Any
 
 import attrs
 
 from redwingstream.directory.view import AgentView
+from redwingstream.links.upload_link import UploadLink
 from redwingstream.openings.caller_timeouts import has_caller_given_up
 from redwingstream.packets import events
 from redwingstream.packets.agent_selector import AgentSelector, pool_for
@@ -20,6 +20,7 @@
 from redwingstream.packets.dead_flows import DeadFlows
 from redwingstream.packets.early_packets import EarlyPackets
 from redwingstream.packets.effects import (
+    BulkToPeer,
     Outgoing,
     ToCaller,
     ToPeer,
@@ -99,6 +100,9 @@
         Writes a log event.
     idle_timeout : float
         Seconds without packets after which the hint of a flow is evicted.
+    link : UploadLink or None
+        Link of the instance; None if its rate is not known.  It is used while
+        there is a route of uploads.
     """
 
     def __init__(
@@ -107,8 +111,9 @@
         zone: str,
         codec: PacketCodec,
         view: AgentView,
-        log: Callable[[Any], None],
+        log: Callable[[object], None],
         idle_timeout: float,
+        link: UploadLink | None = None,
     ) -> None:
         self.counters = BalancerPacketCounters()
         self.tables = Tables()
@@ -125,6 +130,10 @@
         self.dead_flows = DeadFlows(view)
         self.early = EarlyPackets()
         self.routes = RouteTable(view)
+        self.link: UploadLink | None = None
+        self._own_link = link
+        if link is not None:
+            self.trust.link_full_at = link.scheduler.full_at
 
     def apply_tables(
         self, tables: Tables, route_by_service: dict[Address, Route]
@@ -134,6 +143,9 @@
         self._selector.tables = tables
         self.refusals.revision = tables.revision
         self.routes.route_by_service = route_by_service
+        link = self._own_link
+        if link is not None:
+            self.link = link if link.apply_routes(route_by_service) else None
 
     def handle_packet(self, packet: bytes, now: float) -> list[Outgoing]:
         """Handle a caller's packet, received from the fabric."""
@@ -174,6 +186,8 @@
         self.hints.evict_expired(now)
         self._attempts.evict_expired(now)
         self.dead_flows.evict_expired(now)
+        if self.link is not None:
+            self.link.scheduler.check(now)
         ping = Envelope(Kind.PING, b'', self._address)
         pings = [peer_datagram(ping, due) for due in self.trust.due_pings(now)]
         return [*pings, *self.retry_early(now)]
@@ -216,19 +230,23 @@
         route = self.routes.find(head.target)
         if route is None:
             return self.refusals.refuse(head, 'no route', 0)
-        pool = pool_for(route, flow)
         self.counters.copies += bool(head.acknowledged)
         hint = self.hints.get(flow, now) if head.acknowledged else None
         if hint is not None:
+            pool = pool_for(route, flow)
             return [self._opening_datagram(hint, packet, pool, now)]
         if has_caller_given_up(head.acknowledged, route.rules.timeout):
             return self.refusals.drop(head, 'its caller has given up')
-        return self._offer_flow(head, packet, pool, now)
+        return self._offer_flow(head, packet, route, now)
 
     def _offer_flow(
-        self, head: Head, packet: bytes, pool: str, now: float
+        self, head: Head, packet: bytes, route: Route, now: float
     ) -> list[Outgoing]:
+        link = self.link
+        if link and not link.admits(head, route.rules.timeout, now):
+            return self.refusals.refuse(head, 'link full', 0)
         flow = head.inbound
+        pool = pool_for(route, flow)
         tried = self._attempts.tried_agents(flow, now)
         target = self._selector.select_for_opening(flow, pool, tried, now)
         if target is None:
@@ -268,7 +286,7 @@
         hint = self.hints.get(flow, now)
         if hint is not None:
             self.counters.by_hint += 1
-            return [self._ongoing_datagram(hint, packet)]
+            return [self._ongoing_datagram(hint, head, packet, now)]
         if self.routes.may_become_reachable(head.target, now):
             self.early.add(packet, now)
             return []
@@ -281,9 +299,11 @@
             return self.refusals.drop(head, 'no agent')
         self.counters.by_home += 1
         self.trust.record_sent(home, now)
-        return [self._ongoing_datagram(home, packet)]
+        return [self._ongoing_datagram(home, head, packet, now)]
 
-    def _ongoing_datagram(self, target: Address, packet: bytes) -> ToPeer:
+    def _ongoing_datagram(
+        self, target: Address, head: Head, packet: bytes, now: float
+    ) -> ToPeer | BulkToPeer:
         envelope = Envelope(
             Kind.ONGOING,
             packet,
@@ -291,7 +311,10 @@
             target,
             revision=self.tables.revision,
         )
-        return peer_datagram(envelope, target)
+        datagram = peer_datagram(envelope, target)
+        if self.link is None:
+            return datagram
+        return self.link.classify(datagram, head, now)
 
     def _record_carried(self, envelope: Envelope, now: float) -> None:
         if envelope.best == NO_ADDRESS:
--- a/redwingstream/packets/effects.py
+++ b/redwingstream/packets/effects.py
@@ -3,7 +3,7 @@
 import attrs
 
 from redwingstream.packets.envelopes import Envelope, pack_envelope
-from redwingstream.packets.flow import Address
+from redwingstream.packets.flow import Address, FlowId
 
 
 @attrs.define
@@ -29,7 +29,33 @@
     payload: bytes
 
 
-Outgoing = ToPeer | ToCaller | ToServer
+@attrs.define
+class BulkToPeer:
+    """A datagram with data of an upload to an agent.
+
+    It is sent when the link of this instance has capacity for it.
+
+    Parameters
+    ----------
+    payload : bytes
+        The datagram.
+    target : Address
+        The agent.
+    flow : FlowId
+        Flow of the packet.
+    sequence, size : int
+        Sequence number of the packet and bytes of its data; a retransmission
+        has the same ones.
+    """
+
+    payload: bytes
+    target: Address
+    flow: FlowId
+    sequence: int
+    size: int
+
+
+Outgoing = ToPeer | ToCaller | ToServer | BulkToPeer
 
 
 def peer_datagram(envelope: Envelope, target: Address) -> ToPeer:
--- a/redwingstream/packets/flow.py
+++ b/redwingstream/packets/flow.py
@@ -38,6 +38,11 @@
     return '.'.join(str(host >> shift & _OCTET_MASK) for shift in _OCTET_SHIFTS)
 
 
+def host_number(address: Address) -> int:
+    """Return the IPv4 address as a number, without the port."""
+    return address >> _PORT_BITS
+
+
 def port_of(address: Address) -> int:
     """Return the port of an address."""
     return address & _PORT_MASK
--- a/redwingstream/packets/opening_attempts.py
+++ b/redwingstream/packets/opening_attempts.py
@@ -80,6 +80,9 @@
         self._opening.evict_expired(now)
 
     def _doubt_silent(self, opening: _Opening, now: float) -> None:
+        full_at = self._trust.link_full_at(now)
         for one in opening.attempts:
+            if one.sent_at <= full_at:
+                continue
             if not self._trust.heard_since(one.agent, one.sent_at):
                 self._trust.doubt(one.agent, now)
--- a/redwingstream/packets/tests/network.py
+++ b/redwingstream/packets/tests/network.py
@@ -21,7 +21,13 @@
 from redwingstream.packets.agent_flows import AgentFlows
 from redwingstream.packets.agent_forwarder import AgentForwarder
 from redwingstream.packets.balancer_forwarder import BalancerForwarder
-from redwingstream.packets.effects import Outgoing, ToCaller, ToPeer, ToServer
+from redwingstream.packets.effects import (
+    BulkToPeer,
+    Outgoing,
+    ToCaller,
+    ToPeer,
+    ToServer,
+)
 from redwingstream.packets.envelopes import unpack_envelope
 from redwingstream.packets.flow import Address, address_of
 from redwingstream.packets.tests.codec import (
@@ -557,7 +563,10 @@
                         HOP / 10,
                         lambda sent=payload: server.handle_packet(sent),
                     )
-                case ToPeer(payload=payload, target=target):
+                case (
+                    ToPeer(payload=payload, target=target)
+                    | BulkToPeer(payload=payload, target=target)
+                ):
                     self._send(source, payload, target)
                 case ToCaller(payload=payload):
                     self.call_later(
--- a/redwingstream/packets/trust.py
+++ b/redwingstream/packets/trust.py
@@ -48,6 +48,10 @@
     doubted_until: float = float('-inf')
 
 
+def _is_never_full(now: float) -> float:
+    return float('-inf')
+
+
 class Trust:
     """Which agents answer the packets that a balancer sends them.
 
@@ -56,6 +60,13 @@
     log : callable
         Writes a log event.
 
+    Attributes
+    ----------
+    link_full_at : callable
+        Returns the last time in seconds at which the link of this instance was
+        full.  Packets sent until then may have been lost on it, so a missing
+        answer is no evidence against an agent.
+
     Notes
     -----
     The control instances report an agent as silent after 1.6 s.  The caller of
@@ -64,6 +75,7 @@
     """
 
     def __init__(self, log: Callable[[Any], None]) -> None:
+        self.link_full_at: Callable[[float], float] = _is_never_full
         self._log = log
         self._contact_by_address: dict[Address, _Contact] = {}
 
@@ -104,8 +116,11 @@
             for address, contact in self._contact_by_address.items()
             if contact.heard_at < contact.sent_at <= now - PING_AFTER
         ]
+        full_at = self.link_full_at(now)
         for address, silent in due[:MAX_PINGS]:
-            if silent.pings >= UNANSWERED_PINGS:
+            if silent.sent_at <= full_at:
+                silent.pings = 0
+            elif silent.pings >= UNANSWERED_PINGS:
                 self._begin_doubt(address, silent, now)
             silent.pings += 1
             silent.sent_at = now
--- a/redwingstream/telemetry/families.py
+++ b/redwingstream/telemetry/families.py
@@ -80,6 +80,20 @@
     'knows where to send them; flows at the server beside an '
     'agent, requests that it has not begun to answer, new flows that wait.',
 )
+LINK = Family(
+    'link',
+    Kind.COUNTER,
+    'Bytes sent to agents over a link that carries uploads, urgent and bulk, '
+    'with IP and UDP headers; bulk packets not sent as they were queued '
+    'already, had waited too long or found the queue full; new uploads '
+    'admitted and refused.',
+)
+LINK_QUEUE = Family(
+    'link_queue',
+    Kind.GAUGE,
+    'Bulk packets that wait for the link: bytes and packets, whether the link '
+    'is full, uploads in progress and their limit.',
+)
 TABLES = Family(
     'tables',
     Kind.GAUGE,
@@ -146,6 +160,8 @@
     DELAYS,
     CALLS,
     FLOWS,
+    LINK,
+    LINK_QUEUE,
     TABLES,
     AGENTS,
     SERVER,
