--- a/redwingstream/links/tests/__init__.py
+++ b/redwingstream/links/tests/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of `redwingstream.openings`."""
+"""Tests of `redwingstream.links`."""
--- a/redwingstream/packets/tests/network.py
+++ b/redwingstream/packets/tests/network.py
@@ -14,6 +14,7 @@
 
 from redwingstream.directory.messages import Readiness
 from redwingstream.directory.view import Agent, AgentView
+from redwingstream.links.upload_link import UploadLink
 from redwingstream.openings.cold_limit import ColdLimit
 from redwingstream.openings.gate import Gate, PoolRules
 from redwingstream.openings.reports import ServerReport
@@ -302,6 +303,8 @@
         True if these answers confirm the tables.
     control_has_heard_all : bool
         True if the control instance has received records of all agents.
+    link : UploadLink or None
+        Link of its instance; takes effect when it starts.
     """
 
     def __init__(self, network: 'Network', host: str, zone: str) -> None:
@@ -313,6 +316,7 @@
         self.polls_control = False
         self.control_has_leader = True
         self.control_has_heard_all = True
+        self.link: UploadLink | None = None
         self._heard_at = float('-inf')
         self.start()
 
@@ -325,6 +329,7 @@
             self.view,
             self.network.events.append,
             IDLE_TIMEOUT,
+            self.link,
         )
         self.apply_tables(self.network.tables)
 
