--- a/redwingstream/fleet/tests/test_link_sender.py
+++ b/redwingstream/fleet/tests/test_link_sender.py
@@ -91,5 +91,8 @@
         _send_window(balancer)
         sent = len(peers.sent)
         balancer.packet_sender.close()
+        timers = asyncio.get_running_loop()._scheduled
+        assert all(timer.cancelled() for timer in timers)
+        assert not balancer.forwarder.link.scheduler.queue
         await asyncio.sleep(1)
         assert len(peers.sent) == sent
--- a/redwingstream/links/tests/test_bulk_admission.py
+++ b/redwingstream/links/tests/test_bulk_admission.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from redwingstream.links.bulk_admission import IDLE_SECONDS, BulkAdmission
+from redwingstream.links.bulk_admission import BulkAdmission
 from redwingstream.packets.flow import Head, address_of
 from redwingstream.packets.tests.codec import OPENING, Packet, PlainCodec
 
@@ -46,7 +46,7 @@
     ) -> None:
         """Guards against uploads that count after they have ended."""
         full.record_data(_opening(0).inbound, 0.5)
-        relief = IDLE_SECONDS + 0.1
+        relief = 1.1
         assert full.in_progress(relief) == full.limit - 1
         assert full.admit(_opening(9), TIMEOUT, relief)
 
