Record open flows at control instances and reset callers of ended servers

Cause: after a loss of power, callers of idle open flows learn of it with their next request, which fails if it cannot be repeated.

After its start it queries (kind 87) all of them and resets the callers when a later run of the server reports. A running agent resets them when a new run of its server reports or its port refuses connections.

--- a/redwingstream/directory/contacts.py
+++ b/redwingstream/directory/contacts.py
@@ -178,8 +178,18 @@
         Rendezvous hashing keeps the selection stable while the same instances
         answer, so that their records are read in full only once.
         """
-        order = sorted(self.contact_by_address, key=self._rank)
-        return frozenset(order[:SOURCE_COUNT])
+        return frozenset(self.preferred(self._salt, SOURCE_COUNT))
+
+    def preferred(self, salt: int, count: int) -> tuple[Address, ...]:
+        """Return the first control instances of an order by a number.
+
+        The order stays the same while the same instances answer; one that does
+        not answer comes last.
+        """
+        order = sorted(
+            self.contact_by_address, key=lambda one: self._rank(one, salt)
+        )
+        return tuple(order[:count])
 
     def responsive(self, addresses: Iterable[Address]) -> frozenset[Address]:
         """Return the given control instances that answer inquiries."""
@@ -189,7 +199,7 @@
             if not self.contact_by_address[address].is_unresponsive
         )
 
-    def _rank(self, address: Address) -> tuple[bool, int]:
+    def _rank(self, address: Address, salt: int) -> tuple[bool, int]:
         packed = address.to_bytes(_ADDRESS_BYTES)
-        digest = xxhash.xxh3_64_intdigest(packed, self._salt)
+        digest = xxhash.xxh3_64_intdigest(packed, salt)
         return self.contact_by_address[address].is_unresponsive, digest
--- a/redwingstream/directory/inquiry.py
+++ b/redwingstream/directory/inquiry.py
@@ -144,6 +144,10 @@
         """Addresses of the control instances that records are read from."""
         return self._contacts.sources()
 
+    def preferred_controls(self, salt: int, count: int) -> tuple[Address, ...]:
+        """Return control instances that answer, by an order of the caller."""
+        return self._contacts.preferred(salt, count)
+
     def apply_seeds(self, seeds: Iterable[Address], now: float) -> None:
         """Replace the control instances that the settings name."""
         self._contacts.apply_seeds(seeds, now)
--- a/redwingstream/directory/messages.py
+++ b/redwingstream/directory/messages.py
@@ -246,6 +246,52 @@
     pause: float
 
 
+@message(kind=86)
+class FlowSnapshot:
+    """Established flows of an agent's server, kept by control instances.
+
+    Parameters
+    ----------
+    address : int
+        Address at which the agent receives packets.
+    boot : int
+        Random number of the agent's run.
+    sequence : int
+        Number of the snapshot within this run.
+    pool : str
+        Pool that its server belongs to.
+    born : int
+        Start of the server's run, in milliseconds by the server's clock.
+    flows : bytes
+        The flows, packed by :mod:`redwingstream.lost_flows.recorded_flows`.
+    """
+
+    address: int
+    boot: int
+    sequence: int
+    pool: str
+    born: int
+    flows: bytes
+
+
+@message(kind=87)
+class FlowSnapshotQuery:
+    """Request of an agent for the snapshot of its earlier run.
+
+    Only a control instance that has one answers.
+
+    Parameters
+    ----------
+    address : int
+        Address at which the agent receives packets.
+    boot : int
+        Random number of the agent's present run.
+    """
+
+    address: int
+    boot: int
+
+
 @message(kind=82)
 class ControlHello:
     """Periodic message of a control instance to the others that it runs.
--- a/redwingstream/fleet/agent.py
+++ b/redwingstream/fleet/agent.py
@@ -5,7 +5,7 @@
 from collections.abc import AsyncIterator
 
 from redwingstream.directory.inquiry import Inquirer, InquiryResult
-from redwingstream.directory.messages import AgentRecord
+from redwingstream.directory.messages import AgentRecord, FlowSnapshot
 from redwingstream.errors import SettingError, WireError
 from redwingstream.fleet.control_client import ControlClient
 from redwingstream.fleet.deployment import (
@@ -13,12 +13,14 @@
     DEFAULT_IDLE_TIMEOUT,
     LocalServer,
 )
+from redwingstream.fleet.lost_flow_notifier import LostFlowNotifier
 from redwingstream.fleet.packet_sender import PacketSender
 from redwingstream.fleet.process import PeriodicTask, Process
 from redwingstream.fleet.routes import (
     log_agents,
     log_tables,
     routes_by_service,
+    services_without_repetition,
 )
 from redwingstream.fleet.server_reports import ServerReportHandler
 from redwingstream.openings.gate import Gate, PoolRules
@@ -26,8 +28,7 @@
 from redwingstream.packets.agent_flows import AgentFlows
 from redwingstream.packets.agent_forwarder import AgentForwarder
 from redwingstream.packets.envelopes import unpack_envelope
-from redwingstream.packets.flow import PacketCodec, address_of
-from redwingstream.tables.snapshot import Tables
+from redwingstream.packets.flow import Address, PacketCodec, address_of
 from redwingstream.wire.datagrams import open_datagrams
 
 REPEAT_AFTER = 0.05
@@ -85,6 +86,7 @@
             self._handle_result,
             process.log.write,
             self._make_record,
+            self._handle_control_message,
         )
         self.context = AgentContext(
             AgentLocation(self._address, deployment.zone, local_server.pool),
@@ -95,14 +97,21 @@
             process.log.write,
         )
         self.forwarder = AgentForwarder(self.context, process.started_at)
+        self.packet_sender = PacketSender(packets.port, local_server.server)
+        self.lost_flows = LostFlowNotifier(
+            process,
+            self.context,
+            self.control_client,
+            self.packet_sender.send_all,
+        )
         self.server_reports = ServerReportHandler(
             process,
             local_server.pool,
             self.gate,
             self.context.flows,
+            self.lost_flows,
             self.control_client.send_to_all,
         )
-        self.packet_sender = PacketSender(packets.port, local_server.server)
         process.on_reload(
             lambda fresh: self.control_client.apply_seeds(fresh.seed_addresses)
         )
@@ -128,6 +137,7 @@
             with self.process.running(
                 PeriodicTask('following', self.control_client.tick),
                 PeriodicTask('housekeeping', self.run_housekeeping),
+                PeriodicTask('lost flows', self.lost_flows.tick),
             ):
                 yield self
 
@@ -180,20 +190,25 @@
         )
 
     def _handle_result(self, result: InquiryResult) -> None:
-        inquirer = self.control_client.inquirer
         log_agents(self.process, result.agents)
-        if not result.has_new_tables:
-            return
+        if result.has_new_tables:
+            self._apply_tables()
+        # The answer may have named further control instances.
+        self.lost_flows.query_snapshots(self.process.clock())
+
+    def _apply_tables(self) -> None:
+        inquirer = self.control_client.inquirer
         tables = inquirer.history.tables
         self.context.refusals.revision = tables.revision
         if tables.generation is not None:
             self.context.flows.extend_idle_timeout(
                 tables.generation.idle_timeout
             )
-        self._apply_pool_rules(tables)
+        self._apply_pool_rules()
         log_tables(self.process, inquirer)
 
-    def _apply_pool_rules(self, tables: Tables) -> None:
+    def _apply_pool_rules(self) -> None:
+        tables = self.control_client.inquirer.history.tables
         rules = PoolRules.from_tables(
             tables, self._local_server.pool, self.process.deployment.zone
         )
@@ -213,6 +228,9 @@
             service: flow_rules.target
             for service, flow_rules in rules_by_service.items()
         }
+        self.lost_flows.apply_services(
+            services_without_repetition(rules_by_service)
+        )
 
     def _handle_packet(self, datagram: bytes, source: tuple[str, int]) -> None:
         try:
@@ -258,6 +276,11 @@
     ) -> None:
         self.control_client.receive(datagram, source)
 
+    def _handle_control_message(self, message: object, source: Address) -> None:
+        if isinstance(message, FlowSnapshot):
+            now = self.process.clock()
+            self.lost_flows.handle_snapshot(message, source, now)
+
     async def _check_server(self) -> None:
         """Find out whether a server that sends nothing has ended.
 
--- a/redwingstream/fleet/control.py
+++ b/redwingstream/fleet/control.py
@@ -14,12 +14,13 @@
 from redwingstream.directory.inquiry import Inquirer
 from redwingstream.directory.messages import (
     ControlHello,
+    FlowSnapshot,
+    FlowSnapshotQuery,
     Inquiry,
     Report,
     Status,
     Unchanged,
 )
-from redwingstream.errors import WireError
 from redwingstream.fleet.control_client import ControlClient
 from redwingstream.fleet.deployment import CONTROL_OFFSET
 from redwingstream.fleet.events import AgentSilent
@@ -27,6 +28,7 @@
 from redwingstream.fleet.outcomes import OutcomeWaiter
 from redwingstream.fleet.process import PeriodicTask, Process
 from redwingstream.fleet.replication import Replication
+from redwingstream.lost_flows.snapshot_store import SnapshotStore
 from redwingstream.packets.flow import (
     Address,
     address_of,
@@ -55,6 +57,8 @@
         The agents that this instance hears.
     replication : Replication
         The replica of this instance.
+    flow_snapshots : SnapshotStore
+        Agents' snapshots of the flows of their servers.
     """
 
     def __init__(self, process: Process) -> None:
@@ -67,6 +71,7 @@
         self.agents = AgentDirectory()
         self._controls = ControlDirectory(own, deployment.seed_addresses)
         self.replication = Replication(process, self._send)
+        self.flow_snapshots = SnapshotStore(process.log.write)
         self._inquiry_handler = InquiryHandler(
             own,
             process.codec.boot,
@@ -188,6 +193,7 @@
         self.replication.tick(self._controls.peers(now), now)
         self._notify_recorded_processes(now)
         self.replication.write_fleet_record(self._controls.running(now), now)
+        self.flow_snapshots.tick(self.replication.folder, now)
         if self.replication.replica is None:
             # An instance without a disk gets the tables from those with one.
             others = self._controls.running(now)[1:]
@@ -203,13 +209,8 @@
 
     def receive(self, datagram: bytes, source: tuple[str, int]) -> None:
         """Handle a datagram of another process."""
-        try:
-            opened = self.process.codec.open(datagram)
-        except WireError:
-            self._control_client.malformed += 1
-            return
         now = self.process.clock()
-        match opened.payload:
+        match self._control_client.open(datagram):
             case Inquiry() as inquiry:
                 self.replication.fleet_records.followers.record_inquiry(
                     address_of(*source), now
@@ -222,9 +223,20 @@
                 self.replication.join_first_group(hello.founding)
             case Report() | Unchanged() | Status() as answer:
                 self._control_client.handle_answer(answer)
+            case FlowSnapshot() as snapshot:
+                self.flow_snapshots.handle_snapshot(snapshot, now)
+            case FlowSnapshotQuery() as query:
+                self._answer_snapshot_query(query, source, now)
             case message if isinstance(message, ReplicaMessage):
                 self.replication.receive(message)
 
+    def _answer_snapshot_query(
+        self, query: FlowSnapshotQuery, source: tuple[str, int], now: float
+    ) -> None:
+        snapshot = self.flow_snapshots.answer(query, now)
+        if snapshot is not None:
+            self._send(snapshot, source)
+
     def _notify_recorded_processes(self, now: float) -> None:
         recorded = self.replication.fleet_records.pop_loaded()
         if recorded is None:
--- a/redwingstream/fleet/control_client.py
+++ b/redwingstream/fleet/control_client.py
@@ -13,7 +13,7 @@
 from redwingstream.errors import WireError
 from redwingstream.eventlog.lines import event
 from redwingstream.fleet.confirmation import ConfirmationMonitor
-from redwingstream.packets.flow import Address, pair_of
+from redwingstream.packets.flow import Address, address_of, pair_of
 from redwingstream.wire.datagrams import DatagramSocket
 from redwingstream.wire.frames import FrameCodec
 
@@ -60,6 +60,8 @@
         Called with each event to be logged.
     make_record : callable or None
         Returns the agent's own record; None for other roles.
+    on_message : callable or None
+        Called with each message that is no answer and its source.
 
     Attributes
     ----------
@@ -76,6 +78,7 @@
         on_result: Callable[[InquiryResult], None],
         log: Callable[[object], None],
         make_record: Callable[[], AgentRecord] | None = None,
+        on_message: Callable[[object, Address], None] | None = None,
     ) -> None:
         self.inquirer = inquirer
         self.reports = 0
@@ -84,6 +87,7 @@
         self._on_result = on_result
         self._log = log
         self._make_record = make_record
+        self._on_message = on_message
         self._socket: DatagramSocket | None = None
         self._refresh_at = float('-inf')
         self._heard_at: float | None = None
@@ -96,16 +100,23 @@
 
     def receive(self, datagram: bytes, source: tuple[str, int]) -> bool:
         """Handle a datagram; return whether it was an answer."""
-        try:
-            opened = self._codec.open(datagram)
-        except WireError:
-            self.malformed += 1
+        message = self.open(datagram)
+        if message is None:
             return False
-        if not isinstance(opened.payload, Report | Unchanged | Status):
+        if not isinstance(message, Report | Unchanged | Status):
+            self._handle_other(message, address_of(*source))
             return False
-        self.handle_answer(opened.payload)
+        self.handle_answer(message)
         return True
 
+    def open(self, datagram: bytes) -> object | None:
+        """Return the message of a datagram, or None if it has no valid one."""
+        try:
+            return self._codec.open(datagram).payload
+        except WireError:
+            self.malformed += 1
+            return None
+
     def handle_answer(self, answer: Report | Unchanged | Status) -> None:
         """Apply an answer and send the inquiries that it makes due."""
         now = asyncio.get_running_loop().time()
@@ -153,6 +164,21 @@
         now = asyncio.get_running_loop().time()
         self.inquirer.apply_seeds(seeds, now)
 
+    def send_message(self, message: object, targets: Iterable[Address]) -> None:
+        """Send a message that is no inquiry to control instances."""
+        if self._socket is None:
+            return
+        for target in targets:
+            self._socket.send(self._codec.seal(message), pair_of(target))
+
+    def _handle_other(self, message: object, source: Address) -> None:
+        if self._on_message is None:
+            return
+        try:
+            self._on_message(message, source)
+        except WireError:
+            self.malformed += 1
+
     def _own_record(self) -> AgentRecord | None:
         return None if self._make_record is None else self._make_record()
 
--- a/redwingstream/fleet/replication.py
+++ b/redwingstream/fleet/replication.py
@@ -123,6 +123,8 @@
         The replica; None without a disk, or while the disk cannot be used.
     fleet_records : FleetRecordStore
         The fleet record on the disk.
+    folder : DiskFolder or None
+        The data folder; None without a replica.
     sync_seconds : Histogram
         Seconds that writes take to reach the disk.
     change_seconds : Histogram
@@ -145,7 +147,7 @@
         self._reopen_at = process.started_at
         self._folder_stack = contextlib.ExitStack()
         self._logged_role = ''
-        self._folder: DiskFolder | None = None
+        self.folder: DiskFolder | None = None
         self._peers: tuple[events.Peer, ...] = ()
 
     @property
@@ -185,13 +187,13 @@
         self, controls: tuple[Address, ...], now: float
     ) -> None:
         """Write the fleet record to the disk when it is due."""
-        if self.replica is None or self._folder is None:
+        if self.replica is None or self.folder is None:
             return
         machine = self.replica.machine
         served = ServedState(
             controls, machine.state.revision, machine.update_since
         )
-        self.fleet_records.write_if_due(self._folder, served, now)
+        self.fleet_records.write_if_due(self.folder, served, now)
 
     def receive(self, message: ReplicaMessage) -> None:
         """Handle a message of another replica."""
@@ -311,7 +313,7 @@
         made = open_replica(folder, str(self._endpoint), sizing, surroundings)
         self._identity = made.identity
         self.replica = made.replica
-        self._folder = folder
+        self.folder = folder
         self.fleet_records.load(folder, self._process.clock())
         self._peers = ()
         after = round(self._process.clock() - self._process.started_at, 3)
@@ -326,7 +328,7 @@
         # again, so the replica restarts from its disk, as after a crash.
         self._process.log.write(DiskLost(str(error)))
         self.replica = None
-        self._folder = None
+        self.folder = None
         self._folder_stack.close()
         self._reopen_at = self._process.clock() + REOPEN_AFTER
 
--- a/redwingstream/fleet/routes.py
+++ b/redwingstream/fleet/routes.py
@@ -1,6 +1,6 @@
 """Use of newer tables and agents by balancers and agents."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from redwingstream.directory.inquiry import Inquirer
 from redwingstream.directory.view import Agent
@@ -8,7 +8,7 @@
 from redwingstream.fleet import events
 from redwingstream.fleet.process import Process
 from redwingstream.packets.flow import Address, address_of, text_of
-from redwingstream.tables.rows import Route
+from redwingstream.tables.rows import FlowKind, FlowRules, Route
 from redwingstream.tables.snapshot import Tables
 
 
@@ -22,6 +22,17 @@
     return route_by_service
 
 
+def services_without_repetition(
+    rules_by_service: Mapping[Address, FlowRules],
+) -> frozenset[Address]:
+    """Return the services whose requests cannot be repeated."""
+    return frozenset(
+        service
+        for service, rules in rules_by_service.items()
+        if rules.kind is FlowKind.NON_IDEMPOTENT
+    )
+
+
 def log_agents(process: Process, agents: Iterable[Agent]) -> None:
     """Log the agents that have changed."""
     for agent in agents:
--- a/redwingstream/fleet/server_reports.py
+++ b/redwingstream/fleet/server_reports.py
@@ -4,6 +4,7 @@
 
 from redwingstream.endpoints import Endpoint
 from redwingstream.fleet.events import ServerEnded, ServerReported
+from redwingstream.fleet.lost_flow_notifier import LostFlowNotifier
 from redwingstream.fleet.process import Process, ProcessReady
 from redwingstream.fleet.server_probe import has_ended
 from redwingstream.openings.gate import Gate
@@ -24,6 +25,8 @@
         Decides on new flows by the server's reports.
     flows : AgentFlows
         Flows of the server.
+    lost_flows : LostFlowNotifier
+        Resets the callers of flows whose server has ended.
     on_change : callable
         Called when the control instances are to be notified at once.
     """
@@ -34,12 +37,14 @@
         pool: str,
         gate: Gate,
         flows: AgentFlows,
+        lost_flows: LostFlowNotifier,
         on_change: Callable[[], None],
     ) -> None:
         self._process = process
         self._pool = pool
         self._gate = gate
         self._flows = flows
+        self._lost_flows = lost_flows
         self._on_change = on_change
 
     def handle_report(self, report: ServerReport) -> bool:
@@ -48,6 +53,7 @@
             self._log_report(report, 'another pool')
             return False
         before = self._gate.state.report
+        last_report_at = self._gate.state.received_at
         now = self._process.clock()
         if not self._gate.handle_report(report, now):
             self._log_report(report, 'late')
@@ -57,7 +63,9 @@
             self._process.log.write(ProcessReady(after))
         elif before.born != report.born:
             # A restarted server has lost the flows of its earlier run.
+            self._lost_flows.handle_new_run(before, report, last_report_at)
             self._flows.clear()
+        self._lost_flows.handle_report(now)
         if before is None or _is_change(before, report):
             self._log_report(report, 'taken')
             self._on_change()
@@ -80,10 +88,12 @@
         """Check whether the server's process has ended, and record it if so."""
         state = self._gate.state
         last_report_at = state.received_at
+        checked_at = self._process.clock()
         if not state.proves_end_by_refusal or not await has_ended(server):
             return
         if state.received_at > last_report_at or state.is_leaving:
             return
+        self._lost_flows.handle_server_ended(checked_at)
         state.mark_ended()
         # A server that has ended holds no flow.
         self._flows.clear()
--- a/redwingstream/packets/agent_flows.py
+++ b/redwingstream/packets/agent_flows.py
@@ -7,7 +7,12 @@
 from redwingstream.packets.bounded_table import BoundedTable
 from redwingstream.packets.envelopes import Envelope
 from redwingstream.packets.flow import Address, FlowId, Head
-from redwingstream.packets.flow_identity import Identity, SentRange
+from redwingstream.packets.flow_identity import (
+    HALF_OF_SEQUENCES,
+    SEQUENCE_MASK,
+    Identity,
+    SentRange,
+)
 
 MAX_FLOWS = 20000
 """Maximum number of flows of the server that are remembered; a server holds
@@ -72,6 +77,14 @@
     sent : SentRange or None
         What the server has sent; None if this agent has not seen it accept the
         flow.
+    acknowledged : int or None
+        Last acknowledgement number of the caller; None until it is known.
+    asked_end : int or None
+        Sequence number after the caller's data; None before its first data.
+    is_request_answered : bool
+        True once the server has sent data after data of the caller.
+    is_reused : bool
+        True once the caller has sent new data after an answer of the server.
     """
 
     flow: FlowId
@@ -83,9 +96,30 @@
     has_answered: bool = False
     is_ending: bool = False
     sent: SentRange | None = None
+    acknowledged: int | None = None
+    asked_end: int | None = None
+    is_request_answered: bool = False
+    is_reused: bool = False
+
+    def record_delivered(self, head: Head) -> None:
+        """Record a packet of the caller that is delivered to the server."""
+        self.acknowledged = head.acknowledged
+        if not head.size:
+            return
+        end = (head.sequence + head.size) & SEQUENCE_MASK
+        if self.asked_end is None:
+            self.asked_end = end
+            return
+        advance = (end - self.asked_end) & SEQUENCE_MASK
+        # A retransmission of the first request is not a second one.
+        if 0 < advance < HALF_OF_SEQUENCES:
+            self.asked_end = end
+            self.is_reused |= self.is_request_answered
 
     def record_sent(self, head: Head) -> None:
         """Record a packet of the server."""
+        if head.size and self.asked_end is not None:
+            self.is_request_answered = True
         if self.sent is not None and not head.is_accepting:
             self.sent.record(head)
         elif head.is_accepting and not self._is_accepted_by(head):
@@ -171,6 +205,10 @@
         """Record that another agent carries a flow."""
         self._carriers.put(flow, agent, now)
 
+    def carried_flows(self) -> list[CarriedFlow]:
+        """Return the flows of the server, least recently used first."""
+        return self._carried.rows()
+
     def add(self, carried: CarriedFlow, now: float) -> None:
         """Add a flow of the server."""
         self._carried.put(carried.flow, carried, now)
--- a/redwingstream/packets/agent_forwarder.py
+++ b/redwingstream/packets/agent_forwarder.py
@@ -170,5 +170,8 @@
         # The time at which the flow was opened is unknown, so the time to its
         # first answer must not be counted.
         carried.has_answered = True
+        # The caller has acknowledged what precedes the packet, except for the
+        # few packets in flight.
+        carried.acknowledged = head.sequence
         self.context.flows.add(carried, now)
         return carried
--- a/redwingstream/packets/open_flows.py
+++ b/redwingstream/packets/open_flows.py
@@ -178,6 +178,7 @@
     ) -> list[Outgoing]:
         context = self._context
         is_unknown = carried.identify(head) is Identity.UNKNOWN
+        carried.record_delivered(head)
         if head.size:
             context.flows.record_request(carried, now)
         packet = envelope.packet
