--- a/redwingstream/directory/messages.py
+++ b/redwingstream/directory/messages.py
@@ -258,8 +258,6 @@
         Random number of the agent's run.
     sequence : int
         Number of the snapshot within this run.
-    pool : str
-        Pool that its server belongs to.
     born : int
         Start of the server's run, in milliseconds by the server's clock.
     flows : bytes
@@ -269,7 +267,6 @@
     address: int
     boot: int
     sequence: int
-    pool: str
     born: int
     flows: bytes
 
--- a/redwingstream/fleet/lost_flow_notifier.py
+++ b/redwingstream/fleet/lost_flow_notifier.py
@@ -230,7 +230,6 @@
             self._address,
             self._boot,
             self.schedule.sequence,
-            report.pool,
             report.born,
             pack_flows(recorded),
         )
--- a/redwingstream/fleet/observed/agent.py
+++ b/redwingstream/fleet/observed/agent.py
@@ -5,7 +5,9 @@
 from redwingstream.fleet.agent import Agent
 from redwingstream.fleet.observed.common import inquirer_samples
 from redwingstream.telemetry.families import (
+    FLOW_SNAPSHOTS,
     FLOWS,
+    LOST_FLOWS,
     OPENING_SECONDS,
     PACKETS,
     REFUSALS,
@@ -41,5 +43,14 @@
             'report_age': now - state.received_at,
         },
     )
+    lost_flows = agent.lost_flows
+    yield counters_sample(LOST_FLOWS, lost_flows.counters)
+    yield Sample(
+        FLOW_SNAPSHOTS,
+        {
+            'in_last': len(lost_flows.schedule.sent),
+            'is_recording': int(lost_flows.schedule.is_enabled),
+        },
+    )
     yield from inquirer_samples(inquirer, now)
     yield Sample(OPENING_SECONDS, histogram=context.opening_seconds)
--- a/redwingstream/fleet/observed/control.py
+++ b/redwingstream/fleet/observed/control.py
@@ -6,10 +6,13 @@
 from redwingstream.telemetry.families import (
     AGENTS,
     CHANGE_SECONDS,
+    FLOW_SNAPSHOTS,
+    LOST_FLOWS,
     REPLICA,
     SYNC_SECONDS,
     TABLES,
     Sample,
+    counters_sample,
 )
 
 
@@ -23,6 +26,9 @@
         {'revision': source.revision, 'confirmed_age': source.confirmed_age},
     )
     yield Sample(AGENTS, {'heard': len(control.agents)})
+    snapshots = control.flow_snapshots
+    yield counters_sample(LOST_FLOWS, snapshots.counters)
+    yield Sample(FLOW_SNAPSHOTS, {'kept': len(snapshots)})
     if replication.replica is not None:
         consensus = replication.replica.consensus
         yield Sample(
--- a/redwingstream/telemetry/families.py
+++ b/redwingstream/telemetry/families.py
@@ -116,6 +116,20 @@
     Kind.COUNTER,
     "HTTP requests of the readiness, report and operators' interfaces.",
 )
+LOST_FLOWS = Family(
+    'lost_flows',
+    Kind.COUNTER,
+    'Notification of callers whose server has ended: snapshots and queries '
+    'sent by an agent, snapshots of its earlier run taken, callers reset by '
+    'reason; snapshots received by a control instance, queries answered, '
+    'files written.',
+)
+FLOW_SNAPSHOTS = Family(
+    'flow_snapshots',
+    Kind.GAUGE,
+    'Flows in the last snapshot of an agent, and whether it records them '
+    'since it has seen a flow reused; snapshots kept by a control instance.',
+)
 OPENING_SECONDS = Family(
     'opening_to_answer_seconds',
     Kind.HISTOGRAM,
@@ -150,6 +164,8 @@
     AGENTS,
     SERVER,
     REPLICA,
+    LOST_FLOWS,
+    FLOW_SNAPSHOTS,
     OPENING_SECONDS,
     IN_FORCE_SECONDS,
     SYNC_SECONDS,
