--- a/redwingstream/lost_flows/tests/__init__.py
+++ b/redwingstream/lost_flows/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of `redwingstream.lost_flows`."""
