--- a/redwingstream/packets/open_flows.py
+++ b/redwingstream/packets/open_flows.py
@@ -178,6 +178,7 @@
     ) -> list[Outgoing]:
         context = self._context
         is_unknown = carried.identify(head) is Identity.UNKNOWN
+        carried.record_delivered(head)
         if head.size:
             context.record_data(carried, head, now)
         packet = envelope.packet
