Do not refuse a repeated first packet of an upload in progress

The network may duplicate the first opening packet, or deliver it after a copy. On a full link it was refused with a reset although a server had been given the flow: at a limit of one upload, always, since the flow itself filled the limit.

--- a/redwingstream/links/bulk_admission.py
+++ b/redwingstream/links/bulk_admission.py
@@ -74,8 +74,9 @@
     def admit(self, head: Head, timeout: float, now: float) -> bool:
         """Whether to carry the upload that an opening packet begins.
 
-        Copies are always admitted, since a server may have been given the flow
-        already.
+        Copies are always admitted, and so is the first packet of a flow in
+        progress, which the network has duplicated or delivered after a copy: a
+        server may have been given the flow already.
 
         Parameters
         ----------
@@ -106,6 +107,8 @@
     def _is_refusable(self, head: Head, timeout: float, now: float) -> bool:
         if head.acknowledged or self.in_progress(now) < self.limit:
             return False
+        if self._flows.get(head.inbound, now) is not None:
+            return False
         # Each of the few attempts of a caller could reach this instance, and
         # its request would fail if all of them were refused.
         self._refused_at.evict_expired(now)
--- a/redwingstream/links/tests/test_bulk_admission.py
+++ b/redwingstream/links/tests/test_bulk_admission.py
@@ -70,3 +70,16 @@
         for host in range(full.limit):
             full.record_data(_opening(host).inbound, later)
         assert not full.admit(_opening(9, port=1001), TIMEOUT, later)
+
+
+class TestRepeatedFirstPacket:
+    """The network duplicates the first packet, or delivers it after a copy."""
+
+    @pytest.mark.parametrize('copies', [0, 1])
+    def test_of_a_carried_upload_is_not_refused(self, copies: int) -> None:
+        """Guards against a reset of a flow that a server was given."""
+        admission = BulkAdmission(1000)
+        assert admission.limit == 1
+        assert admission.admit(_opening(1, copies=copies), TIMEOUT, 0)
+        assert admission.admit(_opening(1), TIMEOUT, 0.1)
+        assert not admission.counters.refused
