Keep the end and reset of an upload from overtaking its queued data

Only packets with data were queued. A bare end arrived at the server before the data, and data that arrived after a reset was returned by the server: its agent took that for the loss of the flow, treated the server as cold and reset the caller. An end now waits for the queued data of its flow; a reset is sent at once and drops it (counted as aborted).

--- a/redwingstream/links/bulk_queue.py
+++ b/redwingstream/links/bulk_queue.py
@@ -27,11 +27,14 @@
         Packets dropped because they had waited too long.
     overflowed : int
         Packets dropped because the queue was full.
+    aborted : int
+        Packets dropped because their caller has reset the flow.
     """
 
     duplicates: int = 0
     expired: int = 0
     overflowed: int = 0
+    aborted: int = 0
 
 
 @attrs.define
@@ -99,6 +102,16 @@
             return 0
         return now - next(iter(self._waiting_by_key.values())).since
 
+    def holds(self, flow: FlowId) -> bool:
+        """Whether packets of a flow are queued."""
+        return flow in self._keys_by_flow
+
+    def drop_flow(self, flow: FlowId) -> None:
+        """Remove the packets of a flow that its caller has aborted."""
+        while self.holds(flow):
+            self._pop_first(flow)
+            self.counters.aborted += 1
+
     def clear(self) -> None:
         """Remove all packets."""
         self.size = 0
--- a/redwingstream/links/upload_link.py
+++ b/redwingstream/links/upload_link.py
@@ -53,9 +53,12 @@
         self, datagram: ToPeer, head: Head, now: float
     ) -> ToPeer | BulkToPeer:
         """Return a datagram with a packet of an open flow as bulk if it is."""
-        if not head.size or head.target not in self._services:
+        if head.target not in self._services:
+            return datagram
+        if head.size:
+            self.admission.record_data(head.inbound, now)
+        elif not self._follows_queued_data(head):
             return datagram
-        self.admission.record_data(head.inbound, now)
         return BulkToPeer(
             datagram.payload,
             datagram.target,
@@ -64,6 +67,18 @@
             head.size,
         )
 
+    def _follows_queued_data(self, head: Head) -> bool:
+        """Whether a packet without data must not overtake data of its flow.
+
+        A server that has closed a flow returns data that arrives later, and its
+        agent takes that for the loss of the flow.  An end therefore waits for
+        the queued data; after a reset, nobody needs the data.
+        """
+        queue = self.scheduler.queue
+        if head.is_reset:
+            queue.drop_flow(head.inbound)
+        return head.is_end and queue.holds(head.inbound)
+
 
 def make_upload_link(
     link_rate: float, log: Callable[[Any], None]
--- a/redwingstream/packets/effects.py
+++ b/redwingstream/packets/effects.py
@@ -31,7 +31,7 @@
 
 @attrs.define
 class BulkToPeer:
-    """A datagram with data of an upload to an agent.
+    """A datagram with data of an upload, or the end of one, to an agent.
 
     It is sent when the link of this instance has capacity for it.
 
--- a/redwingstream/telemetry/families.py
+++ b/redwingstream/telemetry/families.py
@@ -85,8 +85,8 @@
     Kind.COUNTER,
     'Bytes sent to agents over a link that carries uploads, urgent and bulk, '
     'with IP and UDP headers; bulk packets not sent as they were queued '
-    'already, had waited too long or found the queue full; new uploads '
-    'admitted and refused.',
+    'already, had waited too long, found the queue full or were aborted by '
+    'their caller; new uploads admitted and refused.',
 )
 LINK_QUEUE = Family(
     'link_queue',
