Remember the announced end of a server when an older report arrives after it

An agent that was frozen handles the waiting reports and the announcement in any order. A report sent before the announcement but handled after it made a refused connection proof of the server's end again, so the agent reset flows that the leaving server still served. The announcement now counts until another run of the server reports.

--- a/redwingstream/fleet/server_reports.py
+++ b/redwingstream/fleet/server_reports.py
@@ -91,7 +91,9 @@
         checked_at = self._process.clock()
         if not state.proves_end_by_refusal or not await has_ended(server):
             return
-        if state.received_at > last_report_at or state.is_leaving:
+        if state.received_at > last_report_at:
+            return
+        if not state.proves_end_by_refusal:
             return
         self._lost_flows.handle_server_ended(checked_at)
         state.mark_ended()
--- a/redwingstream/fleet/tests/test_lost_flows.py
+++ b/redwingstream/fleet/tests/test_lost_flows.py
@@ -560,3 +560,30 @@
         RecordedFlow(flow_of(address_of('100.64.0.1', port), SERVICE), 1000)
         for port in ports
     ]
+
+
+def _closed_port() -> Endpoint:
+    """Return an endpoint that refuses connections."""
+    with socket.create_server(('127.0.0.1', 0)) as closed:
+        return Endpoint('127.0.0.1', closed.getsockname()[1])
+
+
+class TestLeavingServer:
+    """A server has closed its port, and serves its flows for two seconds."""
+
+    @pytest.mark.parametrize('readiness', list(Readiness)[1:3])
+    async def test_report_that_arrives_after_the_announcement(
+        self, site, readiness
+    ) -> None:
+        """Guards against resets of flows that a leaving server holds.
+
+        An agent that was frozen handles the reports and the announcement that
+        have waited in any order.
+        """
+        _recorded(site)
+        site.agent.server_reports.handle_leave('s-1')
+        site.report(readiness=readiness)
+        site.now += 1
+        await site.agent.server_reports.check_server_ended(_closed_port())
+        assert not site.reset_ports()
+        assert site.agent.context.flows.count
--- a/redwingstream/openings/reports.py
+++ b/redwingstream/openings/reports.py
@@ -50,7 +50,11 @@
     received_at : float
         Time of its arrival in seconds, by the event loop's clock.
     is_leaving : bool
-        True when the server has announced that it is about to end.
+        True when the server has announced that it is about to end, until a
+        later report.
+    has_announced_end : bool
+        True when this run of the server has announced its end.  A report that
+        was sent before may arrive after the announcement.
     has_ended : bool
         True when the server's process was found to have ended.
     is_observed_from_start : bool
@@ -61,6 +65,7 @@
     report: ServerReport | None = None
     received_at: float = float('-inf')
     is_leaving: bool = False
+    has_announced_end: bool = False
     has_ended: bool = False
     is_observed_from_start: bool = False
 
@@ -82,6 +87,7 @@
             self.is_observed_from_start = report.sequence <= FIRST_SEQUENCE
         elif known.born != report.born:
             self.is_observed_from_start = True
+            self.has_announced_end = False
         self.report = report
         self.received_at = now
         self.is_leaving = False
@@ -93,6 +99,7 @@
         if self.report is None or self.report.server != server:
             return False
         self.is_leaving = True
+        self.has_announced_end = True
         return True
 
     @property
@@ -102,7 +109,7 @@
         A server that has announced its end closes its listener, and serves
         its open flows for up to two more seconds.
         """
-        return not self.is_leaving
+        return not self.has_announced_end
 
     def mark_ended(self) -> None:
         """Record that the server's process has ended."""
