Wait for a server's announcement before a refused connection proves its end

An agent that was frozen, or whose server closes its port just now, found the port closed before it read the announcement that waited at its own port, and reset the flows that the leaving server still served.

test_lost_flows.py test_announcement_that_waits_to_be_read: failed before, passes after; 41 tests of test_lost_flows.py and test_agent.py pass.

--- a/redwingstream/fleet/server_reports.py
+++ b/redwingstream/fleet/server_reports.py
@@ -1,5 +1,6 @@
 """Handling of the reports that the server beside an agent sends."""
 
+import asyncio
 from collections.abc import Callable
 
 from redwingstream.endpoints import Endpoint
@@ -11,6 +12,11 @@
 from redwingstream.openings.reports import ServerReport
 from redwingstream.packets.agent_flows import AgentFlows
 
+ANNOUNCEMENT_DELAY = 0.05
+"""Seconds between a refused connection and its use as proof.  A server
+announces its end when it closes its port; an agent that was frozen reads what
+has waited for it within some iterations of the event loop."""
+
 
 class ServerReportHandler:
     """Handles the reports of the server beside an agent.
@@ -91,6 +97,7 @@
         checked_at = self._process.clock()
         if not state.proves_end_by_refusal or not await has_ended(server):
             return
+        await asyncio.sleep(ANNOUNCEMENT_DELAY)
         if state.received_at > last_report_at:
             return
         if not state.proves_end_by_refusal:
--- a/redwingstream/fleet/tests/test_lost_flows.py
+++ b/redwingstream/fleet/tests/test_lost_flows.py
@@ -1,5 +1,6 @@
 """Callers of flows whose server has ended, with real agents and controls."""
 
+import asyncio
 import socket
 from types import SimpleNamespace
 
@@ -16,6 +17,7 @@
 from redwingstream.fleet.agent import Agent
 from redwingstream.fleet.control import Control
 from redwingstream.fleet.deployment import ListenEndpoints, LocalServer
+from redwingstream.fleet.server_reports import ANNOUNCEMENT_DELAY
 from redwingstream.fleet.tests.fakes import (
     DEPLOYMENT,
     KEY,
@@ -587,3 +589,18 @@
         await site.agent.server_reports.check_server_ended(_closed_port())
         assert not site.reset_ports()
         assert site.agent.context.flows.count
+
+    async def test_announcement_that_waits_to_be_read(self, site) -> None:
+        """Guards against resets by an agent that has just been resumed.
+
+        It finds the port closed before it reads the announcement.
+        """
+        _recorded(site)
+        site.now += 1
+        reports = site.agent.server_reports
+        check = asyncio.create_task(reports.check_server_ended(_closed_port()))
+        await asyncio.sleep(ANNOUNCEMENT_DELAY / 2)
+        reports.handle_leave('s-1')
+        await check
+        assert not site.reset_ports()
+        assert site.agent.context.flows.count
