Do not reset callers when an agent is asked to stop

Server and agent of an instance are often asked to stop together. The server closes its port at once and serves its flows for up to two more seconds; the agent found the port closed before the announcement, or the announcement was lost, and reset all of these flows.

--- a/redwingstream/fleet/agent.py
+++ b/redwingstream/fleet/agent.py
@@ -167,11 +167,15 @@
 
         A flow is declared dead only once every agent that may carry it has
         answered.  A stopped agent does not answer, so it must be excluded if
-        its server has ended.
+        its server has ended.  Callers are not reset: a server that is asked to
+        stop with its agent closes its port, and serves its flows for up to two
+        more seconds, whether its announcement arrives or not.
         """
         if self._server_check is not None:
             self._server_check.cancel()
-        await self.server_reports.check_server_ended(self._local_server.server)
+        await self.server_reports.check_server_ended(
+            self._local_server.server, resets_callers=False
+        )
         self.control_client.send_to_all()
         await asyncio.sleep(REPEAT_AFTER)
         self.control_client.send_to_all()
--- a/redwingstream/fleet/server_reports.py
+++ b/redwingstream/fleet/server_reports.py
@@ -90,8 +90,18 @@
             self._log_report(report, 'left')
             self._on_change()
 
-    async def check_server_ended(self, server: Endpoint) -> None:
-        """Check whether the server's process has ended, and record it if so."""
+    async def check_server_ended(
+        self, server: Endpoint, *, resets_callers: bool = True
+    ) -> None:
+        """Check whether the server's process has ended, and record it if so.
+
+        Parameters
+        ----------
+        server : Endpoint
+            Endpoint of the server.
+        resets_callers : bool
+            Whether the callers of its flows are reset if so.
+        """
         state = self._gate.state
         last_report_at = state.received_at
         checked_at = self._process.clock()
@@ -102,7 +112,8 @@
             return
         if not state.proves_end_by_refusal:
             return
-        self._lost_flows.handle_server_ended(checked_at)
+        if resets_callers:
+            self._lost_flows.handle_server_ended(checked_at)
         state.mark_ended()
         # A server that has ended holds no flow.
         self._flows.clear()
--- a/redwingstream/fleet/tests/test_lost_flows.py
+++ b/redwingstream/fleet/tests/test_lost_flows.py
@@ -604,3 +604,14 @@
         await check
         assert not site.reset_ports()
         assert site.agent.context.flows.count
+
+    async def test_stops_together_with_its_agent(self, site) -> None:
+        """Guards against resets while the announcement is under way.
+
+        Server and agent of an instance are asked to stop at the same time.
+        """
+        _recorded(site)
+        site.now += 1
+        site.agent._local_server = LocalServer(_closed_port(), POOL)
+        await site.agent.prepare_stop()
+        assert not site.reset_ports()
