Log that a link has capacity again after its last upload route is removed

The check ran only while a route of uploads existed, so an operator saw a full link for ever.

test_full_link.py TestLog: failed before, 6 of 6 tests of the file pass after.

--- a/redwingstream/packets/balancer_forwarder.py
+++ b/redwingstream/packets/balancer_forwarder.py
@@ -186,8 +186,8 @@
         self.hints.evict_expired(now)
         self._attempts.evict_expired(now)
         self.dead_flows.evict_expired(now)
-        if self.link is not None:
-            self.link.scheduler.check(now)
+        if self._own_link is not None:
+            self._own_link.scheduler.check(now)
         ping = Envelope(Kind.PING, b'', self._address)
         pings = [peer_datagram(ping, due) for due in self.trust.due_pings(now)]
         return [*pings, *self.retry_early(now)]
--- a/redwingstream/packets/tests/test_full_link.py
+++ b/redwingstream/packets/tests/test_full_link.py
@@ -3,6 +3,8 @@
 import attrs
 import pytest
 
+from redwingstream.links.events import LinkFull, LinkHasCapacity
+from redwingstream.links.fullness import RELIEF_SECONDS
 from redwingstream.links.upload_link import UploadLink
 from redwingstream.packets.tests.network import (
     ROUTE,
@@ -95,3 +97,18 @@
         network.run(0.1)
         assert not any(caller.resets for caller in callers)
         assert balancer.forwarder.link is None
+
+
+class TestLog:
+    """The last upload route is removed while the link is full."""
+
+    def test_says_that_the_link_has_capacity_again(
+        self, network: Network, balancer: BalancerNode
+    ) -> None:
+        """Guards against a log that shows a full link for ever."""
+        balancer.link.scheduler.record_urgent(RATE, network.now)
+        balancer.forwarder.apply_tables(network.tables, {SERVICE: ROUTE})
+        network.run(RELIEF_SECONDS + 0.1)
+        logged = [type(one) for one in network.events]
+        assert logged.count(LinkFull) == 1
+        assert logged.count(LinkHasCapacity) == 1
