--- a/redwingstream/fleet/server_reports.py
+++ b/redwingstream/fleet/server_reports.py
@@ -1,5 +1,6 @@
 """Handling of the reports that the server beside an agent sends."""
 
+import asyncio
 from collections.abc import Callable
 
 from redwingstream.endpoints import Endpoint
@@ -11,6 +12,11 @@
 from redwingstream.openings.reports import ServerReport
 from redwingstream.packets.agent_flows import AgentFlows
 
+ANNOUNCEMENT_DELAY = 0.05
+"""Seconds between a refused connection and its use as proof.  A server
+announces its end when it closes its port; an agent that was frozen reads what
+has waited for it within some iterations of the event loop."""
+
 
 class ServerReportHandler:
     """Handles the reports of the server beside an agent.
@@ -84,18 +90,30 @@
             self._log_report(report, 'left')
             self._on_change()
 
-    async def check_server_ended(self, server: Endpoint) -> None:
-        """Check whether the server's process has ended, and record it if so."""
+    async def check_server_ended(
+        self, server: Endpoint, *, resets_callers: bool = True
+    ) -> None:
+        """Check whether the server's process has ended, and record it if so.
+
+        Parameters
+        ----------
+        server : Endpoint
+            Endpoint of the server.
+        resets_callers : bool
+            Whether the callers of its flows are reset if so.
+        """
         state = self._gate.state
         last_report_at = state.received_at
         checked_at = self._process.clock()
         if not state.proves_end_by_refusal or not await has_ended(server):
             return
+        await asyncio.sleep(ANNOUNCEMENT_DELAY)
         if state.received_at > last_report_at:
             return
         if not state.proves_end_by_refusal:
             return
-        self._lost_flows.handle_server_ended(checked_at)
+        if resets_callers:
+            self._lost_flows.handle_server_ended(checked_at)
         state.mark_ended()
         # A server that has ended holds no flow.
         self._flows.clear()
