Take no refused connection of a draining server for its end

Cause: a draining server may be leaving while its announcement is lost; its closed port was then taken for its end, and its agent denied its open flows.

Change: the agent does not check a silent server that drains. Its end is learned from its announcement, or when the agent stops, as before.

Test: test_draining_server_is_not_reported_ended fails on the code before and passes now.

--- a/redwingstream/fleet/agent.py
+++ b/redwingstream/fleet/agent.py
@@ -5,7 +5,11 @@
 from collections.abc import AsyncIterator
 
 from redwingstream.directory.inquiry import Inquirer, InquiryResult
-from redwingstream.directory.messages import AgentRecord, FlowSnapshot
+from redwingstream.directory.messages import (
+    AgentRecord,
+    FlowSnapshot,
+    Readiness,
+)
 from redwingstream.errors import SettingError, WireError
 from redwingstream.fleet.control_client import ControlClient
 from redwingstream.fleet.deployment import (
@@ -158,7 +162,10 @@
         is_checking = (
             self._server_check is not None and not self._server_check.done()
         )
-        if self.context.silence.is_unresponsive(now) and not is_checking:
+        # A draining server may be leaving, with its announcement lost.
+        is_draining = self.gate.state.readiness is Readiness.DRAINING
+        is_silent = self.context.silence.is_unresponsive(now)
+        if is_silent and not is_checking and not is_draining:
             self._server_check = asyncio.create_task(self._check_server())
         return HOUSEKEEPING_INTERVAL
 
--- a/redwingstream/fleet/tests/test_agent.py
+++ b/redwingstream/fleet/tests/test_agent.py
@@ -72,14 +72,15 @@
 
 
 async def _readiness_on_silence(
-    port: int, *, is_leaving: bool = False
+    port: int, *, is_draining: bool = False, is_leaving: bool = False
 ) -> list[Readiness]:
     """Return the same of an agent whose server leaves a packet unanswered."""
     agent, sent = _make_agent(port)
-    if is_leaving:
+    if is_draining or is_leaving:
         agent.server_reports.handle_report(REPORT)
+    if is_leaving:
         agent.server_reports.handle_leave(REPORT.server)
-        sent.sent.clear()
+    sent.sent.clear()
     attached = FakeSocket()
     agent.packet_sender.attach(callers=attached, peers=attached)
     packet = Packet(address_of('100.64.0.1', 1), SERVICE, 1, 2, size=4)
@@ -136,3 +137,9 @@
         port = server.getsockname()[1]
         server.close()
         assert not await _readiness_on_silence(port, is_leaving=True)
+
+    async def test_draining_server_is_not_reported_ended(self, server) -> None:
+        """Guards against the same where the announcement was lost."""
+        port = server.getsockname()[1]
+        server.close()
+        assert not await _readiness_on_silence(port, is_draining=True)
