Soak uploads and idle flows of requests that cannot be repeated

A reset that came while an answer was awaited, or before a server's later end, was not checked.

Change: the balancers of one zone have a link of 1 Mbit/s, callers upload 4 to 30 full packets, and flows of the non_idempotent route stay open for six requests with pauses of 2.5 s. A server and its agent may end at once. A leaving server is gone a second after its announcement; the stand-in listens on its TCP port while it runs, since agents take a refused connection as proof that it has ended. A reset is valid only after the end of the run of the server that last answered, and the outcome counts idle callers reset so.

Its old check passed over resets during a request.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -34,6 +34,9 @@
         )
         print(  # noqa: WPS421 - the command's output
             f'seed {seed}: {outcome.faults} faults, {outcome.served} served, '
+            f'{outcome.uploads} of them uploads, '
+            f'{outcome.idle_resets} idle callers reset after their server '
+            f'had ended, '
             f'not served {outcome.failures_by_reason}, '
             f'broken {list(outcome.broken)}, late by '
             f'{outcome.longest_lag} s at most, the programs in the calm by '
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -56,6 +56,14 @@
     server: int
 
 
+@attrs.frozen
+class LosePower:
+    """A server and its agent end at once and begin anew."""
+
+    server: int
+    lasts: float
+
+
 @attrs.frozen
 class DrainServer:
     """A server drains for a while."""
@@ -88,6 +96,7 @@
     | FillDisk
     | KillAll
     | RestartServer
+    | LosePower
     | DrainServer
     | TakeZoneOut
     | DisturbCalls
--- a/soak/inject.py
+++ b/soak/inject.py
@@ -21,6 +21,10 @@
 START_SECONDS = 3.0
 """A process that has just been started may end before it takes signals."""
 
+LEAVING_SECONDS = 1.0
+"""Seconds from a server's announcement that it leaves until it is gone; its
+open flows stay in use until then."""
+
 ZONE_OUT_SECONDS = 5.0
 """A zone stays out for so much longer, so that the promise can be looked at."""
 
@@ -98,12 +102,16 @@
             case faults.KillAll(lasts=lasts):
                 with self._lasting('all killed', self.spans.disturbed):
                     await self._kill_all(lasts)
-            case faults.RestartServer() | faults.DrainServer():
+            case (
+                faults.RestartServer()
+                | faults.LosePower()
+                | faults.DrainServer()
+            ):
                 await self._strike_server(fault)
             case faults.TakeZoneOut(zone=name, lasts=lasts):
                 await self._take_out(name, lasts)
             case faults.DisturbCalls(how=how, lasts=lasts):
-                await self._disturb(how, lasts)
+                await _disturb(self._proxies, how, lasts)
             case _:
                 with self._lasting(fault.process, self.spans.disturbed):
                     await self._strike_process(fault)
@@ -116,12 +124,15 @@
         span.ended_at = time.monotonic()
 
     async def _strike_server(
-        self, fault: faults.RestartServer | faults.DrainServer
+        self,
+        fault: faults.RestartServer | faults.LosePower | faults.DrainServer,
     ) -> None:
         server = self._site.servers[fault.server]
         match fault:
             case faults.RestartServer():
                 await _begin_anew(server)
+            case faults.LosePower(lasts=lasts):
+                await self._lose_power(server, lasts)
             case faults.DrainServer(lasts=lasts):
                 await self._drain(server, lasts)
 
@@ -168,6 +179,16 @@
         await self._kill(tuple(sorted(names)), lasts)
         self._busy -= names
 
+    async def _lose_power(self, server: PacketServer, lasts: float) -> None:
+        name = self._site.agent_name(server)
+        if name in self._busy:
+            return
+        self._busy.add(name)
+        with self._lasting(name, self.spans.disturbed):
+            await self._kill((name,), lasts)
+            await _begin_anew(server)
+        self._busy.discard(name)
+
     async def _lose_disk(self, name: str, lasts: float) -> None:
         machine = next(
             control
@@ -195,7 +216,11 @@
                 await asyncio.sleep(lasts)
         if server.name == name:
             # It leaves; another run of it comes at its address.
+            server.is_silent = True
             await server.leave()
+            await asyncio.sleep(LEAVING_SECONDS)
+            server.is_silent = False
+        if server.name == name:
             await _begin_anew(server)
 
     async def _take_out(self, name: str, lasts: float) -> None:
@@ -209,12 +234,13 @@
         await self._site.operator.zone_in(name, STOP_SECONDS * 2)
         self._busy.discard(name)
 
-    async def _disturb(self, how: str, lasts: float) -> None:
-        for proxy in self._proxies:
-            proxy.how = how
-        await asyncio.sleep(lasts)
-        for undisturbed in self._proxies:
-            undisturbed.how = ''
+
+async def _disturb(proxies: tuple[Proxy, ...], how: str, lasts: float) -> None:
+    for proxy in proxies:
+        proxy.how = how
+    await asyncio.sleep(lasts)
+    for undisturbed in proxies:
+        undisturbed.how = ''
 
 
 def _limit_files(pid: int, size: int) -> None:
--- a/soak/load.py
+++ b/soak/load.py
@@ -4,25 +4,45 @@
 import contextlib
 import itertools
 import json
-import time
-from collections.abc import Iterator
+import random
+import sys
+from collections.abc import Coroutine, Iterator
+from typing import Any
 
 import attrs
 
 from soak.running import RunningTime
-from standins.packets.callers import CallerFlow, CallerSite, FlowEndedError
-from standins.packets.header import End
+from standins.packets.callers import (
+    CallerFlow,
+    CallerSite,
+    FlowEndedError,
+    upload,
+)
+from standins.packets.header import FULL_PACKET, End
 from standins.packets.operators import RouteText, document
+from standins.packets.servers import answer_start
 from standins.packets.site import PacketSite
 
 FEED = End('198.18.0.1', 443)
 REPORTS = End('198.18.0.2', 443)
+UPLOADS = End('198.18.0.3', 443)
 ROUTES = (
     RouteText(FEED.host, FEED.port, 'feed'),
     RouteText(REPORTS.host, REPORTS.port, 'reports', 'non_idempotent'),
+    RouteText(UPLOADS.host, UPLOADS.port, 'uploads', 'upload'),
 )
-ASK_PAUSE = 0.15
-"""Seconds between two requests of a caller."""
+UPLOAD_PACKETS = (4, 16, 30)
+"""Full packets of an upload, 5 to 36 kB."""
+
+UPLOAD_PAUSE = 1.0
+"""Seconds between two uploads of a caller."""
+
+UPLOADERS = 2
+"""Callers of uploads at each address, so that a link of low bandwidth has to
+refuse some."""
+
+ATTEMPTS = 3
+"""Flows that a caller opens for a request at most."""
 
 CHANGE_PAUSE = 0.7
 """Seconds between two changes of the configuration."""
@@ -37,13 +57,55 @@
 """Seconds for which the operator tries to have a change acknowledged."""
 
 
-@attrs.define
+@attrs.frozen
+class Habit:
+    """How a caller uses open flows.
+
+    Parameters
+    ----------
+    pool : str
+        Pool that is to run the requests; their names begin with it.
+    service : End
+        Address of the service.
+    pause : float
+        Seconds between two requests.
+    requests : int
+        Requests on one flow, after which the caller closes it.
+    """
+
+    pool: str
+    service: End
+    pause: float
+    requests: int
+
+
+HABITS = (
+    Habit('feed', FEED, pause=0.15, requests=sys.maxsize),
+    # Idle for longer than most processes take to start again.
+    *(3 * (Habit('reports', REPORTS, pause=2.5, requests=6),)),
+)
+
+
+@attrs.frozen
 class BrokenFlow:
-    """A reset on an open flow."""
+    """A reset on an open flow.
+
+    Parameters
+    ----------
+    flow : str
+        The flow.
+    server : str
+        Run of the server that answered last; empty if none has.
+    at : float
+        When the reset came, in seconds.
+    is_idle : bool
+        Whether the caller awaited no answer.
+    """
 
     flow: str
     server: str
     at: float
+    is_idle: bool
 
 
 @attrs.define
@@ -60,6 +122,10 @@
         How many requests failed, and how.
     broken : list of BrokenFlow
         Open flows that were reset.
+    uploads : int
+        Uploads that were answered.
+    wrong_answers : list of str
+        Answers to other requests or contents than were sent.
     acknowledged : int
         Newest version that was acknowledged.
     older_reads : list of str
@@ -70,6 +136,8 @@
     served_at: list[float] = attrs.field(factory=list)
     failures_by_reason: dict[str, int] = attrs.field(factory=dict)
     broken: list[BrokenFlow] = attrs.field(factory=list)
+    uploads: int = 0
+    wrong_answers: list[str] = attrs.field(factory=list)
     acknowledged: int = 0
     older_reads: list[str] = attrs.field(factory=list)
 
@@ -82,10 +150,20 @@
 @contextlib.contextmanager
 def callers(site: PacketSite, seen: Seen) -> Iterator[None]:
     """Let callers ask until the end of the block."""
+    numbers = itertools.count()
     tasks = [
-        asyncio.create_task(keep(caller, f'{number}', seen))
-        for number, caller in enumerate(site.callers)
-        for keep in (_keep_feed, _keep_reporting)
+        asyncio.create_task(keep)
+        for caller in site.callers
+        for keep in (
+            *(
+                _keep_asking(caller, habit, f'{next(numbers)}', seen)
+                for habit in HABITS
+            ),
+            *(
+                _keep_uploading(caller, f'{next(numbers)}', seen)
+                for _ in range(UPLOADERS)
+            ),
+        )
     ]
     try:
         yield
@@ -120,29 +198,53 @@
     return True
 
 
-async def _keep_feed(caller: CallerSite, name: str, seen: Seen) -> None:
-    """Keep one flow open for many requests."""
-    numbers = itertools.count()
+async def _keep_asking(
+    caller: CallerSite, habit: Habit, name: str, seen: Seen
+) -> None:
+    """Keep flows open for requests with pauses; none is sent twice."""
+    requests = (f'{habit.pool}-{name}-{one}' for one in itertools.count())
     while True:
-        flow = await _opened(caller, FEED, seen)
-        server = ''
-        while flow is not None and flow.is_open:
-            server = await _ask(flow, f'feed-{name}-{next(numbers)}', seen)
-            await asyncio.sleep(ASK_PAUSE)
+        flow = await _opened(caller, habit.service, seen)
         if flow is not None:
+            await _use(flow, habit, requests, seen)
+
+
+async def _use(
+    flow: CallerFlow, habit: Habit, requests: Iterator[str], seen: Seen
+) -> None:
+    server = ''
+    for request in itertools.islice(requests, habit.requests):
+        answering = await _answer(flow.ask(request), request, seen)
+        server = answering or server
+        await asyncio.sleep(habit.pause)
+        if flow.is_reset:
             seen.broken.append(
-                BrokenFlow(flow.name, server, time.monotonic()),
+                BrokenFlow(
+                    flow.name, server, flow.reset_at, is_idle=answering != ''
+                ),
             )
+            return
+    flow.close()
 
 
-async def _keep_reporting(caller: CallerSite, name: str, seen: Seen) -> None:
-    """Open a flow for each request; none is sent twice."""
+async def _keep_uploading(caller: CallerSite, name: str, seen: Seen) -> None:
+    """Send uploads, each on a flow of its own; none is sent twice."""
     for number in itertools.count():
-        flow = await _opened(caller, REPORTS, seen)
-        if flow is not None:
-            await _ask(flow, f'reports-{name}-{number}', seen)
-            flow.close()
-        await asyncio.sleep(ASK_PAUSE)
+        request = f'uploads-{name}-{number}'
+        for _ in range(ATTEMPTS):
+            flow = await _opened(caller, UPLOADS, seen)
+            if flow is not None:
+                await _upload(flow, request, seen)
+                break
+        await asyncio.sleep(UPLOAD_PAUSE)
+
+
+async def _upload(flow: CallerFlow, request: str, seen: Seen) -> None:
+    content = random.randbytes(random.choice(UPLOAD_PACKETS) * FULL_PACKET)
+    answer = upload(flow, request, content)
+    server = await _answer(answer, answer_start(request, content), seen)
+    seen.uploads += server != ''
+    flow.close()
 
 
 async def _opened(
@@ -158,11 +260,16 @@
     return flow
 
 
-async def _ask(flow: CallerFlow, request: str, seen: Seen) -> str:
+async def _answer(
+    answer: Coroutine[Any, Any, str], expected: str, seen: Seen
+) -> str:
+    """Return the server that answered, or an empty text without an answer."""
     try:
-        answer = await flow.ask(request)
+        start, _, server = (await answer).rpartition(' by ')
     except FlowEndedError as error:
         seen.fail(str(error))
         return ''
+    if start != expected:
+        seen.wrong_answers.append(f'{start}, not {expected}')
     seen.served_at.append(seen.running.seconds)
-    return answer.rpartition(' ')[2]
+    return server
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -1,12 +1,13 @@
 """What must hold, checked from what callers, servers and operators saw."""
 
+import itertools
 from collections import Counter
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 
 import attrs
 
 from soak.inject import Span, Spans
-from soak.load import Seen
+from soak.load import BrokenFlow, Seen
 from standins.packets.servers import COLD_SECONDS, PacketServer, Run
 from standins.packets.site import PacketSite
 
@@ -36,9 +37,7 @@
     what: str
 
 
-def broken_promises(
-    site: PacketSite, seen: Seen, spans: Spans, names_ended: set[str]
-) -> list[Broken]:
+def broken_promises(site: PacketSite, seen: Seen, spans: Spans) -> list[Broken]:
     """Return what did not hold during a run.
 
     Parameters
@@ -49,14 +48,14 @@
         What callers and operators saw.
     spans : Spans
         What was out, drained and disturbed, and when.
-    names_ended : set of str
-        Runs of servers that ended, so that their flows were theirs to lose.
     """
+    ended_at_by_name = ended_runs(site.servers)
     return [
         *_ran_twice(site.runs),
         *_ran_elsewhere(site.runs),
         *_not_as_written(site),
-        *_reset(seen, names_ended),
+        *_reset(seen.broken, ended_at_by_name),
+        *(Broken('answers', what) for what in seen.wrong_answers),
         *(Broken('configuration', what) for what in seen.older_reads),
         *_flooded(site.servers),
         *_opened_late(site.servers, spans),
@@ -87,10 +86,36 @@
             )
 
 
-def _reset(seen: Seen, names_ended: set[str]) -> Iterator[Broken]:
-    for broken in seen.broken:
-        if broken.server and broken.server not in names_ended:
-            yield Broken('open flows', f'{broken.flow} at {broken.server}')
+def ended_runs(servers: Iterable[PacketServer]) -> dict[str, float]:
+    """Return when runs of servers ended, by their names."""
+    return {
+        start.name: following.at
+        for server in servers
+        for start, following in itertools.pairwise(server.starts)
+    }
+
+
+def idle_resets(
+    flows: Iterable[BrokenFlow], ended_at_by_name: Mapping[str, float]
+) -> int:
+    """Count the idle flows that were reset after their server had ended."""
+    return sum(
+        flow.is_idle and not _is_held(flow, ended_at_by_name) for flow in flows
+    )
+
+
+def _reset(
+    flows: Iterable[BrokenFlow], ended_at_by_name: Mapping[str, float]
+) -> Iterator[Broken]:
+    for flow in flows:
+        if _is_held(flow, ended_at_by_name):
+            yield Broken('open flows', f'{flow.flow} at {flow.server}')
+
+
+def _is_held(flow: BrokenFlow, ended_at_by_name: Mapping[str, float]) -> bool:
+    # A flow without an answer names no server.
+    ended_at = ended_at_by_name.get(flow.server, float('inf'))
+    return flow.server != '' and flow.at < ended_at
 
 
 def _flooded(servers: Iterable[PacketServer]) -> Iterator[Broken]:
--- a/soak/run.py
+++ b/soak/run.py
@@ -20,7 +20,12 @@
     read_back,
 )
 from soak.plan import SETTLE_SECONDS, Targets, draw_plan
-from soak.promises import Broken, broken_promises
+from soak.promises import (
+    Broken,
+    broken_promises,
+    ended_runs,
+    idle_resets,
+)
 from soak.proxy import Proxy
 from soak.starved import longest_delay
 from standins.packets.operators import document
@@ -34,14 +39,22 @@
 PROXIES = 200
 """Last number of the first proxy's address."""
 
-SITE = Plan(servers_by_service={'feed': 3, 'reports': 3})
+LINK_MBPS = 1.0
+"""Rate of the links of one zone, which carries one upload at a time; 30 kB
+take a quarter of a second."""
+
+SITE = Plan(
+    servers_by_service={'feed': 3, 'reports': 3, 'uploads': 2},
+    link_mbps_by_zone={'west': LINK_MBPS},
+)
 LARGER_SITE = Plan(
     zones=('north', 'south', 'west', 'east'),
     balancers=2,
     disks=2,
     controls=2,
     tolerated_losses=2,
-    servers_by_service={'feed': 4, 'reports': 4},
+    servers_by_service={'feed': 4, 'reports': 4, 'uploads': 2},
+    link_mbps_by_zone={'west': LINK_MBPS},
 )
 """Five replicas count, among eight with disks."""
 
@@ -61,7 +74,11 @@
     faults : int
         How many struck.
     served : int
-        Requests that were answered.
+        Requests that were answered, uploads among them.
+    uploads : int
+        Uploads that were answered.
+    idle_resets : int
+        Idle flows that were reset after their server had ended.
     failures_by_reason : dict
         Requests that were not.
     broken : tuple of Broken
@@ -77,6 +94,8 @@
 
     faults: int
     served: int
+    uploads: int
+    idle_resets: int
     failures_by_reason: dict[str, int]
     broken: tuple[Broken, ...]
     longest_lag: float
@@ -121,13 +140,15 @@
             calm_since = time.monotonic()
             await seen.running.wait(SETTLE_SECONDS)
         broken = (
-            *broken_promises(site, seen, injector.spans, _ended(site)),
+            *broken_promises(site, seen, injector.spans),
             *await _not_recovered(site, seen),
             *_ended_badly(injector),
         )
         return Outcome(
             len(plan),
             len(seen.served_at),
+            seen.uploads,
+            idle_resets(seen.broken, ended_runs(site.servers)),
             seen.failures_by_reason,
             broken,
             round(seen.running.longest_lag, 3),
@@ -180,12 +201,6 @@
     )
 
 
-def _ended(site: PacketSite) -> set[str]:
-    return {
-        start.name for server in site.servers for start in server.starts[:-1]
-    }
-
-
 async def _not_recovered(site: PacketSite, seen: Seen) -> list[Broken]:
     broken = []
     now = seen.running.seconds
--- a/soak/tests/test_plan.py
+++ b/soak/tests/test_plan.py
@@ -3,7 +3,7 @@
 import attrs
 import pytest
 
-from soak.faults import FillDisk, LoseDisk
+from soak.faults import FillDisk, LoseDisk, LosePower
 from soak.plan import SETTLE_SECONDS, Targets, draw_plan
 
 TARGETS = Targets(('a-agent', 'a-control'), ('a-control',), 2, ('north',))
@@ -57,3 +57,8 @@
         others = [one for one in full if not isinstance(one.fault, FillDisk)]
         assert len(others) < len(full)
         assert tuple(others) == plain
+
+    def test_servers_lose_power_with_their_agents(self) -> None:
+        """Without it no agent asks for the flows of its earlier run."""
+        plan = draw_plan(1, LONG_RUN, TARGETS)
+        assert any(isinstance(one.fault, LosePower) for one in plan)
--- a/soak/tests/test_short.py
+++ b/soak/tests/test_short.py
@@ -16,3 +16,4 @@
         outcome = await soak(seed, SECONDS, tmp_path, losses=losses)
         assert outcome.broken == ()
         assert outcome.served
+        assert outcome.uploads
--- a/standins/packets/callers.py
+++ b/standins/packets/callers.py
@@ -5,7 +5,7 @@
 import random
 import socket
 import time
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable
 
 import attrs
 
@@ -13,6 +13,7 @@
 from standins.packets.header import (
     ACK,
     FIN,
+    FULL_PACKET,
     RST,
     SYN,
     End,
@@ -29,6 +30,8 @@
 MAX_REPEAT = 1.6
 MAX_DATAGRAM = 2048
 POLL = 0.02
+WINDOW_PACKETS = 16
+FIRST_SEQ = 2
 
 
 class FlowEndedError(Exception):
@@ -199,7 +202,7 @@
 
     def __init__(self, site: CallerSite, end: End, service: End) -> None:
         self.service = service
-        self.is_reset = False
+        self.reset_at = float('inf')
         self._site = site
         self._end = end
         self._accepted: asyncio.Future[int] = _future()
@@ -212,6 +215,11 @@
         caller = f'{self._end.host}:{self._end.port}'
         return f'{caller}>{self.service.host}:{self.service.port}'
 
+    @property
+    def is_reset(self) -> bool:
+        """Whether a reset has come; ``reset_at`` is the time of the first."""
+        return self.reset_at < float('inf')
+
     @property
     def is_open(self) -> bool:
         """Whether a server has accepted it."""
@@ -234,18 +242,17 @@
 
     async def ask(self, request: str, seconds: float = 3) -> str:
         """Send a request and return its answer."""
-        self._seq += 1
-        seq = self._seq
+        async with _deadline(seconds):
+            self._seq += 1
+            return await self.exchange(self._seq, request.encode())
+
+    async def exchange(self, seq: int, data: bytes) -> str:
+        """Send a packet until it is answered; return the answer."""
         answer: asyncio.Future[bytes] = _future()
         self._answer_by_seq[seq] = answer
-        repeating = asyncio.create_task(self._repeat(seq, request.encode()))
-        try:
-            async with asyncio.timeout(seconds):
-                return (await self._answer_or_reset(answer)).decode()
-        except TimeoutError as error:
-            raise FlowEndedError('deadline') from error
-        finally:
-            repeating.cancel()
+        self._seq = max(self._seq, seq)
+        async with _repeating(lambda: self._send(seq, ACK, data)):
+            return (await self._answer_or_reset(answer)).decode()
 
     def close(self) -> None:
         """End the flow."""
@@ -259,7 +266,7 @@
             self._take_reset()
         elif packet.flags & (SYN | ACK) == SYN | ACK:
             self._take_accepting(packet)
-        elif packet.data:
+        else:
             self._take_answer(packet)
 
     def _take_accepting(self, packet: Packet) -> None:
@@ -274,14 +281,7 @@
     def _take_reset(self) -> None:
         if self._accepted.done():
             self._site.counters.resets_on_open += 1
-        self.is_reset = True
-
-    async def _repeat(self, seq: int, request: bytes) -> None:
-        pause = FIRST_REPEAT
-        while not self.is_reset:
-            self._send(seq, ACK, request)
-            await asyncio.sleep(pause)
-            pause = min(2 * pause, MAX_REPEAT)
+        self.reset_at = min(self.reset_at, time.monotonic())
 
     async def _answer_or_reset(self, answer: 'asyncio.Future[bytes]') -> bytes:
         while not answer.done():
@@ -305,5 +305,51 @@
         self._site.send(Packet(self._end, self.service, seq, ack, flags, data))
 
 
+async def upload(
+    flow: CallerFlow, request: str, content: bytes, seconds: float = 3
+) -> str:
+    """Send full packets and then a request on a new flow; return its answer."""
+    window = asyncio.Semaphore(WINDOW_PACKETS)
+    offsets = range(0, len(content), FULL_PACKET)
+    async with _deadline(seconds):
+        await asyncio.gather(
+            *(_send_part(flow, content, at, window) for at in offsets)
+        )
+        return await flow.exchange(FIRST_SEQ + len(content), request.encode())
+
+
+async def _send_part(
+    flow: CallerFlow, content: bytes, at: int, window: asyncio.Semaphore
+) -> None:
+    async with window:
+        await flow.exchange(FIRST_SEQ + at, content[at : at + FULL_PACKET])
+
+
+@contextlib.asynccontextmanager
+async def _repeating(send: Callable[[], None]) -> AsyncIterator[None]:
+    task = asyncio.create_task(_repeat(send))
+    try:
+        yield
+    finally:
+        task.cancel()
+
+
+async def _repeat(send: Callable[[], None]) -> None:
+    pause = FIRST_REPEAT
+    while True:
+        send()
+        await asyncio.sleep(pause)
+        pause = min(2 * pause, MAX_REPEAT)
+
+
+@contextlib.asynccontextmanager
+async def _deadline(seconds: float) -> AsyncIterator[None]:
+    try:
+        async with asyncio.timeout(seconds):
+            yield
+    except TimeoutError as error:
+        raise FlowEndedError('deadline') from error
+
+
 def _future() -> 'asyncio.Future[object]':
     return asyncio.get_running_loop().create_future()
--- a/standins/packets/header.py
+++ b/standins/packets/header.py
@@ -12,6 +12,9 @@
 FIN = 32
 RST = 4
 BOUNCED = 8
+FULL_PACKET = 1200
+"""Bytes of data of a full packet.  A request ends with a packet of fewer."""
+
 _KEY = b'only the ends know this'
 _SUM_SIZE = 4
 _UNSUMMED_FLAGS = 0xFF & ~BOUNCED
--- a/standins/packets/servers.py
+++ b/standins/packets/servers.py
@@ -6,6 +6,7 @@
 import random
 import socket
 import time
+import zlib
 from collections.abc import AsyncIterator
 
 import attrs
@@ -15,6 +16,7 @@
     ACK,
     BOUNCED,
     FIN,
+    FULL_PACKET,
     SYN,
     End,
     Packet,
@@ -43,11 +45,19 @@
         With which it was accepted.
     answer_by_request : dict
         What was answered, by the caller's number of the request.
+    part_by_seq : dict
+        Full packets of an upload, by the caller's position.
     """
 
     seq: int
     is_open: bool = False
     answer_by_request: dict[int, bytes] = attrs.field(factory=dict)
+    part_by_seq: dict[int, bytes] = attrs.field(factory=dict)
+
+    @property
+    def content(self) -> bytes:
+        """The full packets of an upload in the order of the caller."""
+        return b''.join(part for _, part in sorted(self.part_by_seq.items()))
 
 
 @attrs.frozen
@@ -115,6 +125,7 @@
         self._flow_by_caller: dict[tuple[End, End], _Flow] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._sock: socket.socket | None = None
+        self._listener = contextlib.ExitStack()
         self.restart()
 
     def restart(self) -> None:
@@ -125,6 +136,8 @@
         self.state = 'ready'
         self.drain_acknowledged_at = None
         self._flow_by_caller.clear()
+        if self._sock is not None:
+            _listen(self._listener, self.machine)
 
     @property
     def name(self) -> str:
@@ -141,6 +154,7 @@
             sock.setblocking(False)
             sock.bind((self.machine.host, APP_PORT))
             self._sock = sock
+            _listen(self._listener, self.machine)
             loop.add_reader(sock, self._read)
             beating = asyncio.create_task(self._beat())
             try:
@@ -175,13 +189,16 @@
         return answer.is_ok
 
     async def leave(self) -> bool:
-        """Say that it ends."""
+        """Say that it ends, and refuse connections from now on."""
         path = f'/api/Instances.Leave/{self.name}'
-        return (await call('POST', _agent_of(self.machine), path)).is_ok
+        answer = await call('POST', _agent_of(self.machine), path)
+        self._listener.close()
+        return answer.is_ok
 
     def _end(self, beating: 'asyncio.Task[None]') -> None:
         for task in (beating, *self._tasks):
             task.cancel()
+        self._listener.close()
         self._sock = None
 
     async def _beat(self) -> None:
@@ -225,6 +242,9 @@
         if packet.flags & FIN:
             self._flow_by_caller.pop(packet.flow, None)
             self._send(Packet(packet.target, packet.source, 0, packet.seq, ACK))
+        elif len(packet.data) == FULL_PACKET:
+            flow.part_by_seq[packet.seq] = packet.data
+            self._send(_reply(packet, flow, b''))
         elif packet.data:
             task = asyncio.create_task(self._answer(packet, flow))
             self._tasks.add(task)
@@ -236,22 +256,17 @@
             return
         if known is None:
             flow.answer_by_request[packet.seq] = b''
-            known = await self._run(packet.data)
+            known = await self._run(packet.data.decode(), flow.content)
             flow.answer_by_request[packet.seq] = known
-        self._send(
-            Packet(
-                packet.target, packet.source, flow.seq, packet.seq, ACK, known
-            ),
-        )
+        self._send(_reply(packet, flow, known))
 
-    async def _run(self, request: bytes) -> bytes:
+    async def _run(self, name: str, content: bytes) -> bytes:
         async with self._slots:
-            name = request.decode()
             self.runs.append(
                 Run(name, self.name, self.machine.service, time.monotonic())
             )
             await asyncio.sleep(self.work)
-            return f'{name} by {self.name}'.encode()
+            return f'{answer_start(name, content)} by {self.name}'.encode()
 
     def _bounce(self, packet: Packet) -> None:
         returned = attrs.evolve(packet, flags=packet.flags | BOUNCED, pad=0)
@@ -265,6 +280,26 @@
             self._sock.sendto(packet.pack(), target)
 
 
+def answer_start(request: str, content: bytes = b'') -> str:
+    """Return what an answer says before the name of its server."""
+    if not content:
+        return request
+    return f'{request} with {len(content)} bytes, {zlib.crc32(content):08x}'
+
+
+def _reply(packet: Packet, flow: _Flow, answer: bytes) -> Packet:
+    return Packet(
+        packet.target, packet.source, flow.seq, packet.seq, ACK, answer
+    )
+
+
+def _listen(listener: contextlib.ExitStack, machine: Machine) -> None:
+    # Agents take a refused connection for the proof that the server has ended.
+    # The backlog of the system accepts the few connections that they try.
+    listener.close()
+    listener.enter_context(socket.create_server((machine.host, APP_PORT)))
+
+
 def _agent_of(machine: Machine) -> str:
     """Return the address that takes a server's reports."""
     return f'{machine.host}:{CONTROL_PORT}'
--- a/standins/packets/settings.py
+++ b/standins/packets/settings.py
@@ -33,6 +33,8 @@
         True when the whole system starts for the first time.
     tolerated_losses : int
         How many machines with a disk may be lost at once.
+    link_mbps : float
+        Rate of its link in Mbit/s; 0 if the settings do not state it.
     """
 
     name: str
@@ -42,6 +44,7 @@
     folder: Path | None = None
     is_first_start: bool = True
     tolerated_losses: int = 1
+    link_mbps: float = 0
 
 
 def write_settings(
@@ -75,6 +78,8 @@
                 f'service={machine.service}',
             ),
         )
+    if machine.link_mbps:
+        lines.append(f'limits.link_mbps={machine.link_mbps}')
     if machine.folder is not None and role == 'control':
         lines.append(f'data_dir={machine.folder}')
     path.write_text('\n'.join(lines))
--- a/standins/packets/site.py
+++ b/standins/packets/site.py
@@ -44,6 +44,9 @@
         How many machines with a disk may be lost at once.
     servers_by_service : dict
         Servers of each service, zone by zone in turn.
+    link_mbps_by_zone : dict
+        Rate in Mbit/s of the links of front machines, by zone; links of other
+        zones have no stated rate.
     """
 
     zones: tuple[str, ...] = ('north', 'south', 'west')
@@ -54,6 +57,7 @@
     servers_by_service: dict[str, int] = attrs.field(
         factory=lambda: {'feed': 3}
     )
+    link_mbps_by_zone: dict[str, float] = attrs.field(factory=dict)
 
 
 class PacketSite:
@@ -181,7 +185,12 @@
                 has_disk = place < self.plan.disks
                 disk = self.folder / f'{name}-disk' if has_disk else None
                 yield Machine(
-                    name, host, zone, folder=disk, tolerated_losses=losses
+                    name,
+                    host,
+                    zone,
+                    folder=disk,
+                    tolerated_losses=losses,
+                    link_mbps=self.plan.link_mbps_by_zone.get(zone, 0),
                 )
 
     def _sides(self) -> Iterator[Machine]:
