--- a/redwingstream/fleet/lost_flow_notifier.py
+++ b/redwingstream/fleet/lost_flow_notifier.py
@@ -106,6 +106,7 @@
         self._address = context.location.address
         self._boot = process.codec.boot
         self._recovery = FlowRecovery(self._address, self._boot)
+        self._has_logged_survival = False
 
     def apply_services(self, services: frozenset[Address]) -> None:
         """Apply the routes of the pool whose requests cannot be repeated."""
@@ -158,9 +159,7 @@
         if report is None:
             return
         lost, surviving = self._recovery.pop_decided(report.born, now)
-        for snapshot in surviving:
-            count = len(unpack_flows(snapshot.flows))
-            self._process.log.write(ServerSurvived(count, snapshot.born))
+        self._log_survivors(surviving)
         if not lost:
             return
         free = [one for one in lost if not self._is_in_use(one, now)]
@@ -253,6 +252,14 @@
             self._reset(held, reason, len(carried_flows) - len(held))
         return len(held)
 
+    def _log_survivors(self, surviving: list[FlowSnapshot]) -> None:
+        """Log once in a run that the server of the snapshots still runs."""
+        if surviving and not self._has_logged_survival:
+            self._has_logged_survival = True
+            newest = max(surviving, key=lambda one: one.sequence)
+            count = len(unpack_flows(newest.flows))
+            self._process.log.write(ServerSurvived(count, newest.born))
+
     def _reset(
         self, lost: list[RecordedFlow], reason: str, left_out: int
     ) -> None:
