--- a/redwingstream/fleet/tests/test_lost_flows.py
+++ b/redwingstream/fleet/tests/test_lost_flows.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import socket
-from types import SimpleNamespace
 
 import attrs
 import pytest
@@ -14,15 +13,19 @@
 )
 from redwingstream.endpoints import Endpoint
 from redwingstream.errors import ResultCode, WireError
-from redwingstream.fleet.agent import Agent
-from redwingstream.fleet.control import Control
-from redwingstream.fleet.deployment import ListenEndpoints, LocalServer
+from redwingstream.fleet.deployment import LocalServer
 from redwingstream.fleet.server_reports import ANNOUNCEMENT_DELAY
 from redwingstream.fleet.tests.fakes import (
-    DEPLOYMENT,
     KEY,
-    FakeProcess,
-    FakeSocket,
+)
+from redwingstream.fleet.tests.site import (
+    AGENT,
+    AGENT_ADDRESS,
+    BORN,
+    CONTROLS,
+    POOL,
+    Site,
+    recorded,
 )
 from redwingstream.lost_flows.recorded_flows import (
     MAX_FLOWS,
@@ -31,216 +34,16 @@
     unpack_flows,
 )
 from redwingstream.lost_flows.recovery import QUERY_SECONDS
-from redwingstream.openings.reports import ServerReport
-from redwingstream.packets.envelopes import Envelope, Kind
 from redwingstream.packets.flow import Address, address_of, flow_of, pair_of
-from redwingstream.packets.ranking import pool_hash
-from redwingstream.packets.tests.codec import (
-    ACCEPTING,
-    END,
-    OPENING,
-    RESET,
-    Packet,
-    PlainCodec,
-)
 from redwingstream.packets.tests.network import SERVICE
-from redwingstream.tables.rows import FlowKind, FlowRules, Route
-from redwingstream.tables.snapshot import Tables
+from redwingstream.tables.rows import FlowKind
 from redwingstream.wire import messages
 from redwingstream.wire.frames import MAX_FRAME, FrameCodec
 
-HOST = '10.1.0.1'
-AGENT = (HOST, 7722)
-AGENT_ADDRESS = address_of(HOST, 8172)
-CONTROLS = ('10.9.0.1', '10.9.0.2', '10.9.0.3')
-POOL = 'jobs'
-ROUTE = Route(
-    '198.18.0.1:443', POOL, flows=FlowRules(kind=FlowKind.NON_IDEMPOTENT)
-)
-BORN = 1_770_000_000_000
-FIRST_ANSWER = 1000
-RESET_RANGE = 76_800
-REPORT_INTERVAL = 1.0
-
-
-class _Site:
-    """An agent, its server as far as the agent sees it, and controls."""
-
-    def __init__(self, folder=None, kind: FlowKind | None = None) -> None:
-        self.now = 1000.0
-        self.folder = folder
-        self.route = ROUTE
-        if kind is not None:
-            self.route = attrs.evolve(ROUTE, flows=FlowRules(kind=kind))
-        self.queue: list[tuple[tuple, bytes, tuple]] = []
-        self.lost: tuple[type, ...] = ()
-        self.sent: list[object] = []
-        self.reader = FrameCodec(KEY)
-        self.sequence = 0
-        self.control_by_host: dict[str, Control] = {}
-        self.start_controls()
-        self.start_agent()
-
-    def clock(self) -> float:
-        """Return the current time in seconds."""
-        return self.now
-
-    def start_controls(self) -> None:
-        """Start all control instances, without anything in memory."""
-        for host in CONTROLS:
-            folder = self.folder and self.folder / host
-            deployment = attrs.evolve(
-                DEPLOYMENT, host=host, seeds=CONTROLS, data_folder=folder
-            )
-            control = Control(FakeProcess(deployment, self.clock))
-            control.attach(self._socket((host, 7720)))
-            control.tick(self.now)
-            self.control_by_host[host] = control
-
-    def stop_controls(self) -> None:
-        """Close the disks of all control instances."""
-        for control in self.control_by_host.values():
-            control.replication.close()
-
-    def start_agent(self, pool: str = POOL) -> None:
-        """Start the agent, without anything in memory."""
-        deployment = attrs.evolve(
-            DEPLOYMENT,
-            host=HOST,
-            seeds=CONTROLS,
-            listening=ListenEndpoints(packets=Endpoint(HOST, 8172)),
-            local_server=LocalServer(Endpoint(HOST, 9000), pool),
-        )
-        process = FakeProcess(deployment, self.clock)
-        self.events: list[object] = []
-        process.log.write = self.events.append
-        self.agent = Agent(process, PlainCodec())
-        self.agent.control_client.attach(self._socket(AGENT))
-        self.callers = FakeSocket()
-        self.agent.packet_sender.attach(self.callers, FakeSocket())
-        history = self.agent.control_client.inquirer.history
-        route = attrs.evolve(self.route, pool=pool)
-        history.tables = Tables(1, {route.key: route})
-        self.agent._apply_tables()
-
-    def run(self, seconds: float) -> None:
-        """Run the periodic work, without the server's reports."""
-        for _ in range(round(seconds / 0.05)):
-            self.now += 0.05
-            self.agent.lost_flows.tick(self.now)
-            for control in self.control_by_host.values():
-                control.flow_snapshots.tick(
-                    control.replication.folder, self.now
-                )
-            self.deliver()
-
-    def run_reporting(self, seconds: float, born: int = BORN) -> None:
-        """Run while the server reports."""
-        for _ in range(round(seconds / REPORT_INTERVAL)):
-            self.report(born)
-            self.run(REPORT_INTERVAL)
-
-    def report(self, born: int = BORN, **change) -> None:
-        """Deliver a report of the server."""
-        self.sequence += 1
-        pool = self.agent.context.location.pool
-        report = ServerReport(
-            's-1', born, self.sequence, pool, Readiness.READY, 0, 2
-        )
-        report = attrs.evolve(report, **change)
-        self.agent.server_reports.handle_report(report)
-        self.deliver()
-
-    def open(self, port: int, requests: int = 2) -> None:
-        """Open a flow that carries some requests."""
-        caller = address_of('100.64.0.1', port)
-        self._from_caller(Packet(caller, SERVICE, 1, flags=OPENING))
-        accepted = Packet(SERVICE, caller, FIRST_ANSWER - 1, 1, flags=ACCEPTING)
-        self.from_server(accepted)
-        for number in range(requests):
-            self.ask(port, number)
-            self.from_server(
-                Packet(SERVICE, caller, FIRST_ANSWER + number * 10, size=10)
-            )
-
-    def ask(self, port: int, number: int) -> None:
-        """Send a request on an open flow."""
-        caller = address_of('100.64.0.1', port)
-        acknowledged = FIRST_ANSWER + number * 10
-        self._from_caller(
-            Packet(caller, SERVICE, 2 + number * 4, acknowledged, size=4)
-        )
-
-    def end(self, port: int) -> None:
-        """Let the server end a flow."""
-        caller = address_of('100.64.0.1', port)
-        self.from_server(Packet(SERVICE, caller, FIRST_ANSWER, flags=END))
-
-    def from_server(self, packet: Packet) -> None:
-        """Deliver a packet of the server to the agent."""
-        self.agent._handle_server_packet(packet.pack(), (HOST, 9000))
-
-    def reset_ports(self) -> list[int]:
-        """Return the ports of callers that the agent has reset, sorted."""
-        resets = [
-            packet
-            for packet in map(Packet.unpack, self.callers.sent)
-            if packet.flags & RESET
-        ]
-        for packet in resets:
-            assert abs(packet.sequence - FIRST_ANSWER) < RESET_RANGE
-        return sorted(packet.target & 0xFFFF for packet in resets)
-
-    def sent_of(self, kind: type) -> list[object]:
-        """Return the messages of a class that were sent."""
-        return [one for one in self.sent if isinstance(one, kind)]
-
-    def lose_power(self, *, with_controls: bool = True) -> None:
-        """Start the agent, and control instances if asked to, again."""
-        if with_controls:
-            self.stop_controls()
-            self.start_controls()
-        self.start_agent()
-
-    def deliver(self) -> None:
-        """Deliver all messages of the kinds that these tests are about."""
-        while self.queue:
-            source, frame, target = self.queue.pop(0)
-            message = self.reader.open(frame).payload
-            if not isinstance(message, FlowSnapshot | FlowSnapshotQuery):
-                continue
-            self.sent.append(message)
-            if isinstance(message, self.lost):
-                continue
-            if target == AGENT:
-                self.agent._handle_internal(frame, source)
-            elif target[0] in self.control_by_host:
-                self.control_by_host[target[0]].receive(frame, source)
-
-    def _from_caller(self, packet: Packet) -> None:
-        kind = Kind.OPENING if packet.flags & OPENING else Kind.ONGOING
-        envelope = Envelope(kind, packet.pack(), pool=pool_hash(POOL))
-        self.agent.forwarder.handle_envelope(envelope, Address(1), self.now)
-
-    def _socket(self, source: tuple) -> SimpleNamespace:
-        return SimpleNamespace(
-            send=lambda frame, target: self.queue.append(
-                (source, frame, target)
-            )
-        )
-
-
-def _recorded(site: _Site) -> None:
-    """Let a server with three flows run until they are recorded."""
-    site.run_reporting(4)
-    for port in (1, 2, 3):
-        site.open(port)
-    site.run_reporting(3)
-
 
 @pytest.fixture
 async def site(tmp_path):
-    made = _Site(tmp_path)
+    made = Site(tmp_path)
     yield made
     made.stop_controls()
 
@@ -253,7 +56,7 @@
         self, site, is_report_first
     ) -> None:
         """Guards against requests sent into flows that are lost."""
-        _recorded(site)
+        recorded(site)
         site.lose_power()
         if is_report_first:
             site.report(BORN + 9000)
@@ -267,7 +70,7 @@
 
     async def test_flows_since_last_snapshot_are_left_out(self, site) -> None:
         """Guards against resets of flows that no snapshot contains."""
-        _recorded(site)
+        recorded(site)
         site.open(4)
         site.lose_power()
         site.report(BORN + 9000)
@@ -276,7 +79,7 @@
 
     async def test_flow_opened_again_is_left_out(self, site) -> None:
         """Guards against resetting a caller that uses its port again."""
-        _recorded(site)
+        recorded(site)
         site.lose_power()
         site.report(BORN + 9000)
         site.open(2)
@@ -285,7 +88,7 @@
 
     async def test_union_of_snapshots_of_different_age(self, site) -> None:
         """Guards against losing flows when one instance has missed some."""
-        _recorded(site)
+        recorded(site)
         snapshot = site.sent_of(FlowSnapshot)[-1]
         older = attrs.evolve(
             snapshot, flows=pack_flows(_flows(3, 4)), sequence=1
@@ -299,7 +102,7 @@
 
     async def test_lost_messages_are_repeated(self, site) -> None:
         """Guards against callers without notice after one lost datagram."""
-        _recorded(site)
+        recorded(site)
         site.lost = (FlowSnapshotQuery,)
         site.lose_power()
         site.report(BORN + 9000)
@@ -312,7 +115,7 @@
     async def test_lost_snapshots_are_sent_again(self, site) -> None:
         """Guards against an unchanged set of flows that is never recorded."""
         site.lost = (FlowSnapshot,)
-        _recorded(site)
+        recorded(site)
         site.lost = ()
         site.run_reporting(12)
         site.lose_power()
@@ -323,7 +126,7 @@
     async def test_no_snapshot_no_reset(self, site) -> None:
         """Guards against an agent that depends on answers."""
         site.lost = (FlowSnapshot,)
-        _recorded(site)
+        recorded(site)
         site.lose_power()
         site.report(BORN + 9000)
         site.run(QUERY_SECONDS + 1)
@@ -365,7 +168,7 @@
     @pytest.mark.parametrize('born', [BORN, BORN + 9000])
     async def test_address_of_another_pool(self, site, born) -> None:
         """Guards against resets while the earlier server may be running."""
-        _recorded(site)
+        recorded(site)
         site.start_agent('other')
         site.report(born)
         site.run(1)
@@ -387,7 +190,7 @@
         The agent resumes, and opens a flow at the restarted server before it
         handles the reports that have waited.
         """
-        _recorded(site)
+        recorded(site)
         site.now += 30
         site.open(5)
         site.now += 0.01
@@ -402,7 +205,7 @@
 
     async def test_late_answer(self, site) -> None:
         """Guards against resets by a snapshot that was long under way."""
-        _recorded(site)
+        recorded(site)
         snapshot = site.sent_of(FlowSnapshot)[-1]
         site.lost = (FlowSnapshot,)
         site.lose_power()
@@ -413,7 +216,7 @@
 
     async def test_ended_and_half_open_flows(self, site) -> None:
         """Guards against resets of flows that the server does not hold."""
-        _recorded(site)
+        recorded(site)
         site.end(2)
         site.open(6, requests=0)
         site.run_reporting(2)
@@ -426,7 +229,7 @@
 
     async def test_new_run_reports(self, site) -> None:
         """Guards against flows that are deleted without notice."""
-        _recorded(site)
+        recorded(site)
         site.report(BORN + 9000)
         assert site.reset_ports() == [1, 2, 3]
         assert not site.agent.context.flows.count
@@ -444,7 +247,7 @@
 
         A draining server may be leaving: it closes its port before it ends.
         """
-        _recorded(site)
+        recorded(site)
         site.open(4)
         site.report(readiness=readiness)
         site.now += 0.1
@@ -465,7 +268,7 @@
     )
     async def test_other_flows(self, kind, requests) -> None:
         """Guards against traffic for flows that carry one request each."""
-        site = _Site(kind=kind)
+        site = Site(kind=kind)
         site.run_reporting(4)
         site.open(1, requests)
         # A retransmission is not a second request.
@@ -477,13 +280,13 @@
 
     async def test_routes_without_the_kind_query_nothing(self) -> None:
         """Guards against queries in deployments that record no flows."""
-        site = _Site(kind=FlowKind.UPLOAD)
+        site = Site(kind=FlowKind.UPLOAD)
         site.run(1)
         assert not site.sent
 
     async def test_sent_to_two_instances_when_changed(self, site) -> None:
         """Guards against more traffic than the design states."""
-        _recorded(site)
+        recorded(site)
         sent = len(site.sent_of(FlowSnapshot))
         site.end(1)
         site.run_reporting(3)
@@ -498,7 +301,7 @@
 
     async def test_silent_instance_is_replaced(self, site) -> None:
         """Guards against snapshots at instances that have stopped."""
-        _recorded(site)
+        recorded(site)
         inquirer = site.agent.control_client.inquirer
         for address in inquirer.preferred_controls(AGENT_ADDRESS, 1):
             inquirer._contacts.contact_by_address[address].unanswered = 9
@@ -582,7 +385,7 @@
         An agent that was frozen handles the reports and the announcement that
         have waited in any order.
         """
-        _recorded(site)
+        recorded(site)
         site.agent.server_reports.handle_leave('s-1')
         site.report(readiness=readiness)
         site.now += 1
@@ -595,7 +398,7 @@
 
         It finds the port closed before it reads the announcement.
         """
-        _recorded(site)
+        recorded(site)
         site.now += 1
         reports = site.agent.server_reports
         check = asyncio.create_task(reports.check_server_ended(_closed_port()))
@@ -610,7 +413,7 @@
 
         Server and agent of an instance are asked to stop at the same time.
         """
-        _recorded(site)
+        recorded(site)
         site.now += 1
         site.agent._local_server = LocalServer(_closed_port(), POOL)
         await site.agent.prepare_stop()
