Keep flows that a restarted server was given before its first report

Cause: ServerReportHandler.handle_report cleared the table of flows at the first report of a new run. The agent gives flows to the new run before, by the last report of the earlier one. An agent that has run for the idle time-out, or that has seen the server's runs change, takes a flow that is not in its table for absent, so it answered searches from memory (flow_not_found with 3 visited, no packet at the server), and all agents' answers are the balancer's proof.

Change: flows opened less than half a second before the last report of the earlier run, or after it, stay: the server answers their next packet. Earlier ones are removed as unconfirmed: the server is asked once before the agent denies them, since that report may have been late. What the server has said of flows without an entry moves into packets/coverage.py; the load of requests into packets/request_load.py, unchanged.

--- a/redwingstream/fleet/server_reports.py
+++ b/redwingstream/fleet/server_reports.py
@@ -8,6 +8,7 @@
 from redwingstream.fleet.lost_flow_notifier import LostFlowNotifier
 from redwingstream.fleet.process import Process, ProcessReady
 from redwingstream.fleet.server_probe import has_ended
+from redwingstream.lost_flows.recorded_flows import CONFIRMED_AFTER
 from redwingstream.openings.gate import Gate
 from redwingstream.openings.reports import ServerReport
 from redwingstream.packets.agent_flows import AgentFlows
@@ -68,9 +69,11 @@
             after = round(now - self._process.started_at, 3)
             self._process.log.write(ProcessReady(after))
         elif before.born != report.born:
-            # A restarted server has lost the flows of its earlier run.
             self._lost_flows.handle_new_run(before, report, last_report_at)
-            self._flows.clear()
+            # The new run may hold flows that it was given before its report.
+            self._flows.forget_opened_before(
+                last_report_at - CONFIRMED_AFTER, now
+            )
         self._lost_flows.handle_report(now)
         if before is None or _is_change(before, report):
             self._log_report(report, 'taken')
--- a/redwingstream/packets/agent_context.py
+++ b/redwingstream/packets/agent_context.py
@@ -24,6 +24,7 @@
     PacketCodec,
 )
 from redwingstream.packets.refusals import Refusals
+from redwingstream.packets.request_load import record_request, record_upload
 from redwingstream.packets.waiting_flows import WaitingFlow, WaitingFlows
 from redwingstream.tables.rows import FlowKind, FlowRules
 from redwingstream.telemetry.histogram import Histogram
@@ -176,9 +177,9 @@
     def record_data(self, carried: CarriedFlow, head: Head, now: float) -> None:
         """Record a data packet of a caller that is given to the server."""
         if head.target in self.upload_services:
-            self.flows.record_upload(carried, head, now)
+            record_upload(self.flows, carried, head, now)
         else:
-            self.flows.record_request(carried, now)
+            record_request(self.flows, carried, now)
 
     def caller_limits(self, head: Head) -> CallerLimits:
         """Return what the caller of an opening packet expects."""
--- a/redwingstream/packets/agent_flows.py
+++ b/redwingstream/packets/agent_flows.py
@@ -5,6 +5,7 @@
 import attrs
 
 from redwingstream.packets.bounded_table import BoundedTable
+from redwingstream.packets.coverage import Coverage
 from redwingstream.packets.envelopes import Envelope
 from redwingstream.packets.flow import Address, FlowId, Head
 from redwingstream.packets.flow_identity import (
@@ -31,10 +32,6 @@
 overload a request waits for one second at the agent and some tenths at the
 server."""
 
-FULL_PACKET_SIZE = 1200
-"""Bytes of data in a full packet.  A packet of an upload with fewer bytes is
-the last one of its request."""
-
 MAX_HANDSHAKE_WAIT = 0.15
 """Seconds after which a new flow without a request no longer counts as load.  A
 caller sends its request within a round trip, but never if it has given up while
@@ -173,6 +170,8 @@
     ----------
     waiting : int
         Number of flows that await an answer of the server.
+    coverage : Coverage
+        What is known of flows that are not in the table.
     """
 
     def __init__(
@@ -186,6 +185,7 @@
         self._carriers: BoundedTable[FlowId, Address] = BoundedTable(
             MAX_CARRIERS, flow_life
         )
+        self.coverage = Coverage(flow_life)
 
     @property
     def count(self) -> int:
@@ -228,41 +228,35 @@
         self._carried.put(carried.flow, carried, now)
 
     def remove(self, carried: CarriedFlow) -> None:
-        """Remove a flow of the server."""
+        """Remove a flow that the server does not hold."""
         self.stop_waiting(carried)
         self._carried.pop(carried.flow)
 
+    def forget(self, carried: CarriedFlow, now: float) -> None:
+        """Remove a flow that the server may still hold."""
+        self.remove(carried)
+        self.coverage.record_unconfirmed(carried.flow, now)
+
+    def forget_opened_before(self, opened_before: float, now: float) -> None:
+        """Remove flows of an earlier run of the server.
+
+        Parameters
+        ----------
+        opened_before : float
+            Time in seconds, by the event loop's clock; later flows stay.
+        now : float
+            Current time in seconds.
+        """
+        for carried in self._carried.rows():
+            if carried.opened_at < opened_before:
+                self.forget(carried, now)
+
     def start_waiting(self, carried: CarriedFlow, now: float) -> None:
         """Count the flow as awaiting an answer of the server."""
         if carried.wait_started_at is None:
             self.waiting += 1
             carried.wait_started_at = now
 
-    def record_request(self, carried: CarriedFlow, now: float) -> None:
-        """Record that the caller has sent data and awaits an answer."""
-        if not carried.has_asked:
-            carried.has_asked = True
-            self.stop_waiting(carried)
-        carried.is_sending = False
-        self.start_waiting(carried, now)
-
-    def record_upload(
-        self, carried: CarriedFlow, head: Head, now: float
-    ) -> None:
-        """Record a data packet of an upload.
-
-        A server occupies a slot only once it has the whole request, so an
-        upload counts as load from its last packet, the one that is not full.
-        """
-        if head.size < FULL_PACKET_SIZE:
-            self.record_request(carried, now)
-            return
-        if not carried.has_asked:
-            carried.has_asked = True
-            self.stop_waiting(carried)
-        # A full packet after the last one of a request is a retransmission.
-        carried.is_sending = carried.wait_started_at is None
-
     def stop_waiting(self, carried: CarriedFlow) -> None:
         """Count the flow as no longer awaiting an answer."""
         carried.is_sending = False
@@ -275,6 +269,7 @@
         for old in self._carried.evict_expired(now):
             self.stop_waiting(old)
         self._carriers.evict_expired(now)
+        self.coverage.evict_expired(now)
         for carried in self._carried.rows():
             if carried.is_given_up(now):
                 self.stop_waiting(carried)
--- a/redwingstream/packets/open_flows.py
+++ b/redwingstream/packets/open_flows.py
@@ -52,7 +52,7 @@
     def __init__(self, context: AgentContext, started_at: float) -> None:
         self._context = context
         self._started_at = started_at
-        self._probes = Probes(context.codec, context.flows.flow_life)
+        self._probes = Probes(context.codec, context.flows.coverage)
         self._lookups = Lookups()
 
     def handle_packet(self, envelope: Envelope, now: float) -> list[Outgoing]:
@@ -96,7 +96,7 @@
                     searched is not None and searched.kind is Kind.LOOKUP,
                 ),
             )
-        self._probes.record_not_held(head.inbound, now)
+        self._context.flows.coverage.record_not_held(head.inbound, now)
         if searched is None:
             return context.refusals.drop(head, 'handed back without a search')
         return self._search(searched, head, now)
@@ -116,7 +116,7 @@
         self._context.counters.denied += 1
         if carried is not None:
             self._context.flows.remove(carried)
-        self._probes.record_not_held(flow, now)
+        self._context.flows.coverage.record_not_held(flow, now)
         envelope = self._probes.pop_answered(flow)
         if envelope is None:
             return []
@@ -166,12 +166,15 @@
         context = self._context
         if context.gate.state.has_ended:
             return True
+        coverage = context.flows.coverage
+        if coverage.is_unconfirmed(head.inbound, now):
+            return False
         # The server sends on each flow that it holds within the idle time-out,
         # so that from then on the agent knows all of them.
         knows_all_from = self._started_at + context.flows.idle_timeout
         if context.gate.state.is_observed_from_start or now >= knows_all_from:
             return True
-        return self._probes.is_not_held(head.inbound, now)
+        return coverage.is_not_held(head.inbound, now)
 
     def _deliver(
         self, envelope: Envelope, carried: CarriedFlow, head: Head, now: float
--- a/redwingstream/packets/probes.py
+++ b/redwingstream/packets/probes.py
@@ -7,6 +7,7 @@
 
 from redwingstream.packets.agent_flows import CarriedFlow
 from redwingstream.packets.bounded_table import BoundedTable
+from redwingstream.packets.coverage import Coverage
 from redwingstream.packets.envelopes import Envelope
 from redwingstream.packets.flow import FlowId, Head, PacketCodec
 
@@ -17,26 +18,21 @@
 """Seconds for which a returned packet is expected; the server returns it within
 a millisecond."""
 
-MAX_NOT_HELD = 8192
-"""Maximum number of flows remembered as not held by the server, each for the
-maximum life of a flow.  A flow that the server opens later is found in the
-table of its own flows first."""
-
 _TICKET_MASK = 0xFFFFFFFF
 
 
 class Probes:
-    """Packets whose fate at the server is not known yet, and denied flows.
+    """Packets whose fate at the server is not known yet.
 
     Parameters
     ----------
     codec : PacketCodec
         Writes tickets into packets.
-    flow_life : float
-        Maximum life of a flow in seconds.
+    coverage : Coverage
+        Flows that the server has denied.
     """
 
-    def __init__(self, codec: PacketCodec, flow_life: float) -> None:
+    def __init__(self, codec: PacketCodec, coverage: Coverage) -> None:
         self._codec = codec
         self._ticket = 0
         self._envelope_by_ticket: BoundedTable[int, Envelope] = BoundedTable(
@@ -45,9 +41,7 @@
         self._unanswered_by_flow: BoundedTable[FlowId, Envelope] = BoundedTable(
             MAX_PENDING, PENDING_SECONDS
         )
-        self._not_held: BoundedTable[FlowId, bool] = BoundedTable(
-            MAX_NOT_HELD, flow_life
-        )
+        self._coverage = coverage
 
     def with_ticket(self, envelope: Envelope, now: float) -> bytes:
         """Return the packet of an envelope with a ticket.
@@ -84,7 +78,7 @@
         """
         if self._unanswered_by_flow.get(flow, now) is not None:
             return True
-        return carried is None and self.is_not_held(flow, now)
+        return carried is None and self._coverage.is_not_held(flow, now)
 
     def pop_returned(self, head: Head) -> Envelope | None:
         """Return the envelope of a packet that the server has returned."""
@@ -93,16 +87,7 @@
             self._envelope_by_ticket.pop(head.ticket) if head.ticket else None
         )
 
-    def record_not_held(self, flow: FlowId, now: float) -> None:
-        """Record that the server does not hold a flow."""
-        self._not_held.put(flow, row=True, now=now)
-
-    def is_not_held(self, flow: FlowId, now: float) -> bool:
-        """Whether the server has shown that it does not hold a flow."""
-        return self._not_held.get(flow, now) is not None
-
     def evict_expired(self, now: float) -> None:
-        """Evict packets that the server will not return, and old flows."""
+        """Evict packets that the server will not return."""
         self._envelope_by_ticket.evict_expired(now)
         self._unanswered_by_flow.evict_expired(now)
-        self._not_held.evict_expired(now)
--- a/redwingstream/packets/tests/test_uploads.py
+++ b/redwingstream/packets/tests/test_uploads.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from redwingstream.packets.agent_flows import FULL_PACKET_SIZE
+from redwingstream.packets.request_load import FULL_PACKET_SIZE
 from redwingstream.packets.tests.codec import RESET, Packet
 from redwingstream.packets.tests.network import SERVICE, Caller, Network
 from redwingstream.tables.rows import FlowKind, FlowRules
