Ask the server where an agent may have missed what it sent on a flow

Callers saw: a frozen balancer wakes and forwards an opening packet to an agent that has restarted since.

Cause: the server answers the late packet with the number with which it had accepted the flow, and the agent took this for the beginning and end of all that the server has sent. What the caller acknowledges lies behind it, so the agent logged flow_mismatch and denied the flow without asking the server; with the denials of the other agents the balancer declared it dead. An agent that had rediscovered the flow before was misled by a copy in the same way.

Change: CarriedFlow.is_sent_complete says whether the server cannot have held the flow before its opening packet: the agent's table is complete, and the flow was not removed from it. Otherwise a number outside the range is no proof, and the packet goes to the server with a ticket; the server takes it or returns it. Where the range is complete, a packet of another flow is denied as before.

--- a/redwingstream/packets/agent_context.py
+++ b/redwingstream/packets/agent_context.py
@@ -20,6 +20,7 @@
 from redwingstream.packets.flow import (
     NO_ADDRESS,
     Address,
+    FlowId,
     Head,
     PacketCodec,
 )
@@ -174,6 +175,23 @@
         """Return the current load of the server."""
         return Load(self.flows.waiting, self.flows.count, len(self.waiting))
 
+    def is_table_complete(self, now: float) -> bool:
+        """Whether the agent has an entry of each flow that the server holds.
+
+        Flows whose entries were removed without the server's answer are not
+        counted.
+        """
+        if self.gate.state.is_observed_from_start:
+            return True
+        # The server sends on each flow that it holds within the idle time-out.
+        started_at = self.flows.coverage.started_at
+        return now >= started_at + self.flows.idle_timeout
+
+    def is_surely_new(self, flow: FlowId, now: float) -> bool:
+        """Whether the server cannot hold a flow without an entry yet."""
+        is_unconfirmed = self.flows.coverage.is_unconfirmed(flow, now)
+        return self.is_table_complete(now) and not is_unconfirmed
+
     def record_data(self, carried: CarriedFlow, head: Head, now: float) -> None:
         """Record a data packet of a caller that is given to the server."""
         if head.target in self.upload_services:
--- a/redwingstream/packets/agent_flows.py
+++ b/redwingstream/packets/agent_flows.py
@@ -81,6 +81,9 @@
     sent : SentRange or None
         What the server has sent; None if this agent has not seen it accept the
         flow.
+    is_sent_complete : bool
+        True if the server cannot have held the flow before its opening packet,
+        so that ``sent`` is all that it has sent.
     acknowledged : int or None
         Last acknowledgement number of the caller; None until it is known.
     asked_end : int or None
@@ -101,6 +104,7 @@
     has_answered: bool = False
     is_ending: bool = False
     sent: SentRange | None = None
+    is_sent_complete: bool = False
     acknowledged: int | None = None
     asked_end: int | None = None
     is_request_answered: bool = False
@@ -140,7 +144,10 @@
         """Return whether a caller's packet belongs to this flow."""
         if self.sent is None or head.is_reset:
             return Identity.UNKNOWN
-        return self.sent.identify(head)
+        identity = self.sent.identify(head)
+        if identity is Identity.OTHER and not self.is_sent_complete:
+            return Identity.UNKNOWN
+        return identity
 
     def is_given_up(self, now: float) -> bool:
         """Whether the answer is overdue and no longer counts as load."""
--- a/redwingstream/packets/agent_forwarder.py
+++ b/redwingstream/packets/agent_forwarder.py
@@ -37,8 +37,9 @@
 
     def __init__(self, context: AgentContext, started_at: float) -> None:
         self.context = context
+        context.flows.coverage.started_at = started_at
         self._new_flows = NewFlowHandler(context)
-        self._open_flows = OpenFlowHandler(context, started_at)
+        self._open_flows = OpenFlowHandler(context)
 
     def handle_envelope(
         self, envelope: Envelope, source: Address, now: float
--- a/redwingstream/packets/coverage.py
+++ b/redwingstream/packets/coverage.py
@@ -19,9 +19,16 @@
     ----------
     flow_life : float
         Maximum life of a flow in seconds.
+
+    Attributes
+    ----------
+    started_at : float
+        Time in seconds at which the agent started; it has seen all packets of
+        its server since then.
     """
 
     def __init__(self, flow_life: float) -> None:
+        self.started_at = float('inf')
         self._unconfirmed: BoundedTable[FlowId, bool] = BoundedTable(
             MAX_UNCONFIRMED, flow_life
         )
--- a/redwingstream/packets/new_flows.py
+++ b/redwingstream/packets/new_flows.py
@@ -288,7 +288,13 @@
         self, envelope: Envelope, flow: FlowId, now: float
     ) -> list[Outgoing]:
         context = self._context
-        carried = CarriedFlow(flow, envelope, FlowState.OFFERED, now)
+        carried = CarriedFlow(
+            flow,
+            envelope,
+            FlowState.OFFERED,
+            now,
+            is_sent_complete=context.is_surely_new(flow, now),
+        )
         context.flows.add(carried, now)
         context.flows.start_waiting(carried, now)
         context.gate.record_opened(now)
--- a/redwingstream/packets/open_flows.py
+++ b/redwingstream/packets/open_flows.py
@@ -44,14 +44,10 @@
     ----------
     context : AgentContext
         State shared by the agent's packet decisions.
-    started_at : float
-        Time in seconds at which the agent started; it has seen all packets of
-        its server since then.
     """
 
-    def __init__(self, context: AgentContext, started_at: float) -> None:
+    def __init__(self, context: AgentContext) -> None:
         self._context = context
-        self._started_at = started_at
         self._probes = Probes(context.codec, context.flows.coverage)
         self._lookups = Lookups()
 
@@ -169,10 +165,7 @@
         coverage = context.flows.coverage
         if coverage.is_unconfirmed(head.inbound, now):
             return False
-        # The server sends on each flow that it holds within the idle time-out,
-        # so that from then on the agent knows all of them.
-        knows_all_from = self._started_at + context.flows.idle_timeout
-        if context.gate.state.is_observed_from_start or now >= knows_all_from:
+        if context.is_table_complete(now):
             return True
         return coverage.is_not_held(head.inbound, now)
 
--- /dev/null
+++ b/redwingstream/packets/tests/test_denials.py
@@ -0,0 +1,157 @@
+"""What an agent denies from memory, and what it asks its server."""
+
+import pytest
+
+from redwingstream.packets.effects import Outgoing, ToPeer, ToServer
+from redwingstream.packets.envelopes import Envelope, Kind, unpack_envelope
+from redwingstream.packets.flow import Address, address_of
+from redwingstream.packets.ranking import pool_hash
+from redwingstream.packets.tests.codec import (
+    ACCEPTING,
+    OPENING,
+    RETURNED,
+    Packet,
+)
+from redwingstream.packets.tests.network import (
+    POOL,
+    SERVICE,
+    AgentNode,
+    Network,
+)
+
+CALLER = address_of('100.64.0.1', 1000)
+HOME = address_of('10.1.0.9', 8172)
+BALANCER = address_of('10.1.0.100', 7721)
+ACCEPTED = 5000
+"""Sequence number with which the server has accepted the flow."""
+
+RECEIVED = 4000
+"""Bytes that the caller has received on the flow."""
+
+
+class _Beside:
+    """An agent, whose server is played by the test."""
+
+    def __init__(self) -> None:
+        self.network = Network()
+        self.node: AgentNode = self.network.add_agent('10.1.0.1')
+        self.peer = self.network.add_agent('10.1.0.2')
+
+    def restart(self) -> None:
+        """Restart the agent beside a server that keeps running."""
+        self.node.start(started_at=self.network.now)
+        self.node.report()
+        self.network.publish_agents()
+
+    def opening(self, sequence: int = 1) -> list[Outgoing]:
+        """Deliver an opening packet."""
+        packet = Packet(CALLER, SERVICE, sequence, flags=OPENING)
+        return self._handle(
+            Envelope(
+                Kind.OPENING,
+                packet.pack(),
+                BALANCER,
+                self.node.address,
+                pool_hash(POOL),
+            )
+        )
+
+    def request(
+        self, acknowledged: int, kind: Kind = Kind.LOOKUP
+    ) -> list[Outgoing]:
+        """Deliver a request on the flow."""
+        packet = Packet(CALLER, SERVICE, 2, acknowledged, size=4)
+        hops = int(kind is Kind.LOOKUP)
+        return self._handle(
+            Envelope(kind, packet.pack(), BALANCER, HOME, hops=hops)
+        )
+
+    def accept(self, sequence: int = ACCEPTED) -> list[Outgoing]:
+        """Let the server accept the flow."""
+        return self.sent(Packet(SERVICE, CALLER, sequence, 1, flags=ACCEPTING))
+
+    def answer(self, sequence: int, size: int) -> list[Outgoing]:
+        """Let the server send data on the flow."""
+        return self.sent(Packet(SERVICE, CALLER, sequence, 6, size=size))
+
+    def sent(self, packet: Packet) -> list[Outgoing]:
+        """Deliver a packet of the server."""
+        return self.node.forwarder.handle_server_packet(
+            packet.pack(), self.network.now
+        )
+
+    def _handle(self, envelope: Envelope) -> list[Outgoing]:
+        return self.node.forwarder.handle_envelope(
+            envelope, Address(BALANCER), self.network.now
+        )
+
+
+@pytest.fixture
+def beside() -> _Beside:
+    return _Beside()
+
+
+def _delivered(outgoing: list[Outgoing]) -> list[Packet]:
+    """Return the packets given to the server."""
+    return [
+        Packet.unpack(one.payload)
+        for one in outgoing
+        if isinstance(one, ToServer)
+    ]
+
+
+def _envelopes(outgoing: list[Outgoing], kind: Kind) -> list[Envelope]:
+    """Return the messages of a kind to other processes."""
+    envelopes = [
+        unpack_envelope(one.payload)
+        for one in outgoing
+        if isinstance(one, ToPeer)
+    ]
+    return [one for one in envelopes if one.kind is kind]
+
+
+class TestLateOpening:
+    """A late opening packet reaches an agent that has restarted since."""
+
+    @pytest.mark.parametrize('is_rediscovered', [False, True])
+    def test_does_not_deny_what_follows(self, beside, is_rediscovered) -> None:
+        """Guards against denying a flow by an incomplete range of numbers.
+
+        The server answers with the number with which it had accepted the
+        flow, though it has sent more through the earlier run of the agent.
+        """
+        beside.restart()
+        if is_rediscovered:
+            beside.answer(ACCEPTED + 1, 4)
+        beside.opening()
+        beside.accept()
+        outgoing = beside.request(ACCEPTED + RECEIVED)
+        assert _delivered(outgoing)
+        assert not _envelopes(outgoing, Kind.NOT_CARRIED)
+
+    def test_leaves_the_decision_to_the_server(self, beside) -> None:
+        """Guards against callers that wait although the server denies it."""
+        beside.restart()
+        beside.opening()
+        beside.accept()
+        probe = _delivered(beside.request(ACCEPTED + RECEIVED))[0]
+        returned = Packet(
+            CALLER,
+            SERVICE,
+            2,
+            ACCEPTED + RECEIVED,
+            probe.ticket,
+            size=4,
+            flags=RETURNED,
+        )
+        outgoing = beside.sent(returned)
+        assert _envelopes(outgoing, Kind.NOT_CARRIED)
+
+    def test_is_denied_where_all_that_was_sent_is_known(self, beside) -> None:
+        """Guards against packets of other flows at a server without need."""
+        beside.opening()
+        beside.accept()
+        beside.answer(ACCEPTED + 1, 4)
+        outgoing = beside.request(ACCEPTED + RECEIVED)
+        assert not _delivered(outgoing)
+        assert _envelopes(outgoing, Kind.NOT_CARRIED)
--- a/redwingstream/packets/tests/test_large_pools.py
+++ b/redwingstream/packets/tests/test_large_pools.py
@@ -98,6 +98,7 @@
         )
         carried = CarriedFlow(self.flow, envelope, FlowState.ESTABLISHED, now)
         carried.sent = sent
+        carried.is_sent_complete = sent is not None
         agent.context.flows.add(carried, now)
         return agent
 
