Tell by the server's port, not by its reports, that a server is new

Cause: the agent took a first report with number 1, or any change of runs, for proof that the server had started after the agent, and then denied every flow without an entry. Neither shows it: flows are given before the first report, a report may be late, a count may begin at 0.

Change: fleet/server_start.py looks at the port when the agent starts. If it refuses connections then and accepts them after a report, the process has started in between and holds flows of this agent only. A server that leaves closes its port for good, so its late reports prove nothing. Without this proof, unknown flows go to the server until the agent has run for the idle time-out. After a server is found to have ended, the proof is asked for again. The simulated network marks its first servers as started after their agents.

--- a/redwingstream/fleet/agent.py
+++ b/redwingstream/fleet/agent.py
@@ -72,6 +72,7 @@
         self._sequence = 0
         self._release_timer: asyncio.TimerHandle | None = None
         self._server_check: asyncio.Task[None] | None = None
+        self._start_check: asyncio.Task[None] | None = None
         self._address = address_of(packets.host, packets.port)
         inquirer = Inquirer(
             deployment.seed_addresses,
@@ -110,7 +111,7 @@
         )
         self.server_reports = ServerReportHandler(
             process,
-            local_server.pool,
+            local_server,
             self.gate,
             self.context.flows,
             self.lost_flows,
@@ -138,6 +139,9 @@
         ):
             self.packet_sender.attach(callers=packets, peers=packets)
             self.control_client.attach(inside)
+            self._start_check = asyncio.create_task(
+                self.server_reports.server_start.check_absent()
+            )
             with self.process.running(
                 PeriodicTask('following', self.control_client.tick),
                 PeriodicTask('housekeeping', self.run_housekeeping),
@@ -167,6 +171,10 @@
         is_silent = self.context.silence.is_unresponsive(now)
         if is_silent and not is_checking and not is_draining:
             self._server_check = asyncio.create_task(self._check_server())
+        if self.server_reports.server_start.is_due:
+            self._start_check = asyncio.create_task(
+                self.server_reports.server_start.check_listening()
+            )
         return HOUSEKEEPING_INTERVAL
 
     async def prepare_stop(self) -> None:
@@ -178,8 +186,9 @@
         stop with its agent closes its port, and serves its flows for up to two
         more seconds, whether its announcement arrives or not.
         """
-        if self._server_check is not None:
-            self._server_check.cancel()
+        for check in (self._server_check, self._start_check):
+            if check is not None:
+                check.cancel()
         await self.server_reports.check_server_ended(
             self._local_server.server, resets_callers=False
         )
--- a/redwingstream/fleet/server_reports.py
+++ b/redwingstream/fleet/server_reports.py
@@ -4,10 +4,12 @@
 from collections.abc import Callable
 
 from redwingstream.endpoints import Endpoint
+from redwingstream.fleet.deployment import LocalServer
 from redwingstream.fleet.events import ServerEnded, ServerReported
 from redwingstream.fleet.lost_flow_notifier import LostFlowNotifier
 from redwingstream.fleet.process import Process, ProcessReady
 from redwingstream.fleet.server_probe import has_ended
+from redwingstream.fleet.server_start import ServerStart
 from redwingstream.lost_flows.recorded_flows import CONFIRMED_AFTER
 from redwingstream.openings.gate import Gate
 from redwingstream.openings.reports import ServerReport
@@ -26,8 +28,8 @@
     ----------
     process : Process
         Log and clock.
-    pool : str
-        Pool that the server belongs to.
+    local_server : LocalServer
+        Endpoint and pool of the server.
     gate : Gate
         Decides on new flows by the server's reports.
     flows : AgentFlows
@@ -36,23 +38,31 @@
         Resets the callers of flows whose server has ended.
     on_change : callable
         Called when the control instances are to be notified at once.
+
+    Attributes
+    ----------
+    server_start : ServerStart
+        Finds out whether the server has started after the agent.
     """
 
     def __init__(
         self,
         process: Process,
-        pool: str,
+        local_server: LocalServer,
         gate: Gate,
         flows: AgentFlows,
         lost_flows: LostFlowNotifier,
         on_change: Callable[[], None],
     ) -> None:
         self._process = process
-        self._pool = pool
+        self._pool = local_server.pool
         self._gate = gate
         self._flows = flows
         self._lost_flows = lost_flows
         self._on_change = on_change
+        self.server_start = ServerStart(
+            local_server.server, gate.state, flows.coverage, process.clock
+        )
 
     def handle_report(self, report: ServerReport) -> bool:
         """Handle a report; return False when it is of another pool."""
@@ -118,6 +128,7 @@
         if resets_callers:
             self._lost_flows.handle_server_ended(checked_at)
         state.mark_ended()
+        self._flows.coverage.record_server_absent(checked_at)
         # A server that has ended holds no flow.
         self._flows.clear()
         self._process.log.write(ServerEnded(str(server)))
--- a/redwingstream/fleet/tests/test_server_restart.py
+++ b/redwingstream/fleet/tests/test_server_restart.py
@@ -1,7 +1,10 @@
 """Flows of a server that starts again while its agent keeps running."""
 
+import socket
+
 import pytest
 
+from redwingstream.endpoints import Endpoint
 from redwingstream.fleet.tests.site import BORN, Site, recorded
 from redwingstream.packets.effects import Outgoing, ToPeer, ToServer
 from redwingstream.packets.envelopes import Envelope, Kind, unpack_envelope
@@ -13,9 +16,35 @@
 HOME = address_of('10.1.0.9', 8172)
 
 
+class _Port:
+    """The port of a server."""
+
+    def __init__(self) -> None:
+        self._listening: socket.socket | None = None
+        self.open(0)
+        self.endpoint = Endpoint(*self._listening.getsockname())
+
+    def open(self, number: int | None = None) -> None:
+        """Listen."""
+        number = self.endpoint.port if number is None else number
+        self._listening = socket.create_server(('127.0.0.1', number))
+
+    def close(self) -> None:
+        """Refuse connections."""
+        self._listening.close()
+
+
 @pytest.fixture
-def site():
+def port():
+    made = _Port()
+    yield made
+    made.close()
+
+
+@pytest.fixture
+def site(port):
     made = Site()
+    made.agent.server_reports.server_start._server = port.endpoint
     yield made
     made.stop_controls()
 
@@ -42,6 +71,70 @@
     return any(isinstance(one, ToServer) for one in outgoing)
 
 
+class TestRestartedAgent:
+    """The agent starts again beside a server that holds flows."""
+
+    @pytest.mark.parametrize('sequence', [0, 1])
+    async def test_does_not_count_on_a_first_report(
+        self, site, sequence
+    ) -> None:
+        """Guards against denying flows that were given before that report.
+
+        The earlier run of the agent gave them to the server, by the report of
+        the server's earlier run.
+        """
+        site.report(sequence=sequence)
+        outgoing = _asked(site, 5, 1010)
+        assert _reaches_server(outgoing)
+        assert not _denials(outgoing)
+
+    async def test_does_not_count_on_a_late_report(self, site) -> None:
+        """Guards against taking a run for a new one by a late report.
+
+        The report of the earlier run was delayed until the agent had started
+        again; the later run holds flows since before that.
+        """
+        site.report()
+        site.report(LATER)
+        outgoing = _asked(site, 5, 1010)
+        assert _reaches_server(outgoing)
+        assert not _denials(outgoing)
+
+    async def test_asks_a_server_that_was_listening(self, site) -> None:
+        """Guards against denying flows of a server that runs throughout."""
+        await site.agent.server_reports.server_start.check_absent()
+        site.report()
+        await site.agent.server_reports.server_start.check_listening()
+        assert _reaches_server(_asked(site, 5, 1010))
+
+    async def test_denies_flows_of_an_earlier_server(self, site, port) -> None:
+        """Guards against a packet to the server for each dead flow.
+
+        The server started after the agent, so it holds no flow of before.
+        """
+        port.close()
+        await site.agent.server_reports.server_start.check_absent()
+        port.open()
+        site.report()
+        assert site.agent.server_reports.server_start.is_due
+        await site.agent.server_reports.server_start.check_listening()
+        outgoing = _asked(site, 5, 1010)
+        assert not _reaches_server(outgoing)
+        assert _denials(outgoing)
+
+    async def test_asks_a_leaving_server(self, site, port) -> None:
+        """Guards against denying flows of a server that has closed its port.
+
+        It serves them for some seconds more; a late report of it arrives.
+        """
+        port.close()
+        await site.agent.server_reports.server_start.check_absent()
+        site.report()
+        await site.agent.server_reports.server_start.check_listening()
+        assert _reaches_server(_asked(site, 5, 1010))
+        assert not site.agent.server_reports.server_start.is_due
+
+
 class TestFirstReport:
     """The first report of the new run arrives."""
 
--- a/redwingstream/openings/reports.py
+++ b/redwingstream/openings/reports.py
@@ -4,9 +4,6 @@
 
 from redwingstream.directory.messages import Readiness
 
-FIRST_SEQUENCE = 1
-"""Sequence number of the first report of a run."""
-
 
 @attrs.frozen
 class ServerReport:
@@ -57,9 +54,6 @@
         was sent before may arrive after the announcement.
     has_ended : bool
         True when the server's process was found to have ended.
-    is_observed_from_start : bool
-        True when this run of the server started while the agent was receiving
-        its reports, so that it holds only flows that it was given since.
     """
 
     report: ServerReport | None = None
@@ -67,7 +61,6 @@
     is_leaving: bool = False
     has_announced_end: bool = False
     has_ended: bool = False
-    is_observed_from_start: bool = False
 
     def apply_report(self, report: ServerReport, now: float) -> bool:
         """Apply a report; return False when it is out of date.
@@ -83,10 +76,7 @@
         known = self.report
         if known is not None and _sort_key(report) <= _sort_key(known):
             return False
-        if known is None:
-            self.is_observed_from_start = report.sequence <= FIRST_SEQUENCE
-        elif known.born != report.born:
-            self.is_observed_from_start = True
+        if known is not None and known.born != report.born:
             self.has_announced_end = False
         self.report = report
         self.received_at = now
@@ -114,7 +104,6 @@
     def mark_ended(self) -> None:
         """Record that the server's process has ended."""
         self.has_ended = True
-        self.is_observed_from_start = False
 
     def mark_running(self) -> None:
         """Record a sign that the server's process is running."""
--- a/redwingstream/packets/agent_context.py
+++ b/redwingstream/packets/agent_context.py
@@ -176,16 +176,9 @@
         return Load(self.flows.waiting, self.flows.count, len(self.waiting))
 
     def is_table_complete(self, now: float) -> bool:
-        """Whether the agent has an entry of each flow that the server holds.
-
-        Flows whose entries were removed without the server's answer are not
-        counted.
-        """
-        if self.gate.state.is_observed_from_start:
-            return True
-        # The server sends on each flow that it holds within the idle time-out.
-        started_at = self.flows.coverage.started_at
-        return now >= started_at + self.flows.idle_timeout
+        """Whether the agent has an entry of each flow that the server holds."""
+        flows = self.flows
+        return flows.coverage.is_complete(flows.idle_timeout, now)
 
     def is_surely_new(self, flow: FlowId, now: float) -> bool:
         """Whether the server cannot hold a flow without an entry yet."""
--- a/redwingstream/packets/agent_forwarder.py
+++ b/redwingstream/packets/agent_forwarder.py
@@ -37,7 +37,7 @@
 
     def __init__(self, context: AgentContext, started_at: float) -> None:
         self.context = context
-        context.flows.coverage.started_at = started_at
+        context.flows.coverage.seen_since = started_at
         self._new_flows = NewFlowHandler(context)
         self._open_flows = OpenFlowHandler(context)
 
--- a/redwingstream/packets/coverage.py
+++ b/redwingstream/packets/coverage.py
@@ -22,13 +22,20 @@
 
     Attributes
     ----------
-    started_at : float
-        Time in seconds at which the agent started; it has seen all packets of
-        its server since then.
+    seen_since : float
+        Time in seconds from which the agent has seen all packets of its server,
+        and has kept the entries of their flows.
+    is_server_newer : bool
+        True if the server has started after that, so that each flow that it
+        holds has an entry.
+    is_server_awaited : bool
+        True if no process has listened on the server's port after that.
     """
 
     def __init__(self, flow_life: float) -> None:
-        self.started_at = float('inf')
+        self.seen_since = float('inf')
+        self.is_server_newer = False
+        self.is_server_awaited = False
         self._unconfirmed: BoundedTable[FlowId, bool] = BoundedTable(
             MAX_UNCONFIRMED, flow_life
         )
@@ -36,6 +43,36 @@
             MAX_NOT_HELD, flow_life
         )
 
+    def record_server_absent(self, now: float) -> None:
+        """Record that no process listens on the server's port.
+
+        A server that leaves closes its port and serves its flows for some
+        seconds, so that it may hold flows of before.
+        """
+        self.seen_since = now
+        self.is_server_newer = False
+        self.is_server_awaited = True
+
+    def record_server_listening(self) -> None:
+        """Record that a process listens on the server's port."""
+        self.is_server_newer |= self.is_server_awaited
+        self.is_server_awaited = False
+
+    def is_complete(self, idle_timeout: float, now: float) -> bool:
+        """Whether each flow that the server holds has an entry.
+
+        Flows whose entries were removed without the server's answer are not
+        counted.
+
+        Parameters
+        ----------
+        idle_timeout : float
+            Seconds within which the server sends on each flow that it holds.
+        now : float
+            Current time in seconds, by the event loop's clock.
+        """
+        return self.is_server_newer or now >= self.seen_since + idle_timeout
+
     def record_unconfirmed(self, flow: FlowId, now: float) -> None:
         """Record a flow whose entry is removed without the server's answer."""
         self._unconfirmed.put(flow, row=True, now=now)
--- a/redwingstream/packets/tests/network.py
+++ b/redwingstream/packets/tests/network.py
@@ -217,6 +217,7 @@
         self.cold_until = 0.0
         self.is_not_reporting = False
         self.start()
+        self.context.flows.coverage.is_server_newer = True
 
     def start(self, started_at: float = float('inf')) -> None:
         """Start, or restart without any state."""
@@ -258,6 +259,13 @@
             self.network.now,
         )
 
+    def mark_server_ended(self) -> None:
+        """Let the agent find that its server's port refuses connections."""
+        now = self.network.now
+        self.gate.state.mark_ended()
+        self.context.flows.coverage.record_server_absent(now)
+        self.context.flows.forget_opened_before(now, now)
+
     def receive(self, payload: bytes, source: Address) -> None:
         """Handle a datagram of another process."""
         if self.alive:
--- a/redwingstream/packets/tests/test_large_pools.py
+++ b/redwingstream/packets/tests/test_large_pools.py
@@ -369,7 +369,7 @@
         fleet = _Fleet(109)
         fleet.restart_all()
         for agent in fleet.network.agents[10:15]:
-            agent.gate.state.mark_ended()
+            agent.mark_server_ended()
             agent.alive = False
         fleet.network.publish_agents()
         fleet.network.run(1)
@@ -387,7 +387,7 @@
             agent.start(started_at=fleet.network.now)
             agent.server.alive = False
             agent.is_not_reporting = True
-            agent.gate.state.mark_ended()
+            agent.mark_server_ended()
         fleet.network.run(1)
         fleet.ask(1)
         assert fleet.caller.resets == 1
@@ -396,9 +396,9 @@
         """Guards against resetting flows of a server that runs after all."""
         fleet = _Fleet(109)
         fleet.restart_other_agents()
-        fleet.carrier.gate.state.mark_ended()
-        fleet.carrier.context.flows.clear()
-        fleet.carrier.report()
+        carrier = fleet.carrier
+        carrier.mark_server_ended()
+        carrier.report()
         fleet.ask(1)
         assert not fleet.caller.resets
         assert fleet.caller.answers > 1
