Search agents that have only passed a packet on

Callers would see: a flow reset although its server holds it.

Cause: a home passes a packet to the agent that it takes for the carrier without asking its own server. When that agent carried another flow of the port, or a copy that the caller did not accept, it searched the pool but for the agents that the packet had visited, and named those as visited in its result. The balancer takes visited for denied, so the home's server was never asked.

Change: a search asks every other agent of the pool, and its result names the searcher and those that answered. It is one lookup more where a home was wrong.

Measured: test_denials.py, TestVisitedAgents failed before; 303 tests of packets pass, among them those on the number of packets of a search.

--- a/redwingstream/packets/open_flows.py
+++ b/redwingstream/packets/open_flows.py
@@ -226,15 +226,15 @@
         lookup = self._lookups.find(head.inbound, now)
         if lookup is not None:
             return self._queue_packet(lookup, envelope, head)
+        own = context.location.address
+        # Agents that have only passed the packet on have denied nothing.
         request = attrs.evolve(
-            self._with_visit(envelope), home=context.location.address
+            self._with_visit(envelope), home=own, visited=(own,)
         )
         others = [
-            agent.address
-            for agent in context.peers()
-            if agent.address not in request.visited and not agent.is_silent
+            agent.address for agent in context.peers() if not agent.is_silent
         ]
-        if len(others) + len(request.visited) > MAX_VISITED:
+        if len(others) >= MAX_VISITED:
             return context.refusals.drop(
                 head, 'the pool is too large to search'
             )
--- a/redwingstream/packets/tests/test_denials.py
+++ b/redwingstream/packets/tests/test_denials.py
@@ -155,3 +155,35 @@
         outgoing = beside.request(ACCEPTED + RECEIVED)
         assert not _delivered(outgoing)
         assert _envelopes(outgoing, Kind.NOT_CARRIED)
+
+
+class TestVisitedAgents:
+    """A packet has passed other agents before it is searched for."""
+
+    def test_are_asked_by_the_search(self, beside) -> None:
+        """Guards against counting an agent that has asked no server.
+
+        The home has passed the packet on to an agent that it took for the
+        carrier; the home's own server holds the flow.
+        """
+        beside.opening()
+        beside.accept()
+        packet = Packet(CALLER, SERVICE, 2, ACCEPTED + RECEIVED, size=4)
+        passed = Envelope(
+            Kind.ONGOING,
+            packet.pack(),
+            BALANCER,
+            beside.peer.address,
+            hops=1,
+            visited=(beside.peer.address,),
+        )
+        outgoing = beside.node.forwarder.handle_envelope(
+            passed, beside.peer.address, beside.network.now
+        )
+        targets = [
+            one.target
+            for one in outgoing
+            if isinstance(one, ToPeer)
+            and unpack_envelope(one.payload).kind is Kind.LOOKUP
+        ]
+        assert targets == [beside.peer.address]
