Do not deny an open flow whose entry gave way to another opening packet

Callers would see: a flow reset although its server holds it.

Cause: an opening packet with another number than that of the flow in the table removed its entry, also when the packet was passed on or refused afterwards; it may be a late packet of an earlier flow. A copy that a full server returned removed an entry that the server had accepted. An agent whose table counts as complete then denied the flow without asking the server.

Change: both remove the entry as unconfirmed, so that the server is asked before the flow is denied, and what it sends on the flow counts as incomplete.

--- a/redwingstream/packets/new_flows.py
+++ b/redwingstream/packets/new_flows.py
@@ -63,7 +63,8 @@
         if known is not None and self._may_visit(known, head, envelope):
             return [peer_datagram(self._with_visit(envelope), known)]
         if carried is not None:
-            context.flows.remove(carried)
+            # It may be a late packet of an earlier flow from the same port.
+            context.flows.forget(carried, now)
         return self._handle_new(envelope, head, now)
 
     def process_waiting(self, now: float) -> list[Outgoing]:
@@ -87,7 +88,10 @@
             return context.refusals.drop(head, 'handed back twice')
         if carried.state is FlowState.ESTABLISHED:
             return context.refusals.drop(head, 'a late copy')
-        context.flows.remove(carried)
+        if carried.state is FlowState.OFFERED:
+            context.flows.remove(carried)
+        else:
+            context.flows.forget(carried, now)
         context.gate.record_full(now)
         return self.pass_on(carried.envelope, head, Verdict.FULL, now)
 
--- a/redwingstream/packets/tests/test_denials.py
+++ b/redwingstream/packets/tests/test_denials.py
@@ -187,3 +187,37 @@
             and unpack_envelope(one.payload).kind is Kind.LOOKUP
         ]
         assert targets == [beside.peer.address]
+
+
+class TestOtherOpening:
+    """An opening packet of another flow from the port reaches the agent."""
+
+    @pytest.mark.parametrize('is_busy', [False, True])
+    def test_does_not_deny_the_open_flow(self, beside, is_busy) -> None:
+        """Guards against denying a flow whose entry gave way to another.
+
+        A late packet of an earlier flow looks like the reuse of a port.
+        """
+        beside.opening()
+        beside.accept()
+        beside.answer(ACCEPTED + 1, RECEIVED)
+        if is_busy:
+            beside.node.context.flows.waiting = 100
+        beside.opening(sequence=77)
+        if not is_busy:
+            beside.accept()
+        outgoing = beside.request(ACCEPTED + RECEIVED)
+        assert _delivered(outgoing)
+        assert not _envelopes(outgoing, Kind.NOT_CARRIED)
+
+    def test_returned_copy_does_not_deny_the_open_flow(self, beside) -> None:
+        """Guards against denying a flow by a copy that the server returns.
+
+        The server has accepted the flow and is full when the copy arrives.
+        """
+        beside.opening()
+        beside.accept()
+        beside.sent(Packet(CALLER, SERVICE, 1, 1, flags=OPENING | RETURNED))
+        outgoing = beside.request(ACCEPTED)
+        assert _delivered(outgoing)
+        assert not _envelopes(outgoing, Kind.NOT_CARRIED)
