Apply a server's denial to the numbers that it was given for

Callers would see: a flow reset although its server holds it, after a late packet of an earlier flow from the same port. Found by reading.

Cause: a returned packet, or a reset in answer to one, was recorded for caller and service address alone, for a minute and longer, and ended the entry of whatever flow had these addresses. The agent then denied that flow as well.

Change: a denial counts for packets with the same acknowledgement number; a dead flow's number does not move, so its repeats are still denied without the server. The entry goes only if the returned packet acknowledges what the server has sent on its flow; else it only stops counting as load.

--- a/redwingstream/packets/agent_context.py
+++ b/redwingstream/packets/agent_context.py
@@ -20,10 +20,10 @@
 from redwingstream.packets.flow import (
     NO_ADDRESS,
     Address,
-    FlowId,
     Head,
     PacketCodec,
 )
+from redwingstream.packets.flow_identity import Identity
 from redwingstream.packets.refusals import Refusals
 from redwingstream.packets.request_load import record_request, record_upload
 from redwingstream.packets.waiting_flows import WaitingFlow, WaitingFlows
@@ -175,15 +175,27 @@
         """Return the current load of the server."""
         return Load(self.flows.waiting, self.flows.count, len(self.waiting))
 
-    def is_table_complete(self, now: float) -> bool:
-        """Whether the agent has an entry of each flow that the server holds."""
-        flows = self.flows
-        return flows.coverage.is_complete(flows.idle_timeout, now)
+    def record_denial(
+        self, head: Head, carried: CarriedFlow | None, now: float
+    ) -> None:
+        """Record the server's answer that it does not hold a packet's flow.
 
-    def is_surely_new(self, flow: FlowId, now: float) -> bool:
-        """Whether the server cannot hold a flow without an entry yet."""
-        is_unconfirmed = self.flows.coverage.is_unconfirmed(flow, now)
-        return self.is_table_complete(now) and not is_unconfirmed
+        Parameters
+        ----------
+        head : Head
+            Header of the caller's packet.
+        carried : CarriedFlow or None
+            Entry of a flow from the same port.
+        now : float
+            Current time in seconds, by the event loop's clock.
+        """
+        self.flows.coverage.record_denied(head, now)
+        if carried is None:
+            return
+        if carried.identify(head) is Identity.SAME:
+            self.flows.remove(carried)
+        else:
+            self.flows.stop_waiting(carried)
 
     def record_data(self, carried: CarriedFlow, head: Head, now: float) -> None:
         """Record a data packet of a caller that is given to the server."""
--- a/redwingstream/packets/agent_flows.py
+++ b/redwingstream/packets/agent_flows.py
@@ -192,7 +192,7 @@
         self._carriers: BoundedTable[FlowId, Address] = BoundedTable(
             MAX_CARRIERS, flow_life
         )
-        self.coverage = Coverage(flow_life)
+        self.coverage = Coverage(flow_life, idle_timeout)
 
     @property
     def count(self) -> int:
@@ -213,6 +213,7 @@
         the flow is declared dead.
         """
         self._carried.age = max(self._carried.age, idle_timeout)
+        self.coverage.idle_timeout = self._carried.age
 
     def find_carried(self, flow: FlowId, now: float) -> CarriedFlow | None:
         """Return a flow of the server, or None if it is not known."""
--- a/redwingstream/packets/new_flows.py
+++ b/redwingstream/packets/new_flows.py
@@ -297,7 +297,7 @@
             envelope,
             FlowState.OFFERED,
             now,
-            is_sent_complete=context.is_surely_new(flow, now),
+            is_sent_complete=context.flows.coverage.is_surely_new(flow, now),
         )
         context.flows.add(carried, now)
         context.flows.start_waiting(carried, now)
--- a/redwingstream/packets/open_flows.py
+++ b/redwingstream/packets/open_flows.py
@@ -76,14 +76,10 @@
         """Handle a packet of an open flow that the server has returned."""
         context = self._context
         searched = self._probes.pop_returned(head)
-        is_established = (
-            carried is not None and carried.state is FlowState.ESTABLISHED
-        )
-        if is_established and searched is None:
-            return self._handle_lost_flow(carried, head, now)
         if carried is not None:
-            # The caller has acknowledged another server's answer.
-            context.flows.remove(carried)
+            is_established = carried.state is FlowState.ESTABLISHED
+            if is_established and searched is None:
+                return self._handle_lost_flow(carried, head, now)
             context.log(
                 events.FlowReturned(
                     flow_text(carried.flow),
@@ -92,7 +88,7 @@
                     searched is not None and searched.kind is Kind.LOOKUP,
                 ),
             )
-        self._context.flows.coverage.record_not_held(head.inbound, now)
+        context.record_denial(head, carried, now)
         if searched is None:
             return context.refusals.drop(head, 'handed back without a search')
         return self._search(searched, head, now)
@@ -106,19 +102,17 @@
         answer to a probe says only that the server does not hold the flow, and
         must not reach the caller: another server may hold it.
         """
+        context = self._context
         flow = head.outbound
         if not self._probes.is_denial(flow, carried, now):
             return None
-        self._context.counters.denied += 1
-        if carried is not None:
-            self._context.flows.remove(carried)
-        self._context.flows.coverage.record_not_held(flow, now)
+        context.counters.denied += 1
         envelope = self._probes.pop_answered(flow)
         if envelope is None:
             return []
-        return self._search(
-            envelope, self._context.codec.read(envelope.packet), now
-        )
+        asked = context.codec.read(envelope.packet)
+        context.record_denial(asked, carried, now)
+        return self._search(envelope, asked, now)
 
     def handle_server_answer(self, flow: FlowId) -> list[Outgoing]:
         """Announce a flow if the server has answered a probe."""
@@ -162,12 +156,7 @@
         context = self._context
         if context.gate.state.has_ended:
             return True
-        coverage = context.flows.coverage
-        if coverage.is_unconfirmed(head.inbound, now):
-            return False
-        if context.is_table_complete(now):
-            return True
-        return coverage.is_not_held(head.inbound, now)
+        return context.flows.coverage.is_absent(head, now)
 
     def _deliver(
         self, envelope: Envelope, carried: CarriedFlow, head: Head, now: float
--- a/redwingstream/packets/probes.py
+++ b/redwingstream/packets/probes.py
@@ -78,7 +78,7 @@
         """
         if self._unanswered_by_flow.get(flow, now) is not None:
             return True
-        return carried is None and self._coverage.is_not_held(flow, now)
+        return carried is None and self._coverage.has_denied(flow, now)
 
     def pop_returned(self, head: Head) -> Envelope | None:
         """Return the envelope of a packet that the server has returned."""
--- a/redwingstream/packets/tests/test_denials.py
+++ b/redwingstream/packets/tests/test_denials.py
@@ -1,5 +1,6 @@
 """What an agent denies from memory, and what it asks its server."""
 
+import attrs
 import pytest
 
 from redwingstream.packets.effects import Outgoing, ToPeer, ToServer
@@ -221,3 +222,40 @@
         outgoing = beside.request(ACCEPTED)
         assert _delivered(outgoing)
         assert not _envelopes(outgoing, Kind.NOT_CARRIED)
+
+
+class TestOtherPacket:
+    """The server returns a packet of another flow from the same port."""
+
+    def _return(self, beside: _Beside, acknowledged: int) -> list[Outgoing]:
+        """Let the server return a packet that it was given."""
+        probe = _delivered(beside.request(acknowledged))[0]
+        return beside.sent(attrs.evolve(probe, flags=RETURNED))
+
+    @pytest.mark.parametrize('is_rediscovered', [False, True])
+    @pytest.mark.parametrize('packets', [1, 2])
+    def test_does_not_deny_the_open_flow(
+        self, beside, is_rediscovered, packets
+    ) -> None:
+        """Guards against denying a flow by an answer for an earlier one.
+
+        Late packets of the earlier flow reach an agent that cannot tell the
+        two apart.
+        """
+        beside.restart()
+        if is_rediscovered:
+            beside.answer(ACCEPTED + 1, 4)
+        for acknowledged in range(77, 77 + packets):
+            returned = self._return(beside, acknowledged)
+            assert _envelopes(returned, Kind.NOT_CARRIED)
+        outgoing = beside.request(ACCEPTED + 5)
+        assert _delivered(outgoing)
+        assert not _envelopes(outgoing, Kind.NOT_CARRIED)
+
+    def test_is_not_asked_for_twice(self, beside) -> None:
+        """Guards against a packet to the server for each of a dead flow."""
+        beside.restart()
+        self._return(beside, 77)
+        outgoing = beside.request(77)
+        assert not _delivered(outgoing)
+        assert _envelopes(outgoing, Kind.NOT_CARRIED)
