Match a returned packet with the packet that its ticket was given for

Callers would see: a flow reset although its server holds it, after a restart of an agent beside a slow server. Found by reading.

Cause: each run of an agent numbers its tickets from 1. A packet that the server returned for the earlier run took the envelope of another flow, which was then denied; and a returned packet whose ticket was no longer known counted as one without a ticket, so that the established flow of its port was reset at once.

Change: the envelope must be of the same flow, and only a packet without a ticket shows that an established flow is lost.

Measured: test_denials.py, TestTicket: 2 of 2 failed before and pass; 313 tests of packets pass.

--- a/redwingstream/packets/open_flows.py
+++ b/redwingstream/packets/open_flows.py
@@ -78,7 +78,8 @@
         searched = self._probes.pop_returned(head)
         if carried is not None:
             is_established = carried.state is FlowState.ESTABLISHED
-            if is_established and searched is None:
+            # A packet with a ticket may be of another flow from the same port.
+            if is_established and not head.ticket:
                 return self._handle_lost_flow(carried, head, now)
             context.log(
                 events.FlowReturned(
--- a/redwingstream/packets/probes.py
+++ b/redwingstream/packets/probes.py
@@ -81,11 +81,19 @@
         return carried is None and self._coverage.has_denied(flow, now)
 
     def pop_returned(self, head: Head) -> Envelope | None:
-        """Return the envelope of a packet that the server has returned."""
+        """Return the envelope of a packet that the server has returned.
+
+        None is returned if the packet has no ticket, or one of another packet:
+        an earlier run of the agent has numbered its tickets alike.
+        """
         self._unanswered_by_flow.pop(head.inbound)
-        return (
-            self._envelope_by_ticket.pop(head.ticket) if head.ticket else None
-        )
+        if not head.ticket:
+            return None
+        envelope = self._envelope_by_ticket.pop(head.ticket)
+        if envelope is None:
+            return None
+        asked = self._codec.read(envelope.packet)
+        return envelope if asked.inbound == head.inbound else None
 
     def evict_expired(self, now: float) -> None:
         """Evict packets that the server will not return."""
--- a/redwingstream/packets/tests/test_denials.py
+++ b/redwingstream/packets/tests/test_denials.py
@@ -3,9 +3,15 @@
 import attrs
 import pytest
 
-from redwingstream.packets.effects import Outgoing, ToPeer, ToServer
+from redwingstream.packets.effects import (
+    Outgoing,
+    ToCaller,
+    ToPeer,
+    ToServer,
+)
 from redwingstream.packets.envelopes import Envelope, Kind, unpack_envelope
 from redwingstream.packets.flow import Address, address_of
+from redwingstream.packets.probes import PENDING_SECONDS
 from redwingstream.packets.ranking import pool_hash
 from redwingstream.packets.tests.codec import (
     ACCEPTING,
@@ -259,3 +265,38 @@
         outgoing = beside.request(77)
         assert not _delivered(outgoing)
         assert _envelopes(outgoing, Kind.NOT_CARRIED)
+
+
+class TestTicket:
+    """The server returns a packet of the agent's earlier run."""
+
+    def test_does_not_deny_another_flow(self, beside) -> None:
+        """Guards against denying the flow that has the ticket now.
+
+        Both runs of the agent have numbered their tickets from the same start.
+        """
+        beside.restart()
+        ticket = _delivered(beside.request(ACCEPTED))[0].ticket
+        other = Packet(
+            address_of('100.64.0.2', 1),
+            SERVICE,
+            2,
+            77,
+            ticket,
+            size=4,
+            flags=RETURNED,
+        )
+        assert not _envelopes(beside.sent(other), Kind.NOT_CARRIED)
+
+    def test_does_not_end_an_open_flow(self, beside) -> None:
+        """Guards against a reset for a packet that was not known to be its.
+
+        The agent no longer knows the ticket of the returned packet.
+        """
+        beside.restart()
+        beside.answer(ACCEPTED + 1, 4)
+        probe = _delivered(beside.request(77))[0]
+        beside.network.run(PENDING_SECONDS + 1)
+        outgoing = beside.sent(attrs.evolve(probe, flags=RETURNED))
+        assert not any(isinstance(one, ToCaller) for one in outgoing)
+        assert _delivered(beside.request(ACCEPTED + 5))
