Take a refused connection for an end only if the server stays silent

Callers would see: a flow reset although its server holds it, after a server that starts again within the time of a check. Found by reading.

The next run may have been given flows within that time, by the last report of the earlier one. A server that had only closed its port, with its announcement lost, had its flows denied after its next packet as well, where the agent's table counted as complete.

Change: a packet of the server within the check speaks against its end; flows opened since the check began stay, and the others are removed as unconfirmed.

--- a/redwingstream/fleet/server_reports.py
+++ b/redwingstream/fleet/server_reports.py
@@ -116,23 +116,34 @@
             Whether the callers of its flows are reset if so.
         """
         state = self._gate.state
-        last_report_at = state.received_at
         checked_at = self._process.clock()
-        if not state.proves_end_by_refusal or not await has_ended(server):
-            return
-        await asyncio.sleep(ANNOUNCEMENT_DELAY)
-        if state.received_at > last_report_at:
-            return
-        if not state.proves_end_by_refusal:
+        if not await self._is_refusal_proof(server):
             return
         if resets_callers:
             self._lost_flows.handle_server_ended(checked_at)
         state.mark_ended()
         self._flows.coverage.record_server_absent(checked_at)
-        # A server that has ended holds no flow.
-        self._flows.clear()
+        # The next run may have been given flows since the check began.
+        self._flows.forget_opened_before(checked_at, self._process.clock())
         self._process.log.write(ServerEnded(str(server)))
 
+    async def _is_refusal_proof(self, server: Endpoint) -> bool:
+        """Whether a refused connection shows that the server has ended.
+
+        It does not if the server has announced its end, or if it or its next
+        run has reported or sent a packet meanwhile.
+        """
+        state = self._gate.state
+        last_report_at = state.received_at
+        answers = self._gate.answers
+        if not state.proves_end_by_refusal or not await has_ended(server):
+            return False
+        await asyncio.sleep(ANNOUNCEMENT_DELAY)
+        is_heard = self._gate.answers > answers
+        if is_heard or state.received_at > last_report_at:
+            return False
+        return state.proves_end_by_refusal
+
     def _log_report(self, report: ServerReport, outcome: str) -> None:
         self._process.log.write(
             ServerReported(
--- a/redwingstream/fleet/tests/test_server_restart.py
+++ b/redwingstream/fleet/tests/test_server_restart.py
@@ -1,15 +1,18 @@
 """Flows of a server that starts again while its agent keeps running."""
 
+import asyncio
 import socket
 
 import pytest
 
 from redwingstream.endpoints import Endpoint
-from redwingstream.fleet.tests.site import BORN, Site, recorded
+from redwingstream.fleet.server_reports import ANNOUNCEMENT_DELAY
+from redwingstream.fleet.tests.site import BORN, POOL, Site, recorded
 from redwingstream.packets.effects import Outgoing, ToPeer, ToServer
 from redwingstream.packets.envelopes import Envelope, Kind, unpack_envelope
 from redwingstream.packets.flow import Address, address_of
-from redwingstream.packets.tests.codec import Packet
+from redwingstream.packets.ranking import pool_hash
+from redwingstream.packets.tests.codec import OPENING, Packet
 from redwingstream.packets.tests.network import SERVICE
 
 LATER = BORN + 9000
@@ -156,3 +159,64 @@
         outgoing = _asked(site, 1, 1010)
         assert _reaches_server(outgoing)
         assert not _denials(outgoing)
+
+
+class TestRefusedConnection:
+    """The agent finds the server's port closed between two runs."""
+
+    async def _check(self, site: Site, port: _Port) -> asyncio.Task[None]:
+        """Start a check that waits for an announcement."""
+        port.close()
+        reports = site.agent.server_reports
+        check = asyncio.create_task(reports.check_server_ended(port.endpoint))
+        await asyncio.sleep(ANNOUNCEMENT_DELAY / 2)
+        site.now += ANNOUNCEMENT_DELAY / 2
+        return check
+
+    async def test_keeps_flows_of_the_next_run(self, site, port) -> None:
+        """Guards against denying flows that the next run has accepted."""
+        site.run_reporting(4)
+        site.now += 1
+        check = await self._check(site, port)
+        site.open(5)
+        await check
+        outgoing = _asked(site, 5, 1010)
+        assert _reaches_server(outgoing)
+        assert not _denials(outgoing)
+
+    async def test_keeps_flows_offered_to_the_next_run(
+        self, site, port
+    ) -> None:
+        """Guards against denying a flow that the next run accepts later."""
+        site.run_reporting(4)
+        site.now += 1
+        check = await self._check(site, port)
+        caller = address_of('100.64.0.1', 5)
+        opening = Packet(caller, SERVICE, 1, flags=OPENING)
+        site.agent.forwarder.handle_envelope(
+            Envelope(Kind.OPENING, opening.pack(), pool=pool_hash(POOL)),
+            Address(1),
+            site.now,
+        )
+        await check
+        assert _reaches_server(_asked(site, 5, 1000))
+
+    async def test_denies_flows_of_the_ended_run(self, site, port) -> None:
+        """Guards against lookups that wait for a server that has ended."""
+        recorded(site)
+        site.now += 1
+        await (await self._check(site, port))
+        outgoing = _asked(site, 1, 1010)
+        assert not _reaches_server(outgoing)
+        assert _denials(outgoing)
+
+    async def test_asks_again_once_the_server_runs(self, site, port) -> None:
+        """Guards against denying flows of a server that had only left.
+
+        It has closed its port and serves its flows; its announcement is lost.
+        """
+        recorded(site)
+        site.now += 1
+        await (await self._check(site, port))
+        site.end(9)
+        assert _reaches_server(_asked(site, 1, 1010))
--- a/redwingstream/openings/gate.py
+++ b/redwingstream/openings/gate.py
@@ -156,6 +156,8 @@
         Rules of the tables for the server's pool and zone.
     failures : FailureTracker
         Outcomes of the server's requests.
+    answers : int
+        Number of packets of the server.
 
     Notes
     -----
@@ -170,6 +172,7 @@
         self.state = ServerState()
         self.rules = PoolRules()
         self.failures = FailureTracker()
+        self.answers = 0
         self._cold_limit = cold_limit
         self._silence_timeout = report_interval * SILENT_AFTER_REPORTS
         self._first_report_due_at = started_at + report_interval
@@ -285,6 +288,7 @@
 
     def record_answer(self) -> None:
         """Record a packet of the server, which shows that it is running."""
+        self.answers += 1
         self.state.mark_running()
         self._unanswered_at = None
 
--- a/redwingstream/packets/agent_flows.py
+++ b/redwingstream/packets/agent_flows.py
@@ -281,8 +281,3 @@
         for carried in self._carried.rows():
             if carried.is_given_up(now):
                 self.stop_waiting(carried)
-
-    def clear(self) -> None:
-        """Remove all flows of the server, which holds none after a restart."""
-        for carried in self._carried.rows():
-            self.remove(carried)
