Count only what an agent has observed without a gap as known

Callers would see: a flow reset although its server holds it: after a rest just below the idle time-out, with the next request held by a balancer that stood still; or after a freeze of the agent itself. Found by reading.

Cause: the agent dropped an entry after the idle time-out, but a packet that was sent in time may arrive some seconds later, and was denied then. It counted itself as knowing all flows one idle time-out after its start, also if it had stood still meanwhile and its server's packets waited unread or were dropped; and it denied flows whose entries a full table had evicted.

--- a/redwingstream/packets/agent_flows.py
+++ b/redwingstream/packets/agent_flows.py
@@ -26,6 +26,10 @@
 DEFAULT_FLOW_LIFE = 60.0
 """Default maximum life of a flow in seconds, as required by the users."""
 
+LATE_PACKET_SECONDS = 8
+"""Maximum delay of a packet: a balancer that stood still forwards what it was
+sent before, up to seven seconds later."""
+
 MAX_ANSWER_WAIT = 1.5
 """Seconds after which a request that the server has not begun to answer no
 longer counts as load: it was lost, or the server has given it up.  Under
@@ -166,7 +170,7 @@
     Parameters
     ----------
     idle_timeout : float
-        Seconds without packets after which a flow of the server is evicted.
+        Seconds without packets after which the server may discard a flow.
     flow_life : float
         Maximum life of a flow in seconds.  The carriers of other flows are
         remembered for this time: by the hints of the balancers, the packets of
@@ -187,23 +191,18 @@
         self.waiting = 0
         self.flow_life = flow_life
         self._carried: BoundedTable[FlowId, CarriedFlow] = BoundedTable(
-            MAX_FLOWS, idle_timeout
+            MAX_FLOWS, idle_timeout + LATE_PACKET_SECONDS
         )
         self._carriers: BoundedTable[FlowId, Address] = BoundedTable(
             MAX_CARRIERS, flow_life
         )
-        self.coverage = Coverage(flow_life, idle_timeout)
+        self.coverage = Coverage(flow_life, self._carried.age)
 
     @property
     def count(self) -> int:
         """Number of known flows of the server."""
         return len(self._carried)
 
-    @property
-    def idle_timeout(self) -> float:
-        """Seconds without packets after which a flow is evicted."""
-        return self._carried.age
-
     def extend_idle_timeout(self, idle_timeout: float) -> None:
         """Apply another idle time-out if it is longer than the current one.
 
@@ -212,8 +211,9 @@
         that is evicted while its server holds it may not reach the server, or
         the flow is declared dead.
         """
-        self._carried.age = max(self._carried.age, idle_timeout)
-        self.coverage.idle_timeout = self._carried.age
+        age = max(self._carried.age, idle_timeout + LATE_PACKET_SECONDS)
+        self._carried.age = age
+        self.coverage.max_silence = age
 
     def find_carried(self, flow: FlowId, now: float) -> CarriedFlow | None:
         """Return a flow of the server, or None if it is not known."""
@@ -233,7 +233,10 @@
 
     def add(self, carried: CarriedFlow, now: float) -> None:
         """Add a flow of the server."""
+        overflowed = self._carried.overflowed
         self._carried.put(carried.flow, carried, now)
+        if self._carried.overflowed > overflowed:
+            self.coverage.record_evicted(now)
 
     def remove(self, carried: CarriedFlow) -> None:
         """Remove a flow that the server does not hold."""
@@ -277,6 +280,7 @@
         for old in self._carried.evict_expired(now):
             self.stop_waiting(old)
         self._carriers.evict_expired(now)
+        self.coverage.record_running(now)
         self.coverage.evict_expired(now)
         for carried in self._carried.rows():
             if carried.is_given_up(now):
--- a/redwingstream/packets/coverage.py
+++ b/redwingstream/packets/coverage.py
@@ -11,6 +11,11 @@
 each for the maximum life of a flow."""
 
 
+MAX_PAUSE = 1.0
+"""Seconds for which an agent may stand still without losing packets of its
+server, which wait in its socket."""
+
+
 class Coverage:
     """Answers of the server on flows without an entry in the agent's table.
 
@@ -18,8 +23,9 @@
     ----------
     flow_life : float
         Maximum life of a flow in seconds.
-    idle_timeout : float
-        Seconds within which the server sends on each flow that it holds.
+    max_silence : float
+        Maximum time in seconds between two packets of a flow that the server
+        holds.
 
     Attributes
     ----------
@@ -33,11 +39,12 @@
         True if no process has listened on the server's port after that.
     """
 
-    def __init__(self, flow_life: float, idle_timeout: float) -> None:
-        self.idle_timeout = idle_timeout
+    def __init__(self, flow_life: float, max_silence: float) -> None:
+        self.max_silence = max_silence
         self.seen_since = float('inf')
         self.is_server_newer = False
         self.is_server_awaited = False
+        self._ran_at: float | None = None
         self._unconfirmed: BoundedTable[FlowId, bool] = BoundedTable(
             MAX_UNCONFIRMED, flow_life
         )
@@ -60,15 +67,29 @@
         self.is_server_newer |= self.is_server_awaited
         self.is_server_awaited = False
 
+    def record_evicted(self, now: float) -> None:
+        """Record that an entry was removed because the table was full."""
+        self.seen_since = now
+        self.is_server_newer = False
+
+    def record_running(self, now: float) -> None:
+        """Record that the agent runs; detect that it has stood still."""
+        ran_at = self._ran_at
+        if ran_at is not None and now - ran_at > MAX_PAUSE:
+            self.seen_since = now
+        self._ran_at = now
+
     def is_complete(self, now: float) -> bool:
         """Whether each flow that the server holds has an entry.
 
         Flows whose entries were removed without the server's answer are not
         counted.
         """
-        return (
-            self.is_server_newer or now >= self.seen_since + self.idle_timeout
-        )
+        if self.is_server_newer:
+            return True
+        if self._ran_at is not None:
+            self.record_running(now)
+        return now >= self.seen_since + self.max_silence
 
     def record_unconfirmed(self, flow: FlowId, now: float) -> None:
         """Record a flow whose entry is removed without the server's answer."""
--- a/redwingstream/packets/tests/network.py
+++ b/redwingstream/packets/tests/network.py
@@ -19,7 +19,7 @@
 from redwingstream.openings.gate import Gate, PoolRules
 from redwingstream.openings.reports import ServerReport
 from redwingstream.packets.agent_context import AgentContext, AgentLocation
-from redwingstream.packets.agent_flows import AgentFlows
+from redwingstream.packets.agent_flows import LATE_PACKET_SECONDS, AgentFlows
 from redwingstream.packets.agent_forwarder import AgentForwarder
 from redwingstream.packets.balancer_forwarder import BalancerForwarder
 from redwingstream.packets.effects import (
@@ -47,6 +47,8 @@
 ROUTE = Route('198.18.0.1:443', POOL)
 HOP = 0.001  # seconds from one process to another
 IDLE_TIMEOUT = 15.0
+# Seconds after which an agent that has started knows all flows of its server.
+KNOWN_AFTER = IDLE_TIMEOUT + LATE_PACKET_SECONDS
 REPORT_INTERVAL = 1.2  # seconds between two reports of a server
 # Seconds after the first packet at which a caller sends copies, and after which
 # it gives up.
--- a/redwingstream/packets/tests/test_denials.py
+++ b/redwingstream/packets/tests/test_denials.py
@@ -3,6 +3,12 @@
 import attrs
 import pytest
 
+from redwingstream.packets.agent_flows import (
+    LATE_PACKET_SECONDS,
+    MAX_FLOWS,
+    CarriedFlow,
+    FlowState,
+)
 from redwingstream.packets.effects import (
     Outgoing,
     ToCaller,
@@ -10,7 +16,7 @@
     ToServer,
 )
 from redwingstream.packets.envelopes import Envelope, Kind, unpack_envelope
-from redwingstream.packets.flow import Address, address_of
+from redwingstream.packets.flow import Address, FlowId, address_of
 from redwingstream.packets.probes import PENDING_SECONDS
 from redwingstream.packets.ranking import pool_hash
 from redwingstream.packets.tests.codec import (
@@ -20,6 +26,8 @@
     Packet,
 )
 from redwingstream.packets.tests.network import (
+    IDLE_TIMEOUT,
+    KNOWN_AFTER,
     POOL,
     SERVICE,
     AgentNode,
@@ -300,3 +308,66 @@
         outgoing = beside.sent(attrs.evolve(probe, flags=RETURNED))
         assert not any(isinstance(one, ToCaller) for one in outgoing)
         assert _delivered(beside.request(ACCEPTED + 5))
+
+
+class TestDelay:
+    """A packet or the agent itself is delayed by a machine that stands still.
+
+    What the agent remembers of the flow has ended, or would have been learned
+    meanwhile.
+    """
+
+    def test_of_a_packet_does_not_deny_its_flow(self, beside) -> None:
+        """Guards against a reset for a request that a balancer has held.
+
+        It was sent within the idle time-out and arrives after it.
+        """
+        beside.opening()
+        beside.accept()
+        beside.answer(ACCEPTED + 1, 4)
+        beside.network.run(IDLE_TIMEOUT + LATE_PACKET_SECONDS - 1)
+        assert _delivered(beside.request(ACCEPTED + 5))
+
+    def test_of_the_agent_does_not_deny_a_flow(self, beside) -> None:
+        """Guards against counting the time of a freeze as observation.
+
+        What the server sends meanwhile waits unread, or is dropped.
+        """
+        beside.restart()
+        beside.network.run(KNOWN_AFTER - 5)
+        beside.network.now += 6
+        assert _delivered(beside.request(ACCEPTED))
+
+    def test_of_the_agent_counts_as_soon_as_it_runs(self, beside) -> None:
+        """Guards against forgetting the freeze before a packet is read."""
+        beside.restart()
+        beside.network.run(KNOWN_AFTER - 5)
+        beside.network.now += 6
+        beside.node.forwarder.tick(beside.network.now)
+        assert _delivered(beside.request(ACCEPTED))
+
+    def test_is_over_after_the_same_time_again(self, beside) -> None:
+        """Guards against packets to the server of a dead flow for good."""
+        beside.restart()
+        beside.network.run(KNOWN_AFTER + 1)
+        outgoing = beside.request(ACCEPTED)
+        assert not _delivered(outgoing)
+        assert _envelopes(outgoing, Kind.NOT_CARRIED)
+
+
+class TestFullTable:
+    """The agent's table has no place left."""
+
+    def test_does_not_deny_evicted_flows(self, beside) -> None:
+        """Guards against denying flows that the server still holds."""
+        beside.opening()
+        beside.accept()
+        flows = beside.node.context.flows
+        for number in range(MAX_FLOWS):
+            flow = FlowId(number)
+            envelope = Envelope(Kind.OPENING, b'')
+            flows.add(
+                CarriedFlow(flow, envelope, FlowState.ACCEPTED, 0),
+                beside.network.now,
+            )
+        assert _delivered(beside.request(ACCEPTED))
--- a/redwingstream/packets/tests/test_large_pools.py
+++ b/redwingstream/packets/tests/test_large_pools.py
@@ -15,7 +15,7 @@
 from redwingstream.packets.tests.network import (
     CODEC,
     HOP,
-    IDLE_TIMEOUT,
+    KNOWN_AFTER,
     POOL,
     SERVICE,
     AgentNode,
@@ -107,7 +107,7 @@
         for agent in self.network.agents:
             agent.server.resets_unknown = True
 
-    def restart_other_agents(self, started_at: float = -IDLE_TIMEOUT) -> None:
+    def restart_other_agents(self, started_at: float = -KNOWN_AFTER) -> None:
         """Restart the balancer and all agents except the carrier."""
         carrier = self.carrier
         for agent in self.network.agents:
@@ -119,7 +119,7 @@
         """Restart the balancer, all agents and all servers."""
         for agent in self.network.agents:
             agent.server.restart()
-            agent.start(started_at=-IDLE_TIMEOUT)
+            agent.start(started_at=-KNOWN_AFTER)
         self.balancer.start()
 
     def ask(self, seconds: float) -> None:
--- a/redwingstream/packets/tests/test_open_flows.py
+++ b/redwingstream/packets/tests/test_open_flows.py
@@ -2,6 +2,7 @@
 
 from redwingstream.packets.tests.network import (
     IDLE_TIMEOUT,
+    KNOWN_AFTER,
     AgentNode,
     BalancerNode,
     Caller,
@@ -119,7 +120,7 @@
         """
         network, balancer, caller = _far_flow()
         home = network.agents[0]
-        home.start(started_at=-IDLE_TIMEOUT)
+        home.start(started_at=-KNOWN_AFTER)
         home.report()
         balancer.start()
         network.publish_agents()
