Wait for the idle time-out in force before flows count as known

Callers would see: an idle flow reset although its server holds it, where the idle time-out in force is longer than the default and the agent beside the server has started again while it was cut off from all control instances.

Cause: until its first tables, the agent counted with the default of 15 s.

Change: without tables it never counts its knowledge as complete by time.

Measured: test_agent.py, TestWithoutTables failed before and passes; 469 tests of packets, fleet and openings pass.

--- a/redwingstream/fleet/agent.py
+++ b/redwingstream/fleet/agent.py
@@ -101,6 +101,8 @@
             AgentFlows(DEFAULT_IDLE_TIMEOUT, deployment.max_flow_age),
             process.log.write,
         )
+        # Until the tables arrive, the time-out in force may be a longer one.
+        self.context.flows.coverage.max_silence = float('inf')
         self.forwarder = AgentForwarder(self.context, process.started_at)
         self.packet_sender = PacketSender(packets.port, local_server.server)
         self.lost_flows = LostFlowNotifier(
@@ -220,10 +222,12 @@
         inquirer = self.control_client.inquirer
         tables = inquirer.history.tables
         self.context.refusals.revision = tables.revision
-        if tables.generation is not None:
-            self.context.flows.extend_idle_timeout(
-                tables.generation.idle_timeout
-            )
+        generation = tables.generation
+        self.context.flows.extend_idle_timeout(
+            DEFAULT_IDLE_TIMEOUT
+            if generation is None
+            else generation.idle_timeout
+        )
         self._apply_pool_rules()
         log_tables(self.process, inquirer)
 
--- a/redwingstream/fleet/tests/test_agent.py
+++ b/redwingstream/fleet/tests/test_agent.py
@@ -9,7 +9,11 @@
 from redwingstream.directory.messages import Inquiry, Readiness
 from redwingstream.endpoints import Endpoint
 from redwingstream.fleet.agent import Agent
-from redwingstream.fleet.deployment import ListenEndpoints, LocalServer
+from redwingstream.fleet.deployment import (
+    DEFAULT_IDLE_TIMEOUT,
+    ListenEndpoints,
+    LocalServer,
+)
 from redwingstream.fleet.tests.fakes import (
     DEPLOYMENT,
     KEY,
@@ -18,6 +22,7 @@
 )
 from redwingstream.openings.reports import ServerReport
 from redwingstream.openings.server_silence import UNRESPONSIVE_AFTER
+from redwingstream.packets.effects import ToServer
 from redwingstream.packets.envelopes import Envelope, Kind
 from redwingstream.packets.flow import address_of
 from redwingstream.packets.tests.codec import Packet, PlainCodec
@@ -143,3 +148,21 @@
         port = server.getsockname()[1]
         server.close()
         assert not await _readiness_on_silence(port, is_draining=True)
+
+
+class TestWithoutTables:
+    """An agent has not received tables since its start."""
+
+    async def test_does_not_know_when_flows_end(self, server) -> None:
+        """Guards against denying idle flows by the default time-out.
+
+        The time-out in force may be longer.
+        """
+        agent, _ = _make_agent(server.getsockname()[1])
+        packet = Packet(address_of('100.64.0.1', 1), SERVICE, 1, 2, size=4)
+        lookup = Envelope(Kind.LOOKUP, packet.pack(), hops=1)
+        later = agent.process.clock() + 10 * DEFAULT_IDLE_TIMEOUT
+        outgoing = agent.forwarder.handle_envelope(
+            lookup, address_of(HOST, 1), later
+        )
+        assert any(isinstance(one, ToServer) for one in outgoing)
