Count answers to a search only for the packet that was searched for

Callers would see: a flow reset although its server holds it, where an earlier flow of its port was searched for before. Found by reading.

Cause: an agent's answer that it does not carry a flow counted for any search of the same caller and service address, also if it was late and of a search before.

Change: the acknowledgement number of the answered packet must be that of the search.

Measured: test_denials.py, TestSearch failed before and passes; 424 tests of packets and fleet pass.

--- a/redwingstream/packets/lookups.py
+++ b/redwingstream/packets/lookups.py
@@ -13,7 +13,7 @@
 from redwingstream.packets.bounded_table import BoundedTable
 from redwingstream.packets.effects import ToPeer, peer_datagram
 from redwingstream.packets.envelopes import Envelope, Kind
-from redwingstream.packets.flow import Address, FlowId
+from redwingstream.packets.flow import Address, FlowId, Head
 
 MAX_LOOKUPS = 4096
 """Maximum number of concurrent lookups."""
@@ -43,6 +43,8 @@
     visited : list of Address
         Agents that the packet named as visited, and those that answered that
         they do not carry the flow.
+    acknowledged : int
+        Acknowledgement number of the packet.
     asked_at : float
         Time in seconds at which the requests were last sent.
     waiting : list of Envelope
@@ -54,6 +56,7 @@
     envelope: Envelope
     pending: set[Address]
     visited: list[Address]
+    acknowledged: int
     asked_at: float
     waiting: list[Envelope] = attrs.field(factory=list)
     is_repeated: bool = False
@@ -84,7 +87,7 @@
 
     def start(
         self,
-        flow: FlowId,
+        head: Head,
         envelope: Envelope,
         targets: Iterable[Address],
         now: float,
@@ -93,10 +96,10 @@
 
         Parameters
         ----------
-        flow : FlowId
-            The flow.
+        head : Head
+            Header of a packet of the flow.
         envelope : Envelope
-            A packet of the flow with the agents already visited.  Its
+            The packet with the agents already visited.  Its
             ``home`` is this agent, which receives the answers.
         targets : iterable of Address
             Agents to query.
@@ -104,23 +107,35 @@
             Current time in seconds, by the event loop's clock.
         """
         request = attrs.evolve(envelope, kind=Kind.LOOKUP, visited=())
-        lookup = Lookup(request, set(targets), list(envelope.visited), now)
-        self._lookup_by_flow.put(flow, lookup, now)
+        lookup = Lookup(
+            request,
+            set(targets),
+            list(envelope.visited),
+            head.acknowledged,
+            now,
+        )
+        self._lookup_by_flow.put(head.inbound, lookup, now)
         return lookup
 
     def record_not_carried(
-        self, flow: FlowId, agent: Address, now: float
+        self, head: Head, agent: Address, now: float
     ) -> Lookup | None:
         """Record that an agent does not carry a flow.
 
+        An answer on a packet with another acknowledgement number is of an
+        earlier search, and does not count.
+
         Returns
         -------
         Lookup or None
             The lookup if this was its last pending answer, else None.
         """
+        flow = head.inbound
         lookup = self._lookup_by_flow.get(flow, now)
         if lookup is None or agent not in lookup.pending:
             return None
+        if lookup.acknowledged != head.acknowledged:
+            return None
         lookup.pending.remove(agent)
         lookup.visited.append(agent)
         return None if lookup.pending else self.pop(flow)
--- a/redwingstream/packets/open_flows.py
+++ b/redwingstream/packets/open_flows.py
@@ -125,7 +125,7 @@
     ) -> list[Outgoing]:
         """Handle an agent's answer that it does not carry a flow."""
         head = self._context.codec.read(envelope.packet)
-        lookup = self._lookups.record_not_carried(head.inbound, agent, now)
+        lookup = self._lookups.record_not_carried(head, agent, now)
         return [] if lookup is None else self._report_not_found(lookup, head)
 
     def handle_carried(self, flow: FlowId, agent: Address) -> list[Outgoing]:
@@ -228,7 +228,7 @@
             return context.refusals.drop(
                 head, 'the pool is too large to search'
             )
-        lookup = self._lookups.start(head.inbound, request, others, now)
+        lookup = self._lookups.start(head, request, others, now)
         if others:
             return list(lookup.requests())
         self._lookups.pop(head.inbound)
--- a/redwingstream/packets/tests/test_denials.py
+++ b/redwingstream/packets/tests/test_denials.py
@@ -26,6 +26,7 @@
     Packet,
 )
 from redwingstream.packets.tests.network import (
+    CODEC,
     IDLE_TIMEOUT,
     KNOWN_AFTER,
     POOL,
@@ -371,3 +372,28 @@
                 beside.network.now,
             )
         assert _delivered(beside.request(ACCEPTED))
+
+
+class TestSearch:
+    """Agents answer a search."""
+
+    def test_answer_to_an_earlier_search_does_not_count(self, beside) -> None:
+        """Guards against denying a flow by a late answer on an earlier one.
+
+        The earlier flow had the same port and was searched for before.
+        """
+        beside.opening()
+        beside.accept()
+        searched = beside.request(ACCEPTED + RECEIVED, Kind.ONGOING)
+        lookup = _envelopes(searched, Kind.LOOKUP)[0]
+        late = Packet(CALLER, SERVICE, 2, 77, size=0)
+        answer = attrs.evolve(lookup, kind=Kind.NOT_CARRIED, packet=late.pack())
+        peer = beside.peer.address
+        forwarder = beside.node.forwarder
+        now = beside.network.now
+        outgoing = forwarder.handle_envelope(answer, peer, now)
+        assert not _envelopes(outgoing, Kind.NOT_CARRIED)
+        asked = CODEC.head_only(lookup.packet)
+        answer = attrs.evolve(answer, packet=asked)
+        outgoing = forwarder.handle_envelope(answer, peer, now)
+        assert _envelopes(outgoing, Kind.NOT_CARRIED)
