Ask a server's new run for its flows before their callers are reset

Callers would see: a reset on a flow that the new run of a server holds, without any packet of theirs, where the last report of the earlier run was late by more than half a second. Found by reading.

Cause: at the first report of a new run the agent reset the callers of all flows opened half a second before the last report of the earlier run. A late report moves this time behind flows that the new run has taken.

Change: the agent gives the server the last packet of each flow once more; the server returns it if it does not hold the flow, and the caller is reset then. A server that holds the flow takes it for a retransmission. Entries stay until the packet is returned. The log says server_asked in place of flows_reset.

Measured: test_lost_flows.py, test_new_run_reports_after_a_late_report: 2 of 2 failed before and pass. The tests of the other side (callers of a crashed server are told) now let the server return what it is given, with the same assertions. 472 tests of packets, fleet and openings pass.

--- a/redwingstream/fleet/agent.py
+++ b/redwingstream/fleet/agent.py
@@ -110,6 +110,7 @@
             self.context,
             self.control_client,
             self.packet_sender.send_all,
+            self.forwarder.ask_server,
         )
         self.server_reports = ServerReportHandler(
             process,
--- a/redwingstream/fleet/lost_flow_notifier.py
+++ b/redwingstream/fleet/lost_flow_notifier.py
@@ -11,7 +11,11 @@
 )
 from redwingstream.fleet.control_client import ControlClient
 from redwingstream.fleet.process import Process
-from redwingstream.lost_flows.events import FlowsReset, ServerSurvived
+from redwingstream.lost_flows.events import (
+    FlowsReset,
+    ServerAsked,
+    ServerSurvived,
+)
 from redwingstream.lost_flows.recorded_flows import (
     CONFIRMED_AFTER,
     MAX_FLOWS,
@@ -29,8 +33,9 @@
 )
 from redwingstream.openings.reports import ServerReport
 from redwingstream.packets.agent_context import AgentContext
+from redwingstream.packets.agent_flows import CarriedFlow
 from redwingstream.packets.effects import Outgoing, ToCaller
-from redwingstream.packets.flow import Address
+from redwingstream.packets.flow import Address, FlowId
 
 RECORD_INTERVAL = 0.25
 """Seconds between two checks whether a snapshot is due."""
@@ -52,8 +57,8 @@
         Queries for snapshots of an earlier run.
     snapshots_taken : int
         Snapshots of an earlier run received from control instances.
-    reset_new_run : int
-        Callers reset since a later run of the server reported.
+    asked_new_run : int
+        Flows that the server was asked for since a later run reported.
     reset_server_ended : int
         Callers reset since the server's port refused a connection.
     reset_agent_restart : int
@@ -63,7 +68,7 @@
     snapshots_sent: int = 0
     queries_sent: int = 0
     snapshots_taken: int = 0
-    reset_new_run: int = 0
+    asked_new_run: int = 0
     reset_server_ended: int = 0
     reset_agent_restart: int = 0
 
@@ -80,7 +85,9 @@
     control_client : ControlClient
         Sends messages to the control instances.
     send_all : callable
-        Sends packets to callers.
+        Sends packets.
+    ask_server : callable
+        Returns the packets by which the server is asked for a flow.
 
     Attributes
     ----------
@@ -96,6 +103,7 @@
         context: AgentContext,
         control_client: ControlClient,
         send_all: Callable[[Iterable[Outgoing]], None],
+        ask_server: Callable[[CarriedFlow, float], list[Outgoing]],
     ) -> None:
         self.schedule = SnapshotSchedule()
         self.counters = LostFlowCounters()
@@ -103,6 +111,7 @@
         self._context = context
         self._control_client = control_client
         self._send_all = send_all
+        self._ask_server = ask_server
         self._address = context.location.address
         self._boot = process.codec.boot
         self._recovery = FlowRecovery(self._address, self._boot)
@@ -167,22 +176,42 @@
         self._reset(free, 'agent restart', len(lost) - len(free))
 
     def handle_new_run(
-        self, before: ServerReport, report: ServerReport, last_report_at: float
-    ) -> None:
-        """Reset the callers of the server's earlier run.
+        self, before: ServerReport, report: ServerReport, now: float
+    ) -> frozenset[FlowId]:
+        """Ask the server's later run for the flows of its earlier run.
+
+        The caller of a flow is reset once the server has returned its packet.
+        The last report of the earlier run may have been late, so that the
+        later run may hold any of the flows.
 
         Parameters
         ----------
         before, report : ServerReport
             Last report of the earlier run, and first one of the later run.
-        last_report_at : float
-            Time at which the former arrived.
+        now : float
+            Current time in seconds, by the event loop's clock.
+
+        Returns
+        -------
+        frozenset of FlowId
+            The flows that the server was asked for.
         """
-        if is_later_run(report.born, before.born):
-            reset = self._reset_held(
-                last_report_at - CONFIRMED_AFTER, 'new run'
-            )
-            self.counters.reset_new_run += reset
+        carried_flows = self._context.flows.carried_flows()
+        self.schedule.observe(carried_flows)
+        is_later = is_later_run(report.born, before.born)
+        if not is_later or not self.schedule.is_enabled:
+            return frozenset()
+        asked = set()
+        for carried in carried_flows:
+            if carried.is_ending:
+                continue
+            packets = self._ask_server(carried, now)
+            self._send_all(packets)
+            if packets:
+                asked.add(carried.flow)
+        self.counters.asked_new_run += len(asked)
+        self._process.log.write(ServerAsked(len(asked)))
+        return frozenset(asked)
 
     def handle_server_ended(self, refused_after: float) -> None:
         """Reset the callers of a server whose port refuses connections.
--- a/redwingstream/fleet/server_reports.py
+++ b/redwingstream/fleet/server_reports.py
@@ -79,10 +79,10 @@
             after = round(now - self._process.started_at, 3)
             self._process.log.write(ProcessReady(after))
         elif before.born != report.born:
-            self._lost_flows.handle_new_run(before, report, last_report_at)
+            asked = self._lost_flows.handle_new_run(before, report, now)
             # The new run may hold flows that it was given before its report.
             self._flows.forget_opened_before(
-                last_report_at - CONFIRMED_AFTER, now
+                last_report_at - CONFIRMED_AFTER, now, asked
             )
         self._lost_flows.handle_report(now)
         if before is None or _is_change(before, report):
--- a/redwingstream/fleet/tests/site.py
+++ b/redwingstream/fleet/tests/site.py
@@ -29,6 +29,7 @@
     END,
     OPENING,
     RESET,
+    RETURNED,
     Packet,
     PlainCodec,
 )
@@ -68,7 +69,6 @@
         self.queue: list[tuple[tuple, bytes, tuple]] = []
         self.lost: tuple[type, ...] = ()
         self.sent: list[object] = []
-        self.reader = FrameCodec(KEY)
         self.sequence = 0
         self.control_by_host: dict[str, Control] = {}
         self.start_controls()
@@ -106,6 +106,7 @@
         self.agent = Agent(process, PlainCodec())
         self.agent.control_client.attach(_socket(self, AGENT))
         self.callers = FakeSocket()
+        self.returned = 0
         self.agent.packet_sender.attach(self.callers, FakeSocket())
         history = self.agent.control_client.inquirer.history
         route = attrs.evolve(self.route, pool=pool)
@@ -195,7 +196,7 @@
         """Deliver all messages of the kinds that these tests are about."""
         while self.queue:
             source, frame, target = self.queue.pop(0)
-            message = self.reader.open(frame).payload
+            message = FrameCodec(KEY).open(frame).payload
             if not isinstance(message, FlowSnapshot | FlowSnapshotQuery):
                 continue
             self.sent.append(message)
@@ -222,6 +223,24 @@
     )
 
 
+def return_given(site: Site, held: tuple[int, ...] = ()) -> None:
+    """Let the server return what it was given since the last call.
+
+    Parameters
+    ----------
+    site : Site
+        The site.
+    held : tuple of int
+        Ports of the callers whose flows the server holds.
+    """
+    sent = zip(site.callers.sent, site.callers.targets, strict=True)
+    given = [one for one, target in sent if target == SERVER.as_pair()]
+    for packet in map(Packet.unpack, given[site.returned :]):
+        if packet.source & PORT_MASK not in held:
+            site.from_server(attrs.evolve(packet, flags=RETURNED))
+    site.returned = len(given)
+
+
 def recorded(site: Site) -> None:
     """Let a server with three flows run until they are recorded."""
     site.run_reporting(4)
--- a/redwingstream/fleet/tests/test_lost_flows.py
+++ b/redwingstream/fleet/tests/test_lost_flows.py
@@ -26,6 +26,7 @@
     POOL,
     Site,
     recorded,
+    return_given,
 )
 from redwingstream.lost_flows.recorded_flows import (
     MAX_FLOWS,
@@ -197,6 +198,7 @@
         site.report()
         site.now += 0.01
         site.run_reporting(1, BORN + 9000)
+        return_given(site, held=(5,))
         assert site.reset_ports() == [1, 2, 3]
         site.lose_power(with_controls=False)
         site.report(BORN + 9000)
@@ -221,6 +223,7 @@
         site.open(6, requests=0)
         site.run_reporting(2)
         site.report(BORN + 9000)
+        return_given(site)
         assert site.reset_ports() == [1, 3]
 
 
@@ -231,9 +234,28 @@
         """Guards against flows that are deleted without notice."""
         recorded(site)
         site.report(BORN + 9000)
+        return_given(site)
         assert site.reset_ports() == [1, 2, 3]
         assert not site.agent.context.flows.count
         site.report(BORN + 9000)
+        return_given(site)
+        assert site.reset_ports() == [1, 2, 3]
+
+    @pytest.mark.parametrize('delay', [0.6, 3])
+    async def test_new_run_reports_after_a_late_report(
+        self, site, delay
+    ) -> None:
+        """Guards against resetting flows that the new run holds.
+
+        The last report of the earlier run was delayed: it arrives after the
+        new run has taken a flow.
+        """
+        recorded(site)
+        site.open(5)
+        site.run(delay)
+        site.report()
+        site.report(BORN + 9000)
+        return_given(site, held=(5,))
         assert site.reset_ports() == [1, 2, 3]
 
     @pytest.mark.parametrize(
--- a/redwingstream/lost_flows/events.py
+++ b/redwingstream/lost_flows/events.py
@@ -12,6 +12,13 @@
     left_out: int
 
 
+@event
+class ServerAsked:
+    """A later run of the server was asked which flows it holds."""
+
+    flows: int
+
+
 @event
 class ServerSurvived:
     """The server of a snapshot still runs, so that no flow is reset."""
--- a/redwingstream/packets/agent_flows.py
+++ b/redwingstream/packets/agent_flows.py
@@ -1,6 +1,7 @@
 """The flows known to an agent: those of its server, and carriers of others."""
 
 import enum
+from collections.abc import Collection
 
 import attrs
 
@@ -88,6 +89,8 @@
     is_sent_complete : bool
         True if the server cannot have held the flow before its opening packet,
         so that ``sent`` is all that it has sent.
+    last_envelope : Envelope or None
+        Envelope of the caller's last packet that was delivered.
     acknowledged : int or None
         Last acknowledgement number of the caller; None until it is known.
     asked_end : int or None
@@ -109,13 +112,15 @@
     is_ending: bool = False
     sent: SentRange | None = None
     is_sent_complete: bool = False
+    last_envelope: Envelope | None = None
     acknowledged: int | None = None
     asked_end: int | None = None
     is_request_answered: bool = False
     is_reused: bool = False
 
-    def record_delivered(self, head: Head) -> None:
+    def record_delivered(self, envelope: Envelope, head: Head) -> None:
         """Record a packet of the caller that is delivered to the server."""
+        self.last_envelope = envelope
         self.acknowledged = head.acknowledged
         if not head.size:
             return
@@ -248,7 +253,12 @@
         self.remove(carried)
         self.coverage.record_unconfirmed(carried.flow, now)
 
-    def forget_opened_before(self, opened_before: float, now: float) -> None:
+    def forget_opened_before(
+        self,
+        opened_before: float,
+        now: float,
+        asked: Collection[FlowId] = (),
+    ) -> None:
         """Remove flows of an earlier run of the server.
 
         Parameters
@@ -257,9 +267,12 @@
             Time in seconds, by the event loop's clock; later flows stay.
         now : float
             Current time in seconds.
+        asked : collection of FlowId
+            Flows whose packets the server has been sent again; they stay until
+            it returns these.
         """
         for carried in self._carried.rows():
-            if carried.opened_at < opened_before:
+            if carried.opened_at < opened_before and carried.flow not in asked:
                 self.forget(carried, now)
 
     def start_waiting(self, carried: CarriedFlow, now: float) -> None:
--- a/redwingstream/packets/agent_forwarder.py
+++ b/redwingstream/packets/agent_forwarder.py
@@ -82,6 +82,10 @@
         self._record_delivered(outgoing, now)
         return outgoing
 
+    def ask_server(self, carried: CarriedFlow, now: float) -> list[Outgoing]:
+        """Ask the server whether it holds a flow."""
+        return self._open_flows.ask_server(carried, now)
+
     def tick(self, now: float) -> list[Outgoing]:
         """Evict expired entries and retry unanswered lookups."""
         self.context.flows.evict_expired(now)
--- a/redwingstream/packets/open_flows.py
+++ b/redwingstream/packets/open_flows.py
@@ -62,14 +62,33 @@
             context.log(_mismatch(envelope, carried, head, now))
         known = context.flows.find_carrier(head.inbound, now)
         if known is not None and _may_pass_to(known, envelope):
-            return [peer_datagram(self._with_visit(envelope), known)]
-        if carried is not None or self._is_known_absent(head, now):
+            own = context.location.address
+            return [peer_datagram(_with_visit(envelope, own), known)]
+        is_absent = context.gate.state.has_ended or (
+            context.flows.coverage.is_absent(head, now)
+        )
+        if carried is not None or is_absent:
             # Packets of a flow that the server cannot hold are not delivered to
             # it: it would have to return each of them.
             return self._search(envelope, head, now)
         self._probes.expect_answer(head.inbound, envelope, now)
         return [ToServer(self._probes.with_ticket(envelope, now))]
 
+    def ask_server(self, carried: CarriedFlow, now: float) -> list[Outgoing]:
+        """Give the caller's last packet of a flow to the server once more.
+
+        The server returns it if it does not hold the flow, and takes it for a
+        retransmission if it does.
+        """
+        envelope = carried.last_envelope
+        if envelope is None:
+            return []
+        context = self._context
+        # The entry stays until the server returns the packet.
+        context.flows.add(carried, now)
+        identity = carried.identify(context.codec.read(envelope.packet))
+        return [ToServer(self._packet_for(carried, identity, envelope, now))]
+
     def handle_returned(
         self, head: Head, carried: CarriedFlow | None, now: float
     ) -> list[Outgoing]:
@@ -133,8 +152,9 @@
         lookup = self._lookups.pop(flow)
         if lookup is None:
             return []
+        own = self._context.location.address
         return [
-            peer_datagram(self._with_visit(waiting), agent)
+            peer_datagram(_with_visit(waiting, own), agent)
             for waiting in lookup.waiting
         ]
 
@@ -153,24 +173,18 @@
                 outgoing.extend(lookup.requests())
         return outgoing
 
-    def _is_known_absent(self, head: Head, now: float) -> bool:
-        context = self._context
-        if context.gate.state.has_ended:
-            return True
-        return context.flows.coverage.is_absent(head, now)
-
     def _deliver(
         self, envelope: Envelope, carried: CarriedFlow, head: Head, now: float
     ) -> list[Outgoing]:
         context = self._context
-        is_unknown = carried.identify(head) is Identity.UNKNOWN
-        carried.record_delivered(head)
+        identity = carried.identify(head)
+        is_unknown = identity is Identity.UNKNOWN
+        carried.record_delivered(envelope, head)
         if head.size:
             context.record_data(carried, head, now)
-        packet = envelope.packet
-        if is_unknown or carried.state is not FlowState.ESTABLISHED:
-            packet = self._probes.with_ticket(envelope, now)
-        outgoing: list[Outgoing] = [ToServer(packet)]
+        outgoing: list[Outgoing] = [
+            ToServer(self._packet_for(carried, identity, envelope, now))
+        ]
         if is_unknown and envelope.hops:
             # Another server may hold the flow: the server's answer decides.
             self._probes.expect_answer(head.inbound, envelope, now)
@@ -178,6 +192,22 @@
             outgoing.extend(self._report_found(head.inbound, envelope))
         return outgoing
 
+    def _packet_for(
+        self,
+        carried: CarriedFlow,
+        identity: Identity,
+        envelope: Envelope,
+        now: float,
+    ) -> bytes:
+        """Return a packet as the server is given it.
+
+        It has a ticket unless its return would show that the flow is lost.
+        """
+        is_same = identity is Identity.SAME
+        if is_same and carried.state is FlowState.ESTABLISHED:
+            return envelope.packet
+        return self._probes.with_ticket(envelope, now)
+
     def _report_found(self, flow: FlowId, envelope: Envelope) -> list[Outgoing]:
         context = self._context
         context.counters.found += 1
@@ -219,7 +249,7 @@
         own = context.location.address
         # Agents that have only passed the packet on have denied nothing.
         request = attrs.evolve(
-            self._with_visit(envelope), home=own, visited=(own,)
+            _with_visit(envelope, own), home=own, visited=(own,)
         )
         others = [
             agent.address for agent in context.peers() if not agent.is_silent
@@ -260,12 +290,13 @@
         )
         return [peer_datagram(notice, lookup.envelope.origin)]
 
-    def _with_visit(self, envelope: Envelope) -> Envelope:
-        return attrs.evolve(
-            envelope,
-            hops=min(envelope.hops + 1, MAX_HOPS),
-            visited=(*envelope.visited, self._context.location.address),
-        )
+
+def _with_visit(envelope: Envelope, agent: Address) -> Envelope:
+    return attrs.evolve(
+        envelope,
+        hops=min(envelope.hops + 1, MAX_HOPS),
+        visited=(*envelope.visited, agent),
+    )
 
 
 def _mismatch(
