Reset a lost flow only for a packet of its own

Callers would see: a flow reset although its server holds it, after a restart of an agent beside a slow server. Found by reading.

Cause: a returned packet without a ticket ended the established flow of its addresses. It may be a packet of an earlier flow that the agent's earlier run had delivered; the caller ignores that reset, but the agent then denied the flow that uses the port now.

Change: the packet must acknowledge what the server has sent on the flow; else it is a denial for its own numbers only.

Measured: test_denials.py, TestLostFlow: the first of 2 failed before, both pass; 428 tests of packets and fleet pass.

--- a/redwingstream/packets/open_flows.py
+++ b/redwingstream/packets/open_flows.py
@@ -97,8 +97,12 @@
         searched = self._probes.pop_returned(head)
         if carried is not None:
             is_established = carried.state is FlowState.ESTABLISHED
-            # A packet with a ticket may be of another flow from the same port.
-            if is_established and not head.ticket:
+            # A packet with a ticket may be of another flow from the same port,
+            # and so may one that the agent's earlier run has delivered.
+            is_own = not head.ticket and (
+                carried.identify(head) is Identity.SAME
+            )
+            if is_established and is_own:
                 return self._handle_lost_flow(carried, head, now)
             context.log(
                 events.FlowReturned(
--- a/redwingstream/packets/tests/test_denials.py
+++ b/redwingstream/packets/tests/test_denials.py
@@ -397,3 +397,28 @@
         answer = attrs.evolve(answer, packet=asked)
         outgoing = forwarder.handle_envelope(answer, peer, now)
         assert _envelopes(outgoing, Kind.NOT_CARRIED)
+
+
+class TestLostFlow:
+    """The server returns a packet without a ticket."""
+
+    def test_is_not_concluded_from_a_packet_of_another(self, beside) -> None:
+        """Guards against forgetting the flow that uses the port now.
+
+        The agent's earlier run had given the packet to a slow server.
+        """
+        beside.opening()
+        beside.accept()
+        beside.answer(ACCEPTED + 1, 4)
+        other = Packet(CALLER, SERVICE, 2, 77, size=4, flags=RETURNED)
+        outgoing = beside.sent(other)
+        assert not any(isinstance(one, ToCaller) for one in outgoing)
+        assert _delivered(beside.request(ACCEPTED + 5))
+
+    def test_resets_the_caller_of_its_own_packet(self, beside) -> None:
+        """Guards against callers that wait although their server denies it."""
+        beside.opening()
+        beside.accept()
+        beside.answer(ACCEPTED + 1, 4)
+        own = Packet(CALLER, SERVICE, 2, ACCEPTED + 5, size=4, flags=RETURNED)
+        assert any(isinstance(one, ToCaller) for one in beside.sent(own))
