--- a/redwingstream/packets/agent_context.py
+++ b/redwingstream/packets/agent_context.py
@@ -71,6 +71,11 @@
     denied : int
         Resets with which the server has answered packets of flows that it does
         not hold.
+    probed : int
+        Packets of unknown flows given to the server to find out whether it
+        holds them.
+    unasked : int
+        Packets whose flows were denied without asking the server.
     found : int
         Flows found at this agent whose carrier was not known.
     not_found : int
@@ -91,6 +96,8 @@
     held: int = 0
     handed_back: int = 0
     denied: int = 0
+    probed: int = 0
+    unasked: int = 0
     found: int = 0
     not_found: int = 0
     lost: int = 0
--- a/redwingstream/packets/open_flows.py
+++ b/redwingstream/packets/open_flows.py
@@ -70,7 +70,9 @@
         if carried is not None or is_absent:
             # Packets of a flow that the server cannot hold are not delivered to
             # it: it would have to return each of them.
+            context.counters.unasked += 1
             return self._search(envelope, head, now)
+        context.counters.probed += 1
         self._probes.expect_answer(head.inbound, envelope, now)
         return [ToServer(self._probes.with_ticket(envelope, now))]
 
