Hear a server whose clock was set back

Cause: a report with an earlier start than the known run's counts as late, for good.

One late report changes nothing, and the server is taken for cold until its next report.

--- a/redwingstream/lost_flows/recorded_flows.py
+++ b/redwingstream/lost_flows/recorded_flows.py
@@ -12,6 +12,7 @@
 import attrs
 
 from redwingstream.errors import WireError
+from redwingstream.openings.reports import NOT_STATED
 from redwingstream.packets.agent_flows import CarriedFlow, FlowState
 from redwingstream.packets.flow import (
     Address,
@@ -37,9 +38,6 @@
 within 76,800 of its acknowledgement number; rounding moves it by at most
 32,768, and a server has at most 19,200 in flight."""
 
-NOT_STATED = 0
-"""Start of a server's run in reports that do not state it."""
-
 _HALF_UNIT = ACKNOWLEDGED_UNIT // 2
 _UNIT_BITS = 16
 _UNIT_MASK = 0xFFFF
--- a/redwingstream/openings/gate.py
+++ b/redwingstream/openings/gate.py
@@ -185,12 +185,14 @@
     def handle_report(self, report: ServerReport, now: float) -> bool:
         """Handle a report; return False when it is out of date."""
         previous = self.state.report
-        if not self.state.apply_report(report, now):
+        if not self.state.apply_report(report, now, self._silence_timeout):
             return False
         if previous is not None and previous.born != report.born:
             # Failures of the previous run of the server do not count for
             # this one.
             self.failures = FailureTracker()
+            if report.born < previous.born:
+                self.assume_cold(now)
         self._cold_until = now + report.cold_for
         self._unanswered_at = None
         return True
--- a/redwingstream/openings/reports.py
+++ b/redwingstream/openings/reports.py
@@ -5,6 +5,12 @@
 from redwingstream.directory.messages import Readiness
 
 
+NEVER = float('inf')
+
+NOT_STATED = 0
+"""Start of a server's run in reports that do not state it."""
+
+
 @attrs.frozen
 class ServerReport:
     """One report of a server.
@@ -61,25 +67,44 @@
     is_leaving: bool = False
     has_announced_end: bool = False
     has_ended: bool = False
-
-    def apply_report(self, report: ServerReport, now: float) -> bool:
+    _earlier: ServerReport | None = None
+
+    def apply_report(
+        self,
+        report: ServerReport,
+        now: float,
+        silence_timeout: float = NEVER,
+    ) -> bool:
         """Apply a report; return False when it is out of date.
 
+        Parameters
+        ----------
+        report : ServerReport
+            The report.
+        now : float
+            Current time in seconds, by the event loop's clock.
+        silence_timeout : float
+            Seconds without a report after which the server counts as silent.
+
         Notes
         -----
         A delayed report may arrive after its sender has ended and another run
         has started at the same address.  Applied to the new run, it would make
         a cold server look warm, or a leaving one ready.  Runs are
         distinguished by their start time, since a restarted server keeps its
-        name and counts its reports from the beginning.
+        name and counts its reports from the beginning.  A run whose clock was
+        set back seems to have started earlier: it counts once the known run is
+        silent and it has sent two reports since.
         """
         known = self.report
-        if known is not None and _sort_key(report) <= _sort_key(known):
+        is_late = known is not None and _sort_key(report) <= _sort_key(known)
+        if is_late and not self._is_set_back(report, now - silence_timeout):
             return False
         if known is not None and known.born != report.born:
             self.has_announced_end = False
         self.report = report
         self.received_at = now
+        self._earlier = None
         self.is_leaving = False
         self.has_ended = False
         return True
@@ -118,6 +143,23 @@
             return Readiness.UNKNOWN
         return Readiness.GONE if self.is_leaving else self.report.readiness
 
+    def _is_set_back(self, report: ServerReport, silent_since: float) -> bool:
+        """Whether a run with an earlier start has replaced the known one.
+
+        A single report may have been delayed.
+        """
+        known, before = self.report, self._earlier
+        if known is None or self.received_at > silent_since:
+            return False
+        if not NOT_STATED < report.born < known.born:
+            return False
+        self._earlier = report
+        return (
+            before is not None
+            and before.born == report.born
+            and before.sequence < report.sequence
+        )
+
 
 def _sort_key(report: ServerReport) -> tuple[int, int]:
     return (report.born, report.sequence)
