Soak: late first reports, and balancers that go on beside restarted agents

Its servers reported at their start, its callers acknowledged one and the same number on a flow, and a balancer that goes on met a restarted agent by chance only.

Stand-ins of callers and servers count bytes.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,6 +19,11 @@
     parser.add_argument(
         '--disks', action='store_true', help='let disks fill up as well'
     )
+    parser.add_argument(
+        '--orders',
+        action='store_true',
+        help='let servers report late, and balancers go on beside restarts',
+    )
     parser.add_argument(
         '--losses',
         type=int,
@@ -30,7 +35,11 @@
     failed = 0
     for seed in range(asked.seed, asked.seed + asked.seeds):
         outcome = run(
-            seed, asked.seconds, fills_disks=asked.disks, losses=asked.losses
+            seed,
+            asked.seconds,
+            fills_disks=asked.disks,
+            has_orders=asked.orders,
+            losses=asked.losses,
         )
         print(  # noqa: WPS421 - the command's output
             f'seed {seed}: {outcome.faults} faults, {outcome.served} served, '
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -56,6 +56,23 @@
     server: int
 
 
+@attrs.frozen
+class ReportLate:
+    """A server begins anew, and its first report comes late."""
+
+    server: int
+    lasts: float
+
+
+@attrs.frozen
+class ThawBesideRestart:
+    """A balancer stands still, and goes on when an agent has started again."""
+
+    process: str
+    agent: str
+    lasts: float
+
+
 @attrs.frozen
 class LosePower:
     """A server and its agent end at once and begin anew."""
@@ -96,6 +113,8 @@
     | FillDisk
     | KillAll
     | RestartServer
+    | ReportLate
+    | ThawBesideRestart
     | LosePower
     | DrainServer
     | TakeZoneOut
--- a/soak/inject.py
+++ b/soak/inject.py
@@ -21,6 +21,10 @@
 START_SECONDS = 3.0
 """A process that has just been started may end before it takes signals."""
 
+AGENT_DOWN_SECONDS = 0.3
+AGENT_START_SECONDS = 0.5
+"""Seconds from the start of an agent until a balancer goes on beside it."""
+
 LEAVING_SECONDS = 1.0
 """Seconds from a server's announcement that it leaves until it is gone; its
 open flows stay in use until then."""
@@ -56,7 +60,12 @@
 
 
 _ProcessFault = (
-    faults.Kill | faults.Pause | faults.Stop | faults.LoseDisk | faults.FillDisk
+    faults.Kill
+    | faults.Pause
+    | faults.Stop
+    | faults.ThawBesideRestart
+    | faults.LoseDisk
+    | faults.FillDisk
 )
 
 
@@ -100,10 +109,11 @@
     async def _strike(self, fault: faults.Fault) -> None:
         match fault:
             case faults.KillAll(lasts=lasts):
-                with self._lasting('all killed', self.spans.disturbed):
+                with _lasting('all killed', self.spans.disturbed):
                     await self._kill_all(lasts)
             case (
                 faults.RestartServer()
+                | faults.ReportLate()
                 | faults.LosePower()
                 | faults.DrainServer()
             ):
@@ -113,24 +123,24 @@
             case faults.DisturbCalls(how=how, lasts=lasts):
                 await _disturb(self._proxies, how, lasts)
             case _:
-                with self._lasting(fault.process, self.spans.disturbed):
+                with _lasting(fault.process, self.spans.disturbed):
                     await self._strike_process(fault)
 
-    @contextlib.contextmanager
-    def _lasting(self, name: str, spans: list[Span]) -> Iterator[None]:
-        span = Span(name, time.monotonic())
-        spans.append(span)
-        yield
-        span.ended_at = time.monotonic()
-
     async def _strike_server(
         self,
-        fault: faults.RestartServer | faults.LosePower | faults.DrainServer,
+        fault: (
+            faults.RestartServer
+            | faults.ReportLate
+            | faults.LosePower
+            | faults.DrainServer
+        ),
     ) -> None:
         server = self._site.servers[fault.server]
         match fault:
             case faults.RestartServer():
                 await _begin_anew(server)
+            case faults.ReportLate(lasts=lasts):
+                await _report_late(server, lasts)
             case faults.LosePower(lasts=lasts):
                 await self._lose_power(server, lasts)
             case faults.DrainServer(lasts=lasts):
@@ -150,10 +160,10 @@
                 self._site.thaw(name)
             case faults.Stop():
                 await self._stop(name)
-            case faults.LoseDisk(lasts=lasts):
-                await self._lose_disk(name, lasts)
-            case faults.FillDisk(lasts=lasts):
-                await self._fill_disk(name, lasts)
+            case faults.ThawBesideRestart():
+                await self._thaw_beside_restart(fault)
+            case faults.LoseDisk() | faults.FillDisk():
+                await self._strike_disk(fault)
         self._busy.discard(name)
 
     async def _kill(self, names: tuple[str, ...], lasts: float) -> None:
@@ -184,11 +194,33 @@
         if name in self._busy:
             return
         self._busy.add(name)
-        with self._lasting(name, self.spans.disturbed):
+        with _lasting(name, self.spans.disturbed):
             await self._kill((name,), lasts)
             await _begin_anew(server)
         self._busy.discard(name)
 
+    async def _thaw_beside_restart(
+        self, fault: faults.ThawBesideRestart
+    ) -> None:
+        self._site.freeze(fault.process)
+        await asyncio.sleep(fault.lasts)
+        if fault.agent not in self._busy:
+            self._busy.add(fault.agent)
+            await self._kill((fault.agent,), AGENT_DOWN_SECONDS)
+            await asyncio.sleep(AGENT_START_SECONDS)
+            self._busy.discard(fault.agent)
+        self._site.thaw(fault.process)
+
+    async def _strike_disk(
+        self, fault: faults.LoseDisk | faults.FillDisk
+    ) -> None:
+        match fault:
+            case faults.LoseDisk(process=name, lasts=lasts):
+                await self._lose_disk(name, lasts)
+            case faults.FillDisk(process=name, lasts=lasts):
+                process = self._site.fleet.process_by_name[name]
+                await _fill_disk(process.pid, lasts)
+
     async def _lose_disk(self, name: str, lasts: float) -> None:
         machine = next(
             control
@@ -200,19 +232,11 @@
         await asyncio.sleep(lasts)
         await self._restart(name)
 
-    async def _fill_disk(self, name: str, lasts: float) -> None:
-        # A limit on the size of files, which a process may be given from
-        # outside, fails its writes as a full disk does.
-        process = self._site.fleet.process_by_name[name]
-        _limit_files(process.pid, 0)
-        await asyncio.sleep(lasts)
-        _limit_files(process.pid, resource.RLIM_INFINITY)
-
     async def _drain(self, server: PacketServer, lasts: float) -> None:
         name = server.name
         server.state = 'draining'
         if await server.report():
-            with self._lasting(name, self.spans.draining):
+            with _lasting(name, self.spans.draining):
                 await asyncio.sleep(lasts)
         if server.name == name:
             # It leaves; another run of it comes at its address.
@@ -229,12 +253,20 @@
         self._busy.add(name)
         answer = await self._site.operator.zone_out(name)
         if answer.status == 200:
-            with self._lasting(name, self.spans.zones_out):
+            with _lasting(name, self.spans.zones_out):
                 await asyncio.sleep(lasts + ZONE_OUT_SECONDS)
         await self._site.operator.zone_in(name, STOP_SECONDS * 2)
         self._busy.discard(name)
 
 
+@contextlib.contextmanager
+def _lasting(name: str, spans: list[Span]) -> Iterator[None]:
+    span = Span(name, time.monotonic())
+    spans.append(span)
+    yield
+    span.ended_at = time.monotonic()
+
+
 async def _disturb(proxies: tuple[Proxy, ...], how: str, lasts: float) -> None:
     for proxy in proxies:
         proxy.how = how
@@ -243,6 +275,14 @@
         undisturbed.how = ''
 
 
+async def _fill_disk(pid: int, lasts: float) -> None:
+    # A limit on the size of files, which a process may be given from outside,
+    # fails its writes as a full disk does.
+    _limit_files(pid, 0)
+    await asyncio.sleep(lasts)
+    _limit_files(pid, resource.RLIM_INFINITY)
+
+
 def _limit_files(pid: int, size: int) -> None:
     _, hard = resource.prlimit(pid, resource.RLIMIT_FSIZE)
     resource.prlimit(pid, resource.RLIMIT_FSIZE, (size, hard))
@@ -251,3 +291,14 @@
 async def _begin_anew(server: PacketServer) -> None:
     server.restart()
     await server.report()
+
+
+async def _report_late(server: PacketServer, lasts: float) -> None:
+    """Begin anew with the first report after some seconds."""
+    server.is_silent = True
+    server.restart()
+    name = server.name
+    await asyncio.sleep(lasts)
+    if server.name == name:
+        server.is_silent = False
+        await server.report()
--- a/soak/load.py
+++ b/soak/load.py
@@ -6,7 +6,8 @@
 import json
 import random
 import sys
-from collections.abc import Coroutine, Iterator
+from collections.abc import Coroutine, Iterable, Iterator
+from types import MappingProxyType
 from typing import Any
 
 import attrs
@@ -86,6 +87,19 @@
 )
 
 
+RENEWING = Habit('reports', REPORTS, pause=1.5, requests=3)
+"""Opens a flow every few seconds, so that some are opened through a balancer
+that stands still."""
+
+RENEWING_CALLERS = 8
+
+HABITS_BY_ORDERS = MappingProxyType(
+    {False: HABITS, True: (*HABITS, *(RENEWING_CALLERS * (RENEWING,)))}
+)
+"""Habits of the callers, by whether the run has balancers that go on beside
+restarted agents."""
+
+
 @attrs.frozen
 class BrokenFlow:
     """A reset on an open flow.
@@ -148,7 +162,9 @@
 
 
 @contextlib.contextmanager
-def callers(site: PacketSite, seen: Seen) -> Iterator[None]:
+def callers(
+    site: PacketSite, seen: Seen, habits: Iterable[Habit] = HABITS
+) -> Iterator[None]:
     """Let callers ask until the end of the block."""
     numbers = itertools.count()
     tasks = [
@@ -157,7 +173,7 @@
         for keep in (
             *(
                 _keep_asking(caller, habit, f'{next(numbers)}', seen)
-                for habit in HABITS
+                for habit in habits
             ),
             *(
                 _keep_uploading(caller, f'{next(numbers)}', seen)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -15,9 +15,11 @@
     LoseDisk,
     LosePower,
     Pause,
+    ReportLate,
     RestartServer,
     Stop,
     TakeZoneOut,
+    ThawBesideRestart,
 )
 
 SETTLE_SECONDS = 12.0
@@ -27,6 +29,20 @@
 MEAN_FILL_PAUSE = 4.0
 """Mean seconds between two full disks, where a run has any."""
 
+MEAN_ORDER_PAUSE = 3.0
+"""Mean seconds between two faults of a server that reports late or of a
+balancer that goes on beside a restarted agent, where a run has any."""
+
+LATE_REPORT = (0.05, 2.0)
+"""Earliest and latest first report in seconds after the start of a server."""
+
+FREEZE = (2.0, 5.0)
+"""Shortest and longest time in seconds for which such a balancer stands
+still."""
+
+ROLE_OF_BALANCER = '-balancer'
+ROLE_OF_AGENT = '-agent'
+
 MEAN_PAUSE = 1.5
 """Mean seconds between two faults; most last longer, so that they overlap."""
 
@@ -71,7 +87,12 @@
 
 
 def draw_plan(
-    seed: int, seconds: float, targets: Targets, *, fills_disks: bool = False
+    seed: int,
+    seconds: float,
+    targets: Targets,
+    *,
+    fills_disks: bool = False,
+    has_orders: bool = False,
 ) -> tuple[Planned, ...]:
     """Return the faults of a run in the order of time.
 
@@ -86,10 +107,16 @@
     fills_disks : bool
         Whether disks fill up as well.  They are drawn apart, so that a seed
         gives the same other faults with and without them.
+    has_orders : bool
+        Whether servers report late and balancers go on beside restarted
+        agents.  These are drawn apart as well.
     """
     planned = list(_draw(random.Random(seed), seconds, targets))
     if fills_disks:
         planned.extend(_draw_fills(random.Random(-seed), seconds, targets))
+    if has_orders:
+        chance = random.Random(f'orders {seed}')
+        planned.extend(_draw_orders(chance, seconds, targets))
     return tuple(sorted(planned, key=lambda one: one.at))
 
 
@@ -121,6 +148,30 @@
         at += chance.expovariate(1 / MEAN_FILL_PAUSE)
 
 
+def _draw_orders(
+    chance: random.Random, seconds: float, targets: Targets
+) -> Iterator[Planned]:
+    balancers = _of_role(targets, ROLE_OF_BALANCER)
+    agents = _of_role(targets, ROLE_OF_AGENT)
+    at = chance.expovariate(1 / MEAN_ORDER_PAUSE)
+    while at < seconds - SETTLE_SECONDS:
+        late = ReportLate(
+            chance.randrange(targets.servers),
+            round(chance.uniform(*LATE_REPORT), 2),
+        )
+        thaw = ThawBesideRestart(
+            chance.choice(balancers),
+            chance.choice(agents),
+            round(chance.uniform(*FREEZE), 2),
+        )
+        yield Planned(round(at, 3), chance.choice((late, thaw)))
+        at += chance.expovariate(1 / MEAN_ORDER_PAUSE)
+
+
+def _of_role(targets: Targets, role: str) -> list[str]:
+    return [name for name in targets.processes if name.endswith(role)]
+
+
 def _draw_fault(chance: random.Random, targets: Targets) -> Fault:
     lasts = round(chance.uniform(*LASTING), 2)
     process = chance.choice(targets.processes)
--- a/soak/run.py
+++ b/soak/run.py
@@ -13,7 +13,9 @@
 
 from soak.inject import Injector
 from soak.load import (
+    HABITS_BY_ORDERS,
     ROUTES,
+    Habit,
     Seen,
     callers,
     keep_changing,
@@ -109,6 +111,7 @@
     folder: Path,
     *,
     fills_disks: bool = False,
+    has_orders: bool = False,
     losses: int = 1,
 ) -> Outcome:
     """Run a site under the faults of a seed.
@@ -123,6 +126,9 @@
         For settings, disks and logs.
     fills_disks : bool
         Whether disks fill up as well.
+    has_orders : bool
+        Whether servers report late and balancers go on beside restarted
+        agents.
     losses : int
         How many disks may be lost at once: 1 or 2.
     """
@@ -132,9 +138,18 @@
         _proxied(site) as proxies,
     ):
         seen = await _begun(site)
-        plan = draw_plan(seed, seconds, _targets(site), fills_disks=fills_disks)
+        plan = draw_plan(
+            seed,
+            seconds,
+            _targets(site),
+            fills_disks=fills_disks,
+            has_orders=has_orders,
+        )
         injector = Injector(site, proxies)
-        async with seen.running.counting(), _loaded(site, seen):
+        async with (
+            seen.running.counting(),
+            _loaded(site, seen, HABITS_BY_ORDERS[has_orders]),
+        ):
             async with injector.striking(plan):
                 await asyncio.sleep(seconds - SETTLE_SECONDS)
             calm_since = time.monotonic()
@@ -166,10 +181,12 @@
 
 
 @contextlib.asynccontextmanager
-async def _loaded(site: PacketSite, seen: Seen) -> AsyncIterator[None]:
+async def _loaded(
+    site: PacketSite, seen: Seen, habits: tuple[Habit, ...]
+) -> AsyncIterator[None]:
     task = asyncio.create_task(keep_changing(site, seen))
     try:
-        with callers(site, seen):
+        with callers(site, seen, habits):
             yield
     finally:
         task.cancel()
@@ -220,12 +237,24 @@
 
 
 def run(
-    seed: int, seconds: float, *, fills_disks: bool, losses: int = 1
+    seed: int,
+    seconds: float,
+    *,
+    fills_disks: bool = False,
+    has_orders: bool = False,
+    losses: int = 1,
 ) -> Outcome:
     """Run the soak in a folder of its own, which is kept when it failed."""
     folder = Path(tempfile.mkdtemp(prefix='redwingstream-soak-'))
     outcome = asyncio.run(
-        soak(seed, seconds, folder, fills_disks=fills_disks, losses=losses)
+        soak(
+            seed,
+            seconds,
+            folder,
+            fills_disks=fills_disks,
+            has_orders=has_orders,
+            losses=losses,
+        )
     )
     if not outcome.broken:
         shutil.rmtree(folder, ignore_errors=True)
--- a/soak/tests/test_plan.py
+++ b/soak/tests/test_plan.py
@@ -3,10 +3,20 @@
 import attrs
 import pytest
 
-from soak.faults import FillDisk, LoseDisk, LosePower
+from soak.faults import (
+    FillDisk,
+    LoseDisk,
+    LosePower,
+    ReportLate,
+    ThawBesideRestart,
+)
 from soak.plan import SETTLE_SECONDS, Targets, draw_plan
 
 TARGETS = Targets(('a-agent', 'a-control'), ('a-control',), 2, ('north',))
+TARGETS_WITH_BALANCERS = attrs.evolve(
+    TARGETS, processes=(*TARGETS.processes, 'a-balancer')
+)
+ORDERS = (ReportLate, ThawBesideRestart)
 LONG_RUN = 300
 
 
@@ -62,3 +72,18 @@
         """Without it no agent asks for the flows of its earlier run."""
         plan = draw_plan(1, LONG_RUN, TARGETS)
         assert any(isinstance(one.fault, LosePower) for one in plan)
+
+    @pytest.mark.parametrize('seed', range(5))
+    def test_orders_change_no_other_fault(self, seed) -> None:
+        plain = draw_plan(seed, LONG_RUN, TARGETS_WITH_BALANCERS)
+        ordered = draw_plan(
+            seed, LONG_RUN, TARGETS_WITH_BALANCERS, has_orders=True
+        )
+        others = [one for one in ordered if not isinstance(one.fault, ORDERS)]
+        assert tuple(others) == plain
+
+    @pytest.mark.parametrize('order', [ReportLate, ThawBesideRestart])
+    def test_draws_both_orders(self, order) -> None:
+        """Without them no flow is held by a run that has not reported yet."""
+        plan = draw_plan(1, LONG_RUN, TARGETS_WITH_BALANCERS, has_orders=True)
+        assert any(isinstance(one.fault, order) for one in plan)
--- a/soak/tests/test_short.py
+++ b/soak/tests/test_short.py
@@ -5,6 +5,7 @@
 from soak.run import soak
 
 SECONDS = 22
+ORDERS_SECONDS = 40
 
 
 @pytest.mark.xdist_group('processes-0')
@@ -17,3 +18,9 @@
         assert outcome.broken == ()
         assert outcome.served
         assert outcome.uploads
+
+    async def test_holds_in_both_orders(self, tmp_path) -> None:
+        """Guards against flows that their servers hold and agents deny."""
+        outcome = await soak(1004, ORDERS_SECONDS, tmp_path, has_orders=True)
+        assert outcome.broken == ()
+        assert outcome.served
--- a/standins/packets/callers.py
+++ b/standins/packets/callers.py
@@ -32,6 +32,7 @@
 POLL = 0.02
 WINDOW_PACKETS = 16
 FIRST_SEQ = 2
+SEQUENCES = 2**32
 
 
 class FlowEndedError(Exception):
@@ -206,6 +207,7 @@
         self._site = site
         self._end = end
         self._accepted: asyncio.Future[int] = _future()
+        self._received = 0
         self._seq = 1
         self._answer_by_seq: dict[int, asyncio.Future[bytes]] = {}
 
@@ -274,6 +276,9 @@
             self._accepted.set_result(packet.seq)
 
     def _take_answer(self, packet: Packet) -> None:
+        if packet.data and self._accepted.done():
+            end = packet.seq + len(packet.data) - self._accepted.result()
+            self._received = max(self._received, end % SEQUENCES)
         answer = self._answer_by_seq.get(packet.ack)
         if answer is not None and not answer.done():
             answer.set_result(packet.data)
@@ -301,7 +306,7 @@
         self._site.send(Packet(self._end, self.service, 1, copy, SYN))
 
     def _send(self, seq: int, flags: int, data: bytes = b'') -> None:
-        ack = self._accepted.result()
+        ack = (self._accepted.result() + self._received) % SEQUENCES
         self._site.send(Packet(self._end, self.service, seq, ack, flags, data))
 
 
--- a/standins/packets/servers.py
+++ b/standins/packets/servers.py
@@ -33,6 +33,7 @@
 RETRY_SECONDS = 0.2
 COLD_SECONDS = 2.0
 MAX_DATAGRAM = 2048
+SEQUENCES = 2**32
 
 
 @attrs.define
@@ -47,10 +48,17 @@
         What was answered, by the caller's number of the request.
     part_by_seq : dict
         Full packets of an upload, by the caller's position.
+    sent : int
+        Numbers that the server has used since ``seq``; the acceptance takes one
+        and each byte of an answer another.
+    place_by_request : dict
+        Where each answer begins, counted like ``sent``.
     """
 
     seq: int
     is_open: bool = False
+    sent: int = 1
+    place_by_request: dict[int, int] = attrs.field(factory=dict)
     answer_by_request: dict[int, bytes] = attrs.field(factory=dict)
     part_by_seq: dict[int, bytes] = attrs.field(factory=dict)
 
@@ -59,6 +67,15 @@
         """The full packets of an upload in the order of the caller."""
         return b''.join(part for _, part in sorted(self.part_by_seq.items()))
 
+    def place_of(self, request: int, answer: bytes) -> int:
+        """Return where an answer begins; a repeated one stays in its place."""
+        if not answer:
+            return self.sent
+        if request not in self.place_by_request:
+            self.place_by_request[request] = self.sent
+            self.sent += len(answer)
+        return self.place_by_request[request]
+
 
 @attrs.frozen
 class Start:
@@ -288,9 +305,9 @@
 
 
 def _reply(packet: Packet, flow: _Flow, answer: bytes) -> Packet:
-    return Packet(
-        packet.target, packet.source, flow.seq, packet.seq, ACK, answer
-    )
+    place = flow.place_of(packet.seq, answer)
+    seq = (flow.seq + place) % SEQUENCES
+    return Packet(packet.target, packet.source, seq, packet.seq, ACK, answer)
 
 
 def _listen(listener: contextlib.ExitStack, machine: Machine) -> None:
