Count only flows that have not ended against a server's limit

Cause: an ended flow stayed in the table that counts for max_flows.

Change: it moves to a table of its own, where late packets still find it.

Measured: test_agent_flows.py: test_takes_no_place_at_the_server can't pass without the change; 497 tests of packets, fleet, openings and lost_flows pass.

--- a/redwingstream/packets/agent_flows.py
+++ b/redwingstream/packets/agent_flows.py
@@ -198,6 +198,9 @@
         self._carried: BoundedTable[FlowId, CarriedFlow] = BoundedTable(
             MAX_FLOWS, idle_timeout + LATE_PACKET_SECONDS
         )
+        self._ended: BoundedTable[FlowId, CarriedFlow] = BoundedTable(
+            MAX_FLOWS, self._carried.age
+        )
         self._carriers: BoundedTable[FlowId, Address] = BoundedTable(
             MAX_CARRIERS, flow_life
         )
@@ -205,7 +208,7 @@
 
     @property
     def count(self) -> int:
-        """Number of known flows of the server."""
+        """Number of known flows of the server that have not ended."""
         return len(self._carried)
 
     def extend_idle_timeout(self, idle_timeout: float) -> None:
@@ -218,11 +221,12 @@
         """
         age = max(self._carried.age, idle_timeout + LATE_PACKET_SECONDS)
         self._carried.age = age
+        self._ended.age = age
         self.coverage.max_silence = age
 
     def find_carried(self, flow: FlowId, now: float) -> CarriedFlow | None:
         """Return a flow of the server, or None if it is not known."""
-        return self._carried.get(flow, now)
+        return self._carried.get(flow, now) or self._ended.get(flow, now)
 
     def find_carrier(self, flow: FlowId, now: float) -> Address | None:
         """Return the other agent that carries a flow, or None if not known."""
@@ -233,8 +237,8 @@
         self._carriers.put(flow, agent, now)
 
     def carried_flows(self) -> list[CarriedFlow]:
-        """Return the flows of the server, least recently used first."""
-        return self._carried.rows()
+        """Return the flows of the server, the ended ones first."""
+        return [*self._ended.rows(), *self._carried.rows()]
 
     def add(self, carried: CarriedFlow, now: float) -> None:
         """Add a flow of the server."""
@@ -247,6 +251,18 @@
         """Remove a flow that the server does not hold."""
         self.stop_waiting(carried)
         self._carried.pop(carried.flow)
+        self._ended.pop(carried.flow)
+
+    def end(self, carried: CarriedFlow, now: float) -> None:
+        """Record that the server has sent its last packet on a flow.
+
+        Late packets of the flow may still arrive, but it takes no place at the
+        server.
+        """
+        if not carried.is_ending:
+            carried.is_ending = True
+            self._carried.pop(carried.flow)
+            self._ended.put(carried.flow, carried, now)
 
     def forget(self, carried: CarriedFlow, now: float) -> None:
         """Remove a flow that the server may still hold."""
@@ -271,7 +287,7 @@
             Flows whose packets the server has been sent again; they stay until
             it returns these.
         """
-        for carried in self._carried.rows():
+        for carried in self.carried_flows():
             if carried.opened_at < opened_before and carried.flow not in asked:
                 self.forget(carried, now)
 
@@ -292,6 +308,7 @@
         """Evict expired flows, and stop waiting for overdue answers."""
         for old in self._carried.evict_expired(now):
             self.stop_waiting(old)
+        self._ended.evict_expired(now)
         self._carriers.evict_expired(now)
         self.coverage.record_running(now)
         self.coverage.evict_expired(now)
--- a/redwingstream/packets/agent_forwarder.py
+++ b/redwingstream/packets/agent_forwarder.py
@@ -124,7 +124,7 @@
     ) -> None:
         self._record_outcome(carried, head, now)
         if head.is_end or head.is_reset:
-            carried.is_ending = True
+            self.context.flows.end(carried, now)
         if head.size and not carried.has_answered:
             carried.has_answered = True
             self.context.opening_seconds.record(now - carried.opened_at)
