Stand-in: callers ignore resets far from what they have received

Cause: the stand-in's caller took any reset for one of its open flow. A refusal of an opening packet has the number 0.

Measured: test_callers.py, 8 tests, passes; the former code has no window and can not import it. 53 tests of standins pass.

--- a/standins/packets/callers.py
+++ b/standins/packets/callers.py
@@ -33,6 +33,9 @@
 WINDOW_PACKETS = 16
 FIRST_SEQ = 2
 SEQUENCES = 2**32
+RESET_WINDOW = 76_800
+"""Distance from a caller's last acknowledgement within which it accepts a reset
+on an open flow, as the users' pages name it."""
 
 
 class FlowEndedError(Exception):
@@ -131,6 +134,7 @@
 
     forged: int = 0
     resets_on_open: int = 0
+    resets_ignored: int = 0
 
 
 class CallerSite:
@@ -265,7 +269,7 @@
     def take(self, packet: Packet) -> None:
         """Take a packet."""
         if packet.flags & RST:
-            self._take_reset()
+            self._take_reset(packet)
         elif packet.flags & (SYN | ACK) == SYN | ACK:
             self._take_accepting(packet)
         else:
@@ -283,9 +287,14 @@
         if answer is not None and not answer.done():
             answer.set_result(packet.data)
 
-    def _take_reset(self) -> None:
+    def _take_reset(self, packet: Packet) -> None:
+        counters = self._site.counters
         if self._accepted.done():
-            self._site.counters.resets_on_open += 1
+            ack = self._accepted.result() + self._received
+            if not _is_near(packet.seq, ack):
+                counters.resets_ignored += 1
+                return
+            counters.resets_on_open += 1
         self.reset_at = min(self.reset_at, time.monotonic())
 
     async def _answer_or_reset(self, answer: 'asyncio.Future[bytes]') -> bytes:
@@ -310,6 +319,12 @@
         self._site.send(Packet(self._end, self.service, seq, ack, flags, data))
 
 
+def _is_near(seq: int, ack: int) -> bool:
+    """Whether an open flow accepts a reset with a sequence number."""
+    distance = (seq - ack) % SEQUENCES
+    return min(distance, SEQUENCES - distance) <= RESET_WINDOW
+
+
 async def upload(
     flow: CallerFlow, request: str, content: bytes, seconds: float = 3
 ) -> str:
