--- a/standins/tests/test_networks.py
+++ b/standins/tests/test_networks.py
@@ -11,6 +11,8 @@
     return True
 
 
+# The tests reserve the same networks, so one worker runs all of them.
+@pytest.mark.xdist_group('networks')
 class TestReservedNetwork:
     """One network for each site."""
 
