--- a/processes/test_packets.py
+++ b/processes/test_packets.py
@@ -154,9 +154,7 @@
         await site.restart(site.agent_name(server))
         answer = await flow.ask('after', seconds=10)
         assert _server_of(site, answer) is server
-        assert not any(
-            caller.counters.resets_on_open for caller in site.callers
-        )
+        assert not any(caller.counters.all_resets for caller in site.callers)
         flow.close()
 
 
@@ -294,9 +292,7 @@
         answer = await flow.ask('after-all', seconds=10)
         assert _server_of(site, answer) is server
         assert (await site.operator.read()).body == body
-        assert not any(
-            caller.counters.resets_on_open for caller in site.callers
-        )
+        assert not any(caller.counters.all_resets for caller in site.callers)
         flow.close()
 
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -45,7 +45,7 @@
             f'seed {seed}: {outcome.faults} faults, {outcome.served} served, '
             f'{outcome.uploads} of them uploads, '
             f'{outcome.idle_resets} idle callers reset after their server '
-            f'had ended, '
+            f'had ended, {outcome.ignored_resets} resets ignored, '
             f'not served {outcome.failures_by_reason}, '
             f'broken {list(outcome.broken)}, late by '
             f'{outcome.longest_lag} s at most, the programs in the calm by '
--- a/soak/run.py
+++ b/soak/run.py
@@ -81,6 +81,8 @@
         Uploads that were answered.
     idle_resets : int
         Idle flows that were reset after their server had ended.
+    ignored_resets : int
+        Resets on open flows that callers did not accept.
     failures_by_reason : dict
         Requests that were not.
     broken : tuple of Broken
@@ -98,6 +100,7 @@
     served: int
     uploads: int
     idle_resets: int
+    ignored_resets: int
     failures_by_reason: dict[str, int]
     broken: tuple[Broken, ...]
     longest_lag: float
@@ -164,6 +167,7 @@
             len(seen.served_at),
             seen.uploads,
             idle_resets(seen.broken, ended_runs(site.servers)),
+            sum(caller.counters.resets_ignored for caller in site.callers),
             seen.failures_by_reason,
             broken,
             round(seen.running.longest_lag, 3),
--- a/standins/packets/callers.py
+++ b/standins/packets/callers.py
@@ -136,6 +136,11 @@
     resets_on_open: int = 0
     resets_ignored: int = 0
 
+    @property
+    def all_resets(self) -> int:
+        """Resets that came while a flow was open, accepted or not."""
+        return self.resets_on_open + self.resets_ignored
+
 
 class CallerSite:
     """The socket of one caller's IP address, and its flows.
--- a/standins/tests/test_callers.py
+++ b/standins/tests/test_callers.py
@@ -51,3 +51,4 @@
         counters = flow._site.counters
         assert counters.resets_on_open == is_reset
         assert counters.resets_ignored == (not is_reset)
+        assert counters.all_resets == 1
